--- /dev/null
+++ b/src/citrondeal/peers/__init__.py
@@ -0,0 +1,26 @@
+"""Messages between the daemons: Thrift frames over TCP streams."""
+
+from citrondeal.peers import _codec
+from citrondeal.peers import _link
+from citrondeal.peers import _pool
+from citrondeal.peers import _server
+
+__all__ = [
+    "FRAME_LIMIT",
+    "Identity",
+    "PROTOCOL_VERSION",
+    "Pool",
+    "PeerError",
+    "decode",
+    "encode",
+    "serve",
+]
+
+FRAME_LIMIT = _codec.FRAME_LIMIT
+PROTOCOL_VERSION = _codec.PROTOCOL_VERSION
+Identity = _link.Identity
+PeerError = _link.PeerError
+Pool = _pool.Pool
+decode = _codec.decode
+encode = _codec.encode
+serve = _server.serve
--- /dev/null
+++ b/src/citrondeal/peers/_codec.py
@@ -0,0 +1,130 @@
+"""Frames: a 4-byte big-endian length and a Thrift compact message."""
+
+import struct
+
+from thrift.protocol import TCompactProtocol
+from thrift import Thrift
+from thrift.transport import TTransport
+
+from citrondeal.peers.gen.peers import ttypes
+
+FRAME_LIMIT = 2 * 1024 * 1024  # bytes, without the length prefix
+PROTOCOL_VERSION = 1
+HEADER = struct.Struct(">I")
+
+_DECODE_ERRORS = (
+    Thrift.TException,
+    AttributeError,
+    EOFError,
+    IndexError,
+    OverflowError,
+    TypeError,
+    ValueError,
+)
+
+
+class FrameError(Exception):
+    """The peer sent bytes that are no message of this protocol."""
+
+
+def encode(message):
+    """Return one frame.
+
+    Parameters
+    ----------
+    message : ttypes.Message
+        Message with exactly one field of its body set.
+
+    Returns
+    -------
+    bytes
+        Length prefix and payload.
+
+    Raises
+    ------
+    FrameError
+        If the payload is larger than `FRAME_LIMIT` bytes.
+    """
+    buffer = TTransport.TMemoryBuffer()
+    message.write(TCompactProtocol.TCompactProtocolAccelerated(buffer))
+    payload = buffer.getvalue()
+    if len(payload) > FRAME_LIMIT:
+        raise FrameError(f"message of {len(payload)} bytes is too large")
+    return HEADER.pack(len(payload)) + payload
+
+
+def decode(payload):
+    """Return the message in `payload`.
+
+    Parameters
+    ----------
+    payload : bytes
+        A frame without its length prefix.
+
+    Returns
+    -------
+    ttypes.Message
+
+    Raises
+    ------
+    FrameError
+        If the payload is not a message, or its body is empty.
+    """
+    message = ttypes.Message()
+    buffer = TTransport.TMemoryBuffer(payload)
+    try:
+        message.read(TCompactProtocol.TCompactProtocolAccelerated(buffer))
+    except _DECODE_ERRORS as exc:
+        raise FrameError(f"undecodable message: {exc}") from exc
+    if message.call is None or message.body is None:
+        raise FrameError("message without call id or body")
+    if content(message) is None:
+        raise FrameError("message with an empty or unknown body")
+    return message
+
+
+def content(message):
+    """Return the field of the body that is set, or None."""
+    body = message.body
+    for name in ttypes.Body.__slots__:
+        value = getattr(body, name)
+        if value is not None:
+            return value
+    return None
+
+
+_FIELDS = {
+    ttypes.Hello: "hello",
+    ttypes.Fault: "fault",
+    ttypes.Forward: "forward",
+    ttypes.Reply: "reply",
+    ttypes.Intent: "intent",
+    ttypes.Claim: "claim",
+    ttypes.ClaimReply: "claim_reply",
+    ttypes.Promise: "promise",
+    ttypes.PromiseReply: "promise_reply",
+    ttypes.Load: "load",
+    ttypes.Records: "records",
+    ttypes.RecordsReply: "records_reply",
+    ttypes.Ok: "ok",
+}
+
+
+def wrap(value, call, is_reply=False):
+    """Return the message that carries `value` as its body.
+
+    Parameters
+    ----------
+    value : object
+        Instance of one of the generated body types.
+    call : int
+        Id that pairs a reply with its request; 0 for one-way messages.
+    is_reply : bool
+        Whether the message answers `call`.
+
+    Returns
+    -------
+    ttypes.Message
+    """
+    body = ttypes.Body(**{_FIELDS[type(value)]: value})
+    return ttypes.Message(call=call, is_reply=is_reply, body=body)
--- /dev/null
+++ b/src/citrondeal/peers/_pool.py
@@ -0,0 +1,162 @@
+"""Outgoing links to peers, opened on first use."""
+
+import logging
+
+import anyio
+
+from citrondeal.peers import _codec
+from citrondeal.peers import _link
+from citrondeal import telemetry
+
+CONNECT_TIMEOUT = 1.0  # seconds
+# After a failed connection the address is not tried again for this long,
+# so that calls to a dead VM fail at once.
+RETRY_AFTER = 0.5  # seconds
+# A link on which a call timed out while nothing was received for this long
+# is closed: something between both ends may have dropped its state.
+SILENT_AFTER = 2.0  # seconds
+
+_LOG = logging.getLogger(__name__)
+
+
+class _Slot:
+    """State of the link to one address."""
+
+    def __init__(self):
+        self.link = None
+        self.lock = anyio.Lock()
+        self.failed_at = None
+        self.last_received = 0.0
+
+
+class Pool:
+    """Links by address.
+
+    Parameters
+    ----------
+    identity : citrondeal.peers.Identity
+        Identity of this process.
+    task_group : anyio.abc.TaskGroup
+        Runs the reader of each link.
+    """
+
+    def __init__(self, identity, task_group):
+        self._identity = identity
+        self._task_group = task_group
+        self._slots = {}
+        self._closed_bytes = [0, 0]
+
+    @property
+    def traffic(self):
+        """Bytes sent and received on all links so far."""
+        links = [s.link for s in self._slots.values() if s.link is not None]
+        sent = self._closed_bytes[0] + sum(k.bytes_out for k in links)
+        received = self._closed_bytes[1] + sum(k.bytes_in for k in links)
+        return sent, received
+
+    async def call(self, address, value, timeout_s):
+        """Call the peer at `address` and return the body of its reply.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port``.
+        value : object
+            Body of the request.
+        timeout_s : float
+            Seconds for connection and reply together.
+
+        Raises
+        ------
+        PeerError
+            With ``sent`` false if the peer cannot have seen the call.
+        """
+        started = anyio.current_time()
+        slot = self._slots.setdefault(address, _Slot())
+        link = await self._connected(address, slot, timeout_s)
+        left = max(0.0, timeout_s - (anyio.current_time() - started))
+        try:
+            return await link.call(value, left)
+        except _link.PeerError:
+            quiet = anyio.current_time() - slot.last_received
+            if quiet > SILENT_AFTER:
+                await self._drop(slot, link)
+            raise
+
+    async def notify(self, address, value):
+        """Send a one-way message; failures to deliver it are ignored."""
+        slot = self._slots.setdefault(address, _Slot())
+        try:
+            link = await self._connected(address, slot, CONNECT_TIMEOUT)
+            with anyio.fail_after(CONNECT_TIMEOUT):
+                await link.notify(value)
+        except (
+            _link.PeerError,
+            TimeoutError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+        ):
+            return
+
+    async def _connected(self, address, slot, timeout_s):
+        if slot.link is not None and not slot.link.closed:
+            return slot.link
+        now = anyio.current_time()
+        if slot.failed_at is not None and now - slot.failed_at < RETRY_AFTER:
+            raise _link.PeerError("peer was unreachable just now", sent=False)
+        async with slot.lock:
+            if slot.link is not None and not slot.link.closed:
+                return slot.link
+            try:
+                with anyio.fail_after(min(timeout_s, CONNECT_TIMEOUT)):
+                    slot.link = await self._open(address, slot)
+            except (OSError, _codec.FrameError) as exc:
+                slot.failed_at = anyio.current_time()
+                telemetry.event(
+                    _LOG,
+                    logging.INFO,
+                    "peer is unreachable",
+                    peer=address,
+                    reason=str(exc) or type(exc).__name__,
+                )
+                raise _link.PeerError(str(exc), sent=False) from exc
+        slot.failed_at = None
+        return slot.link
+
+    async def _open(self, address, slot):
+        host, _, port = address.rpartition(":")
+        stream = await anyio.connect_tcp(host, int(port))
+        link = _link.Link(stream, self._identity)
+        try:
+            await link.handshake()
+        except BaseException:
+            await link.aclose()
+            raise
+        slot.last_received = anyio.current_time()
+        self._task_group.start_soon(self._read, slot, link)
+        return link
+
+    async def _read(self, slot, link):
+        try:
+            while True:
+                message = await link.receive()
+                slot.last_received = anyio.current_time()
+                if message.is_reply:
+                    link.complete(message)
+        except (
+            _codec.FrameError,
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            anyio.EndOfStream,
+        ) as exc:
+            link.fail(str(exc) or type(exc).__name__)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._drop(slot, link)
+
+    async def _drop(self, slot, link):
+        if slot.link is link:
+            slot.link = None
+            self._closed_bytes[0] += link.bytes_out
+            self._closed_bytes[1] += link.bytes_in
+        await link.aclose()
--- /dev/null
+++ b/src/citrondeal/peers/gen/peers/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
