--- a/Makefile
+++ b/Makefile
@@ -12,8 +12,8 @@
 
 $(STAMP): requirements.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
-	$(BIN)/python -m pip install --quiet -r requirements.txt
-	$(BIN)/python -m pip install --quiet --no-deps -e .
+	$(BIN)/python -m pip install -qq -r requirements.txt
+	$(BIN)/python -m pip install -qq --no-deps -e .
 	touch $(STAMP)
 
 test: env
--- /dev/null
+++ b/demo/run.py
@@ -0,0 +1,9 @@
+"""Demonstration of a whole cell on loopback."""
+
+
+def main():
+    """Run the demonstration."""
+
+
+if __name__ == "__main__":
+    main()
--- a/src/citrondeal/telemetry/_metrics.py
+++ b/src/citrondeal/telemetry/_metrics.py
@@ -27,9 +27,7 @@
             views=[
                 view.View(
                     instrument_type=sdk_metrics.Histogram,
-                    aggregation=(
-                        view.ExponentialBucketHistogramAggregation()
-                    ),
+                    aggregation=(view.ExponentialBucketHistogramAggregation()),
                 )
             ],
         )
