--- /dev/null
+++ b/src/citrondeal/web/_app.py
@@ -0,0 +1,251 @@
+"""Routing of HTTP requests to plain coroutines."""
+
+import dataclasses
+import json
+import logging
+import urllib.parse
+
+from citrondeal import errors
+from citrondeal import telemetry
+
+BODY_LIMIT = 1024 * 1024  # bytes
+
+_LOG = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """One HTTP request with its whole body.
+
+    Attributes
+    ----------
+    method, path : str
+        Method and undecoded path without the query.
+    headers : dict of str to str
+        Header values by lower-case name.
+    query : dict of str to str
+        Last value of each query parameter.
+    body : bytes
+        Whole body.
+    params : dict of str to str
+        Values of the placeholders of the route.
+    """
+
+    method: str
+    path: str
+    headers: dict
+    query: dict
+    body: bytes
+    params: dict
+
+
+@dataclasses.dataclass(slots=True)
+class Response:
+    """Status, body and extra headers of an answer."""
+
+    status: int
+    body: bytes = b""
+    headers: dict = dataclasses.field(default_factory=dict)
+
+
+class _TooLarge(Exception):
+    """The body exceeds the limit."""
+
+
+class _Disconnected(Exception):
+    """The caller closed the connection before the body was complete."""
+
+
+def json_response(value, status=200):
+    """Return a `Response` with `value` as JSON."""
+    body = json.dumps(value, separators=(",", ":")).encode()
+    return Response(status, body, {"content-type": "application/json"})
+
+
+def failure_response(failure, request_id=None):
+    """Return the error answer of a `errors.Failure`.
+
+    Parameters
+    ----------
+    failure : citrondeal.errors.Failure
+        What went wrong.
+    request_id : str, optional
+        Id to repeat in the body.
+
+    Returns
+    -------
+    Response
+        With ``Retry-After`` in whole seconds where the failure has one.
+    """
+    response = json_response(
+        errors.body_of(failure, request_id), failure.status
+    )
+    if request_id is not None:
+        response.headers["request-id"] = request_id
+    if failure.retry_after_s is not None:
+        seconds = max(1, round(failure.retry_after_s))
+        response.headers["retry-after"] = str(seconds)
+    return response
+
+
+class App:
+    """ASGI application made of routes.
+
+    Parameters
+    ----------
+    body_limit : int
+        Largest accepted body in bytes; larger ones are answered with 413.
+
+    Examples
+    --------
+    >>> app = App()
+    >>> app.add("GET", "/v1/jobs/{id}", show_job)  # doctest: +SKIP
+    """
+
+    def __init__(self, body_limit=BODY_LIMIT):
+        self._routes = []
+        self._body_limit = body_limit
+        self._active = 0
+
+    @property
+    def active(self):
+        """Number of requests that are being handled."""
+        return self._active
+
+    def add(self, method, pattern, handler):
+        """Add a route.
+
+        Parameters
+        ----------
+        method : str
+            HTTP method in upper case.
+        pattern : str
+            Path with ``{name}`` for one segment; a last ``{name*}`` takes
+            the rest of the path, which may be empty.
+        handler : callable
+            ``async handler(request)`` returns a `Response`.
+        """
+        parts = pattern.strip("/").split("/")
+        self._routes.append((method, parts, handler))
+
+    async def __call__(self, scope, receive, send):
+        """Handle one ASGI connection scope."""
+        if scope["type"] != "http":
+            return
+        self._active += 1
+        try:
+            response = await self._respond(scope, receive)
+            await _send_response(response, send)
+        except _Disconnected:
+            return
+        finally:
+            self._active -= 1
+
+    async def _respond(self, scope, receive):
+        handler, params, methods = self._match(scope["method"], scope["path"])
+        if handler is None:
+            return _no_route(methods)
+        headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in scope["headers"]
+        }
+        try:
+            body = await self._read_body(headers, receive)
+        except _TooLarge:
+            message = f"the body exceeds {self._body_limit} bytes"
+            return failure_response(
+                errors.Failure(errors.Kind.TOO_LARGE, message),
+                headers.get("request-id"),
+            )
+        query = urllib.parse.parse_qs(scope["query_string"].decode("latin-1"))
+        request = Request(
+            scope["method"],
+            scope["path"],
+            headers,
+            {name: values[-1] for name, values in query.items()},
+            body,
+            params,
+        )
+        try:
+            return await handler(request)
+        except Exception as exc:
+            telemetry.event(
+                _LOG,
+                logging.ERROR,
+                "request handler failed",
+                path=request.path,
+                reason=repr(exc),
+            )
+            _LOG.debug("traceback of the failed handler", exc_info=True)
+            failure = errors.Failure(errors.Kind.INTERNAL, "internal error")
+            return failure_response(failure, headers.get("request-id"))
+
+    def _match(self, method, path):
+        parts = path.strip("/").split("/")
+        methods = []
+        for route_method, pattern, handler in self._routes:
+            params = _match_parts(pattern, parts)
+            if params is None:
+                continue
+            if route_method == method:
+                return handler, params, methods
+            methods.append(route_method)
+        return None, {}, methods
+
+    async def _read_body(self, headers, receive):
+        declared = headers.get("content-length", "0")
+        if declared.isdigit() and int(declared) > self._body_limit:
+            raise _TooLarge
+        chunks = []
+        size = 0
+        while True:
+            event = await receive()
+            if event["type"] == "http.disconnect":
+                raise _Disconnected
+            chunk = event.get("body", b"")
+            size += len(chunk)
+            if size > self._body_limit:
+                raise _TooLarge
+            chunks.append(chunk)
+            if not event.get("more_body", False):
+                return b"".join(chunks)
+
+
+def _match_parts(pattern, parts):
+    params = {}
+    for index, part in enumerate(pattern):
+        if part.endswith("*}"):
+            params[part[1:-2]] = "/".join(parts[index:])
+            return params
+        if index >= len(parts):
+            return None
+        if part.startswith("{"):
+            if not parts[index]:
+                return None
+            params[part[1:-1]] = parts[index]
+        elif part != parts[index]:
+            return None
+    return params if len(pattern) == len(parts) else None
+
+
+def _no_route(methods):
+    if methods:
+        return Response(405, b"", {"allow": ", ".join(sorted(set(methods)))})
+    failure = errors.Failure(errors.Kind.UNKNOWN_PATH, "no such path")
+    return failure_response(failure)
+
+
+async def _send_response(response, send):
+    headers = [
+        (name.encode("latin-1"), value.encode("latin-1"))
+        for name, value in response.headers.items()
+    ]
+    headers.append((b"content-length", str(len(response.body)).encode()))
+    await send(
+        {
+            "type": "http.response.start",
+            "status": response.status,
+            "headers": headers,
+        }
+    )
+    await send({"type": "http.response.body", "body": response.body})
