--- a/src/citrondeal/web/_server.py
+++ b/src/citrondeal/web/_server.py
@@ -32,12 +32,16 @@
         Seconds that running requests get after cancellation.
     task_status : anyio.abc.TaskStatus
         Told when the port is bound.
+
+    Raises
+    ------
+    OSError
+        If the port cannot be bound.
     """
     config = uvicorn.Config(
         app,
         host=host,
         port=port,
-        http="h11",
         ws="none",
         lifespan="off",
         log_config=None,
@@ -47,18 +51,21 @@
     )
     server = _Server(config)
     async with anyio.create_task_group() as task_group:
-        task_group.start_soon(server.serve)
+        task_group.start_soon(_serve, server, host, port)
         while not server.started:
-            if server.should_exit:
-                raise OSError(f"cannot listen on {host}:{port}")
             await anyio.sleep(START_POLL)
-        task_status.started()
+        task_status.started(server)
         try:
             await anyio.sleep_forever()
         finally:
             server.should_exit = True
-            with anyio.CancelScope(shield=True):
-                while server.servers and any(
-                    s.is_serving() for s in server.servers
-                ):
-                    await anyio.sleep(START_POLL)
+
+
+async def _serve(server, host, port):
+    # Cancellation must not cut off running requests; the server ends by
+    # itself once `should_exit` is set and its drain time is over.
+    with anyio.CancelScope(shield=True):
+        try:
+            await server.serve()
+        except SystemExit as exc:
+            raise OSError(f"cannot listen on {host}:{port}") from exc
--- /dev/null
+++ b/src/citrondeal/workers/__init__.py
@@ -0,0 +1,7 @@
+"""HTTP client to workers."""
+
+from citrondeal.workers import _client
+
+__all__ = ["Client"]
+
+Client = _client.Client
--- /dev/null
+++ b/src/citrondeal/workers/_client.py
@@ -0,0 +1,128 @@
+"""The periodic exchange with a worker."""
+
+import json
+import math
+
+import anyio
+import httpcore
+import result
+
+from citrondeal import errors
+
+CONNECT_TIMEOUT = 1.0  # seconds
+# Longer than the period of the exchange, so that one connection per worker
+# stays open.
+KEEP_ALIVE = 30.0  # seconds
+REPLY_LIMIT = 4 * 1024 * 1024  # bytes
+
+_STATES = frozenset(
+    {"running", "finished", "failed", "checkpointed", "expired"}
+)
+
+
+class Client:
+    """Connections to the workers of the pool.
+
+    Parameters
+    ----------
+    timeout_s : float
+        Seconds for one exchange.
+    """
+
+    def __init__(self, timeout_s):
+        self._timeout = timeout_s
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=1024, keepalive_expiry=KEEP_ALIVE
+        )
+        self._bytes_out = 0
+        self._bytes_in = 0
+
+    @classmethod
+    def from_config(cls, config):
+        """Build from the ``[workers]`` settings of a scheduler."""
+        return cls(config.workers.timeout_s)
+
+    @property
+    def traffic(self):
+        """Body bytes sent and received so far."""
+        return self._bytes_out, self._bytes_in
+
+    async def sync(self, address, message):
+        """Perform one exchange.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port`` of the worker.
+        message : dict
+            JSON-ready request as documented in the design page.
+
+        Returns
+        -------
+        result.Result
+            ``Ok(dict)`` with a validated reply; ``Err`` of kind
+            ``unavailable`` if nothing was sent, ``unknown_outcome`` if the
+            request may have taken effect.
+        """
+        body = json.dumps(message, separators=(",", ":")).encode()
+        try:
+            with anyio.fail_after(self._timeout):
+                response = await self._pool.request(
+                    "POST",
+                    f"http://{address}/v1/sync",
+                    content=body,
+                    headers=[("content-type", "application/json")],
+                    extensions={"timeout": {"connect": CONNECT_TIMEOUT}},
+                )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
+            return _err(errors.Kind.UNAVAILABLE, exc)
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+            TimeoutError,
+        ) as exc:
+            return _err(errors.Kind.UNKNOWN_OUTCOME, exc)
+        self._bytes_out += len(body)
+        self._bytes_in += len(response.content)
+        if response.status != 200:
+            return _err(
+                errors.Kind.UNKNOWN_OUTCOME,
+                f"worker answered {response.status}",
+            )
+        return _parse(response.content)
+
+    async def aclose(self):
+        """Close all connections."""
+        await self._pool.aclose()
+
+
+def _parse(content):
+    if len(content) > REPLY_LIMIT:
+        return _err(errors.Kind.UNKNOWN_OUTCOME, "reply is too large")
+    try:
+        reply = json.loads(content)
+        _check(reply)
+    except (ValueError, KeyError, TypeError) as exc:
+        return _err(errors.Kind.UNKNOWN_OUTCOME, f"invalid reply: {exc!r}")
+    return result.Ok(reply)
+
+
+def _check(reply):
+    if not isinstance(reply["boot_id"], str):
+        raise ValueError("boot_id is no string")
+    if not math.isfinite(reply["clock_s"]):
+        raise ValueError("clock_s is not finite")
+    for task in reply["tasks"]:
+        if task["state"] not in _STATES:
+            raise ValueError("unknown task state")
+        if not isinstance(task["task"], str):
+            raise ValueError("task id is no string")
+        for name in ("cores", "memory_mb", "accelerators"):
+            if not (math.isfinite(task[name]) and task[name] >= 0):
+                raise ValueError(f"{name} is out of range")
+
+
+def _err(kind, reason):
+    text = str(reason) or type(reason).__name__
+    return result.Err(errors.Failure(kind, f"worker: {text}"))
--- /dev/null
+++ b/tests/standins/log_service.py
@@ -0,0 +1,135 @@
+"""Stand-in for the platform's append-only log service.
+
+Switches: ``outage`` (answers 503), ``slow_s`` (delay of each answer),
+``lose_answers`` (share of appends that take effect without an answer).
+"""
+
+import collections
+import json
+import random
+
+import anyio
+import fire
+
+from citrondeal import web
+from tests.standins import _common
+
+CUT = 599  # status never used by the platform; the answer counts as lost
+
+
+class Stream:
+    """Records of one stream in memory."""
+
+    def __init__(self):
+        self.first = 0
+        self.records = collections.deque()
+        self.grown = anyio.Event()
+
+    @property
+    def next(self):
+        """Offset of the next record."""
+        return self.first + len(self.records)
+
+    def append(self, data, keep):
+        """Add a record and drop the oldest beyond `keep` records."""
+        self.records.append(data)
+        offset = self.next - 1
+        while len(self.records) > keep:
+            self.records.popleft()
+            self.first += 1
+        self.grown.set()
+        self.grown = anyio.Event()
+        return offset
+
+    def read(self, start, limit):
+        """Return up to `limit` records from `start` on."""
+        start = max(start, self.first)
+        end = min(self.next, start + limit)
+        return [
+            {"offset": offset, "data": self.records[offset - self.first]}
+            for offset in range(start, end)
+        ]
+
+
+class LogService:
+    """All streams, and counters of the traffic."""
+
+    def __init__(self, keep, seed):
+        self._keep = keep
+        self._streams = collections.defaultdict(Stream)
+        self._random = random.Random(seed)
+        self.faults = _common.Faults(outage=0, slow_s=0.0, lose_answers=0.0)
+        self.counts = collections.Counter()
+
+    async def append(self, request):
+        """Answer ``POST /v1/streams/{stream}/records``."""
+        if self.faults["outage"]:
+            return web.Response(503)
+        if self.faults["slow_s"]:
+            await anyio.sleep(self.faults["slow_s"])
+        stream = self._streams[request.params["stream"]]
+        try:
+            data = json.loads(request.body)
+        except ValueError:
+            data = None
+        offset = stream.append(data, self._keep)
+        self.counts["appends"] += 1
+        self.counts["append_bytes"] += len(request.body)
+        if self._random.random() < self.faults["lose_answers"]:
+            return web.Response(CUT)
+        return web.json_response({"offset": offset})
+
+    async def read(self, request):
+        """Answer ``GET /v1/streams/{stream}/records``."""
+        if self.faults["outage"]:
+            return web.Response(503)
+        if self.faults["slow_s"]:
+            await anyio.sleep(self.faults["slow_s"])
+        stream = self._streams[request.params["stream"]]
+        start = int(request.query["from"])
+        limit = int(request.query.get("limit", "500"))
+        wait_s = int(request.query.get("wait_ms", "0")) / 1000
+        if start >= stream.next and wait_s:
+            with anyio.move_on_after(wait_s):
+                await stream.grown.wait()
+        if self.faults["outage"]:
+            return web.Response(503)
+        records = stream.read(start, limit)
+        self.counts["reads"] += 1
+        response = web.json_response(
+            {"first": stream.first, "next": stream.next, "records": records}
+        )
+        self.counts["read_bytes"] += len(response.body)
+        return response
+
+    async def stats(self, request):
+        """Answer ``GET /stats``."""
+        return web.json_response(
+            {
+                "counts": dict(self.counts),
+                "streams": {
+                    name: {"first": s.first, "next": s.next}
+                    for name, s in self._streams.items()
+                },
+            }
+        )
+
+
+def build_app(service):
+    """Return the application of a `LogService`."""
+    app = web.App()
+    app.add("POST", "/v1/streams/{stream}/records", service.append)
+    app.add("GET", "/v1/streams/{stream}/records", service.read)
+    app.add("POST", "/faults", service.faults.handle)
+    app.add("GET", "/stats", service.stats)
+    return app
+
+
+def main(address="127.0.0.1:7001", keep=100000, seed=1):
+    """Serve the log on `address`, keeping `keep` records per stream."""
+    app = build_app(LogService(keep, seed))
+    anyio.run(_common.serve_apps, [(address, app)])
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
