--- /dev/null
+++ b/src/citrondeal/runtime/_process.py
@@ -0,0 +1,102 @@
+"""Start, signals and graceful shutdown of a daemon."""
+
+import json
+import logging
+import signal
+import sys
+
+import anyio
+
+from citrondeal import telemetry
+
+# Time for the balancer to see that the process is unready, before it stops
+# to accept connections.
+UNREADY_S = 1.0
+
+_LOG = logging.getLogger(__name__)
+
+
+class Lifecycle:
+    """Where a daemon is between its start and its exit.
+
+    Parameters
+    ----------
+    dump : callable
+        Returns the JSON-ready state dump of the process.
+    """
+
+    def __init__(self, dump):
+        self._dump = dump
+        self._draining = anyio.Event()
+        self._is_ready = None
+
+    @property
+    def draining(self):
+        """Whether a graceful shutdown has begun."""
+        return self._draining.is_set()
+
+    @property
+    def ready(self):
+        """Whether the balancer may send new work to this process."""
+        if self.draining or self._is_ready is None:
+            return False
+        return self._is_ready()
+
+    def set_ready_check(self, is_ready):
+        """Set the function that decides on readiness while not draining."""
+        self._is_ready = is_ready
+
+    def drain(self):
+        """Begin the graceful shutdown."""
+        if not self.draining:
+            telemetry.event(_LOG, logging.INFO, "graceful shutdown begins")
+            self._draining.set()
+
+    async def wait_drain(self):
+        """Return once the graceful shutdown has begun."""
+        await self._draining.wait()
+
+    def write_dump(self):
+        """Write the state dump as one line to standard error."""
+        sys.stderr.write(json.dumps(self._dump(), default=str) + "\n")
+        sys.stderr.flush()
+
+    async def handle_signals(self, *, task_status):
+        """Drain on SIGTERM and SIGINT, dump on SIGUSR1."""
+        wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
+        with anyio.open_signal_receiver(*wanted) as signals:
+            task_status.started()
+            async for number in signals:
+                if number == signal.SIGUSR1:
+                    self.write_dump()
+                else:
+                    self.drain()
+
+
+def run(serve, config):
+    """Run a daemon until it has shut down.
+
+    Parameters
+    ----------
+    serve : callable
+        ``async serve(config)``.
+    config : object
+        Settings of the daemon with a ``process`` and a ``logging`` part.
+
+    Returns
+    -------
+    int
+        Exit status: 0 after a graceful shutdown, 1 after a failure.
+    """
+    telemetry.configure_logging(
+        config.process.name, config.process.zone, config.logging.level
+    )
+    try:
+        anyio.run(serve, config)
+    except* OSError as group:
+        for exc in group.exceptions:
+            telemetry.event(
+                _LOG, logging.ERROR, "daemon failed", reason=str(exc)
+            )
+        return 1
+    return 0
--- /dev/null
+++ b/src/citrondeal/runtime/_streams.py
@@ -0,0 +1,51 @@
+"""Following one stream of the log service."""
+
+import logging
+
+import anyio
+
+from citrondeal import telemetry
+
+LONG_POLL_S = 1.0
+# Pause after a failed read; short, because leases and settings wait for it.
+RETRY_S = 0.25
+
+_LOG = logging.getLogger(__name__)
+
+
+async def follow(log, stream, position, on_batch, on_failed):
+    """Read a stream from its end position on, until cancelled.
+
+    Parameters
+    ----------
+    log : citrondeal.platform.LogClient
+        Client of the log service.
+    stream : str
+        Name of the stream.
+    position : callable
+        Returns the next offset to read.
+    on_batch : callable
+        Takes a `platform.Batch` and the time before the read was sent, in
+        monotonic seconds.
+    on_failed : callable
+        Takes the time of a failed read.
+    """
+    failing = False
+    while True:
+        started = anyio.current_time()
+        outcome = await log.read(stream, position(), LONG_POLL_S)
+        if outcome.is_ok():
+            failing = False
+            on_batch(outcome.ok_value, started)
+            continue
+        on_failed(anyio.current_time())
+        if not failing:
+            failing = True
+            telemetry.event(
+                _LOG,
+                logging.WARNING,
+                "log stream is unreachable",
+                stream=stream,
+                reason=outcome.err_value.message,
+            )
+        await anyio.sleep(RETRY_S)
--- /dev/null
+++ b/src/citrondeal/runtime/_vms.py
@@ -0,0 +1,45 @@
+"""Polling of the platform's list of VMs."""
+
+import logging
+
+import anyio
+
+from citrondeal import telemetry
+
+POLL_S = 1.0  # seconds; bounds the delay until a leaving VM is noticed
+
+_LOG = logging.getLogger(__name__)
+
+
+async def poll_vms(client, directory, on_changed):
+    """Keep `directory` up to date until cancelled.
+
+    Parameters
+    ----------
+    client : citrondeal.platform.VmClient
+        Client of the list.
+    directory : citrondeal.platform.Directory
+        Updated in place; keeps the last list while reads fail.
+    on_changed : callable
+        Called without arguments after each change.
+    """
+    failing = False
+    while True:
+        outcome = await client.read()
+        now = anyio.current_time()
+        if outcome.is_err():
+            if not failing:
+                telemetry.event(
+                    _LOG,
+                    logging.WARNING,
+                    "VM list is unreachable; keeping the last one",
+                    reason=outcome.err_value.message,
+                )
+            failing = True
+        else:
+            failing = False
+            if outcome.ok_value is None:
+                directory.confirm(now)
+            elif directory.update(outcome.ok_value, now):
+                on_changed()
+        await anyio.sleep(POLL_S)
--- a/src/citrondeal/web/_app.py
+++ b/src/citrondeal/web/_app.py
@@ -25,10 +25,14 @@
         Header values by lower-case name.
     query : dict of str to str
         Last value of each query parameter.
+    raw_query : str
+        Undecoded query without the question mark.
     body : bytes
         Whole body.
     params : dict of str to str
         Values of the placeholders of the route.
+    disconnected : callable
+        ``await disconnected()`` returns once the client is gone.
     """
 
     method: str
@@ -37,6 +41,8 @@
     query: dict
     body: bytes
     params: dict
+    raw_query: str = ""
+    disconnected: object = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -106,12 +112,21 @@
         self._routes = []
         self._body_limit = body_limit
         self._active = 0
+        self._closing = False
 
     @property
     def active(self):
         """Number of requests that are being handled."""
         return self._active
 
+    def close_connections(self):
+        """Ask clients, from now on, to open no request on old connections.
+
+        A client that reuses a connection at the moment at which the server
+        closes it would see its request cut off.
+        """
+        self._closing = True
+
     def add(self, method, pattern, handler):
         """Add a route.
 
@@ -135,6 +150,8 @@
         self._active += 1
         try:
             response = await self._respond(scope, receive)
+            if self._closing:
+                response.headers["connection"] = "close"
             await _send_response(response, send)
         except _Disconnected:
             return
@@ -157,7 +174,8 @@
                 errors.Failure(errors.Kind.TOO_LARGE, message),
                 headers.get("request-id"),
             )
-        query = urllib.parse.parse_qs(scope["query_string"].decode("latin-1"))
+        raw_query = scope["query_string"].decode("latin-1")
+        query = urllib.parse.parse_qs(raw_query)
         request = Request(
             scope["method"],
             scope["path"],
@@ -165,6 +183,8 @@
             {name: values[-1] for name, values in query.items()},
             body,
             params,
+            raw_query,
+            _make_disconnected(receive),
         )
         try:
             return await handler(request)
@@ -211,6 +231,14 @@
                 return b"".join(chunks)
 
 
+def _make_disconnected(receive):
+    async def disconnected():
+        while (await receive())["type"] != "http.disconnect":
+            pass
+
+    return disconnected
+
+
 def _match_parts(pattern, parts):
     params = {}
     for index, part in enumerate(pattern):
