Test the peer protocol; close broken links without harm to handlers

A receive error inside the task group of a link reached the acceptor as an exception group and ended the whole server. The error is now handled in the receive loop, and running handlers finish.

--- a/src/citrondeal/peers/_pool.py
+++ b/src/citrondeal/peers/_pool.py
@@ -38,11 +38,15 @@
         Identity of this process.
     task_group : anyio.abc.TaskGroup
         Runs the reader of each link.
+    silent_after_s : float, optional
+        Seconds without any received frame after which a link on which a
+        call timed out is closed.
     """
 
-    def __init__(self, identity, task_group):
+    def __init__(self, identity, task_group, silent_after_s=SILENT_AFTER):
         self._identity = identity
         self._task_group = task_group
+        self._silent_after = silent_after_s
         self._slots = {}
         self._closed_bytes = [0, 0]
 
@@ -79,7 +83,7 @@
             return await link.call(value, left)
         except _link.PeerError:
             quiet = anyio.current_time() - slot.last_received
-            if quiet > SILENT_AFTER:
+            if quiet > self._silent_after:
                 await self._drop(slot, link)
             raise
 
--- a/src/citrondeal/peers/_server.py
+++ b/src/citrondeal/peers/_server.py
@@ -12,6 +12,14 @@
 # Calls of one connection that may run at a time; more wait in the socket.
 CALLS_PER_LINK = 4096
 
+_CLOSED = (
+    _codec.FrameError,
+    TimeoutError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+)
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -46,18 +54,11 @@
         try:
             await link.handshake()
             await _serve_link(link, handle)
-        except (
-            _codec.FrameError,
-            TimeoutError,
-            anyio.BrokenResourceError,
-            anyio.ClosedResourceError,
-            anyio.EndOfStream,
-        ) as exc:
+        except _CLOSED as exc:
             telemetry.event(
                 _LOG,
                 logging.INFO,
-                "closing the connection of a peer",
-                peer=link.peer.process if link.peer else None,
+                "the handshake of a peer failed",
                 reason=str(exc) or type(exc).__name__,
             )
         finally:
@@ -88,12 +89,15 @@
             ):
                 return
 
+    # Running handlers are not cancelled when the connection ends: they may
+    # have work in progress whose outcome must be recorded.
     async with anyio.create_task_group() as task_group:
-        try:
-            while True:
+        while True:
+            try:
                 message = await link.receive()
-                await limiter.acquire()
-                value = _codec.content(message)
-                task_group.start_soon(answer, message.call, value)
-        except anyio.EndOfStream:
-            return
+            except _CLOSED as exc:
+                link.fail(str(exc) or type(exc).__name__)
+                break
+            await limiter.acquire()
+            value = _codec.content(message)
+            task_group.start_soon(answer, message.call, value)
--- /dev/null
+++ b/src/citrondeal/peers/tests/steps.py
@@ -0,0 +1,252 @@
+"""Steps for the messages between daemons."""
+
+import functools
+import struct
+
+import anyio
+import anyio.abc
+import anyio.lowlevel
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+
+from citrondeal import peers
+from citrondeal.peers import _codec
+from citrondeal.peers.gen.peers import ttypes
+
+_SETTINGS = hypothesis.settings(
+    derandomize=True, database=None, max_examples=200, deadline=None
+)
+_TEXT = strategies.text(max_size=40)
+_FORWARDS = strategies.builds(
+    ttypes.Forward,
+    request_id=_TEXT,
+    service_name=_TEXT,
+    path=_TEXT,
+    request_class=_TEXT,
+    team=_TEXT,
+    idempotent=strategies.booleans(),
+    deadline_ms=strategies.integers(0, 2**31 - 1),
+    body=strategies.binary(max_size=300),
+    headers=strategies.dictionaries(_TEXT, _TEXT, max_size=5),
+    origin=_TEXT,
+)
+
+
+def _identity(name):
+    return peers.Identity(name, "1", "z", "gateway")
+
+
+async def _serve(task_group, handle):
+    """Start a server on a free port and return its address."""
+    async with await anyio.create_tcp_listener(
+        local_host="127.0.0.1"
+    ) as probe:
+        port = probe.extra(anyio.abc.SocketAttribute.local_port)
+    await task_group.start(
+        functools.partial(
+            peers.serve, "127.0.0.1", port, _identity("server"), handle
+        )
+    )
+    return f"127.0.0.1:{port}"
+
+
+def _run(scenario):
+    async def main():
+        with anyio.fail_after(30):
+            async with anyio.create_task_group() as task_group:
+                await scenario(task_group)
+                task_group.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+@then("peers random messages decode to what was encoded")
+def round_trip(context):
+    @_SETTINGS
+    @hypothesis.given(_FORWARDS, strategies.integers(0, 2**62))
+    def check(forward, call):
+        frame = peers.encode(_codec.wrap(forward, call))
+        (size,) = struct.unpack(">I", frame[:4])
+        assert size == len(frame) - 4
+        message = peers.decode(frame[4:])
+        assert message.call == call
+        assert message.body.forward == forward
+
+    check()
+
+
+@then("peers random payloads decode or raise a frame error")
+def random_payloads(context):
+    @_SETTINGS
+    @hypothesis.given(strategies.binary(max_size=200))
+    def check(payload):
+        try:
+            peers.decode(payload)
+        except _codec.FrameError:
+            pass
+
+    check()
+
+
+@given("peers a server that answers {count:d} calls in reverse order")
+def reverse_server(context, count):
+    context.count = count
+
+
+@then("peers each call gets its own answer")
+def own_answers(context):
+    async def scenario(task_group):
+        waiting = []
+        full = anyio.Event()
+
+        async def handle(peer, value):
+            mine = anyio.Event()
+            waiting.append(mine)
+            if len(waiting) == context.count:
+                full.set()
+            await mine.wait()
+            return ttypes.Reply(200, {}, value.request_id.encode())
+
+        async def release():
+            await full.wait()
+            for event in reversed(waiting):
+                event.set()
+                await anyio.lowlevel.checkpoint()
+
+        async def call(pool, address, text):
+            intent = ttypes.Intent(text, "g", "1")
+            reply = await pool.call(address, intent, 20)
+            answers[text] = reply.body.decode()
+
+        answers = {}
+        address = await _serve(task_group, handle)
+        pool = peers.Pool(_identity("client"), task_group)
+        async with anyio.create_task_group() as calls:
+            calls.start_soon(release)
+            for index in range(context.count):
+                calls.start_soon(call, pool, address, f"id-{index}")
+        assert len(answers) == context.count
+        assert all(key == value for key, value in answers.items())
+
+    _run(scenario)
+
+
+@given("peers a server that answers the first call late")
+def late_server(context):
+    pass
+
+
+@then("peers the second call gets its own answer")
+def second_answer(context):
+    async def scenario(task_group):
+        first_timed_out = anyio.Event()
+
+        async def handle(peer, value):
+            if value.request_id == "first":
+                await first_timed_out.wait()
+            return ttypes.Reply(200, {}, value.request_id.encode())
+
+        address = await _serve(task_group, handle)
+        pool = peers.Pool(_identity("client"), task_group)
+        try:
+            await pool.call(address, ttypes.Intent("first", "g", "1"), 0.2)
+            raise AssertionError("the first call must time out")
+        except peers.PeerError as exc:
+            assert exc.sent
+        first_timed_out.set()
+        reply = await pool.call(address, ttypes.Intent("second", "g", "1"), 5)
+        assert reply.body == b"second"
+
+    _run(scenario)
+
+
+@given("peers a server with one good connection")
+def good_connection(context):
+    pass
+
+
+@when("peers another connection sends {kind}")
+def bad_connection(context, kind):
+    hello = ttypes.Hello(99, "p", "1", "z", "gateway")
+    context.payload = {
+        "a cut-off frame": struct.pack(">I", 100) + b"abc",
+        "an oversize frame": struct.pack(">I", 2**31),
+        "garbage": b"GET / HTTP/1.1\r\n\r\n" * 10,
+        "another version": peers.encode(_codec.wrap(hello, 0)),
+    }[kind]
+
+
+@then("peers the other connection is closed and the good one works")
+def closed_alone(context):
+    async def scenario(task_group):
+        async def handle(peer, value):
+            return ttypes.Ok()
+
+        address = await _serve(task_group, handle)
+        pool = peers.Pool(_identity("client"), task_group)
+        intent = ttypes.Intent("a", "g", "1")
+        await pool.call(address, intent, 5)
+        host, _, port = address.rpartition(":")
+        bad = await anyio.connect_tcp(host, int(port))
+        await bad.send(context.payload)
+        await bad.send_eof()
+        with anyio.fail_after(10):
+            try:
+                while True:
+                    await bad.receive()
+            except (anyio.EndOfStream, anyio.BrokenResourceError):
+                pass
+        assert isinstance(await pool.call(address, intent, 5), ttypes.Ok)
+
+    _run(scenario)
+
+
+@then("peers a call to a closed port fails as not sent")
+def closed_port(context):
+    async def scenario(task_group):
+        async with await anyio.create_tcp_listener(
+            local_host="127.0.0.1"
+        ) as probe:
+            port = probe.extra(anyio.abc.SocketAttribute.local_port)
+        pool = peers.Pool(_identity("client"), task_group)
+        intent = ttypes.Intent("a", "g", "1")
+        try:
+            await pool.call(f"127.0.0.1:{port}", intent, 5)
+            raise AssertionError("the call must fail")
+        except peers.PeerError as exc:
+            assert not exc.sent
+
+    _run(scenario)
+
+
+@given("peers a server that never answers")
+def silent_server(context):
+    pass
+
+
+@then("peers the call fails as sent and the next call uses a new connection")
+def new_connection(context):
+    async def scenario(task_group):
+        links = set()
+
+        async def handle(peer, value):
+            links.add(peer)
+            await anyio.sleep_forever()
+
+        address = await _serve(task_group, handle)
+        pool = peers.Pool(_identity("client"), task_group, 0.1)
+        intent = ttypes.Intent("a", "g", "1")
+        slot_links = []
+        for _ in range(2):
+            try:
+                await pool.call(address, intent, 0.3)
+                raise AssertionError("the call must fail")
+            except peers.PeerError as exc:
+                assert exc.sent
+            slot_links.append(pool._slots[address].link)
+        assert slot_links == [None, None]
+
+    _run(scenario)
--- /dev/null
+++ b/tests/cell.py
@@ -0,0 +1,371 @@
+"""Starts a whole cell as separate processes on loopback.
+
+Used by the demonstration, the benches with real processes and the system
+scenarios; the daemons themselves start no processes.
+"""
+
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import httpcore
+
+HOST = "127.0.0.1"
+START_LIMIT = 20.0  # seconds until a process must serve
+ENDPOINT_SLOTS = 8
+ENDPOINT_CONNECTIONS = 64
+WORKER_CORES = 32
+WORKER_MEMORY_MB = 131072
+RACK_SIZE = 8  # workers
+
+
+@dataclasses.dataclass(frozen=True)
+class Zone:
+    """One availability zone of a cell and its sizes."""
+
+    name: str
+    region: str
+    entries: int
+    endpoints: int
+    workers: int
+    accelerators: int = 0
+
+
+LANEWORK = (
+    Zone("bkk-a", "bkk", 2, 9, 9),
+    Zone("bkk-b", "bkk", 2, 8, 8),
+    Zone("cnx-a", "cnx", 2, 8, 8),
+)
+
+
+def free_ports(count):
+    """Return ports that were free a moment ago."""
+    sockets = []
+    for _ in range(count):
+        sock = socket.socket()
+        sock.bind((HOST, 0))
+        sockets.append(sock)
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+@dataclasses.dataclass
+class Daemon:
+    """One process of the system with its addresses."""
+
+    name: str
+    role: str
+    zone: Zone
+    http: str
+    peer: str
+    process: subprocess.Popen | None = None
+
+
+class Cell:
+    """Stand-ins and daemons of one cell.
+
+    Parameters
+    ----------
+    zones : sequence of Zone
+        Sizes of the cell.
+    service : str
+        Service of all endpoints.
+    seed : int
+        Seed of the stand-ins.
+    settings : dict, optional
+        Further INI settings, by section and key, for all daemons.
+    """
+
+    def __init__(self, zones=LANEWORK, service="lanebook", seed=1, **extra):
+        self._zones = zones
+        self._service = service
+        self._seed = seed
+        self._settings = extra.get("settings", {})
+        self._keep = extra.get("keep", 100000)
+        self._folder = tempfile.TemporaryDirectory()
+        self.path = pathlib.Path(self._folder.name)
+        self.http = httpcore.ConnectionPool(max_connections=200)
+        self._standins = []
+        self.daemons = {}
+        self.endpoints = {}
+        self.workers = {}
+        log, vms = free_ports(2)
+        self.log = f"{HOST}:{log}"
+        self.vms = f"{HOST}:{vms}"
+
+    # Life cycle of the whole cell.
+
+    def start(self):
+        """Start everything and wait until all daemons are ready."""
+        self.start_standins()
+        for daemon in self.daemons.values():
+            self.launch(daemon)
+        for daemon in self.daemons.values():
+            self.wait_ready(daemon)
+
+    def start_standins(self):
+        """Start the platform, the endpoints and the workers."""
+        self._spawn_standin(
+            "log_service", f"--address={self.log}", f"--keep={self._keep}"
+        )
+        self._spawn_standin("vm_list", f"--address={self.vms}")
+        rows = []
+        for zone in self._zones:
+            rows += self._start_zone(zone)
+        for process in self._standins:
+            self._wait_line(process)
+        self.post(self.vms, "/rows", rows)
+
+    def _start_zone(self, zone):
+        rows = self._plan_daemons(zone)
+        if zone.endpoints:
+            names = [f"{zone.name}-ep{i}" for i in range(zone.endpoints)]
+            addresses = self._addresses(len(names))
+            self._spawn_standin(
+                "endpoint",
+                "--addresses=" + ",".join(addresses),
+                "--names=" + ",".join(names),
+                f"--slots={ENDPOINT_SLOTS}",
+                f"--connections={ENDPOINT_CONNECTIONS}",
+                f"--seed={self._seed}",
+            )
+            for name, address in zip(names, addresses):
+                self.endpoints[name] = address
+                rows.append(self._endpoint_row(name, address, zone))
+        if zone.workers:
+            names = [f"{zone.name}-w{i}" for i in range(zone.workers)]
+            addresses = self._addresses(len(names))
+            self._spawn_standin(
+                "worker",
+                "--addresses=" + ",".join(addresses),
+                "--names=" + ",".join(names),
+                f"--cores={WORKER_CORES}",
+                f"--memory_mb={WORKER_MEMORY_MB}",
+                f"--accelerators={zone.accelerators}",
+                f"--seed={self._seed}",
+            )
+            for index, (name, address) in enumerate(zip(names, addresses)):
+                self.workers[name] = address
+                rows.append(self._worker_row(name, address, zone, index))
+        return rows
+
+    def _addresses(self, count):
+        return [f"{HOST}:{port}" for port in free_ports(count)]
+
+    def _plan_daemons(self, zone):
+        rows = []
+        for index in range(zone.entries):
+            for role in ("gateway", "scheduler"):
+                http, peer = self._addresses(2)
+                name = f"{zone.name}-{role}{index}"
+                daemon = Daemon(name, role, zone, http, peer)
+                self.daemons[name] = daemon
+                rows.append(entry_row(daemon))
+        return rows
+
+    def _endpoint_row(self, name, address, zone):
+        return {
+            "id": name,
+            "kind": "endpoint",
+            "zone": zone.name,
+            "region": zone.region,
+            "state": "live",
+            "http": address,
+            "service": self._service,
+            "slots": ENDPOINT_SLOTS,
+            "connections": ENDPOINT_CONNECTIONS,
+        }
+
+    def _worker_row(self, name, address, zone, index):
+        return {
+            "id": name,
+            "kind": "worker",
+            "zone": zone.name,
+            "region": zone.region,
+            "rack": f"{zone.name}-r{index // RACK_SIZE}",
+            "state": "live",
+            "http": address,
+            "cores": WORKER_CORES,
+            "memory_mb": WORKER_MEMORY_MB,
+            "accelerators": zone.accelerators,
+        }
+
+    def stop(self):
+        """Stop daemons gracefully, then the stand-ins.
+
+        Returns
+        -------
+        dict of str to int
+            Exit status of each daemon that still ran.
+        """
+        statuses = self.stop_daemons(
+            [d for d in self.daemons.values() if d.process is not None]
+        )
+        for process in self._standins:
+            process.terminate()
+        for process in self._standins:
+            try:
+                process.wait(10)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+            process.stdout.close()
+        self.http.close()
+        self._folder.cleanup()
+        return statuses
+
+    # Single processes.
+
+    def launch(self, daemon):
+        """Start one daemon."""
+        path = self.path / f"{daemon.name}.ini"
+        path.write_text(self._ini(daemon))
+        module = f"citrondeal.{daemon.role}.main"
+        log = open(self.path / f"{daemon.name}.log", "ab")
+        with log:
+            daemon.process = subprocess.Popen(
+                [sys.executable, "-m", module, str(path)],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=_environment(),
+            )
+
+    def stop_daemons(self, daemons, limit_s=30):
+        """Stop daemons with SIGTERM and return their exit statuses."""
+        for daemon in daemons:
+            daemon.process.send_signal(signal.SIGTERM)
+        statuses = {}
+        for daemon in daemons:
+            try:
+                statuses[daemon.name] = daemon.process.wait(limit_s)
+            except subprocess.TimeoutExpired:
+                daemon.process.kill()
+                daemon.process.wait()
+                statuses[daemon.name] = -1
+            daemon.process = None
+        return statuses
+
+    def kill(self, daemon):
+        """Kill one daemon without notice."""
+        daemon.process.kill()
+        daemon.process.wait()
+        daemon.process = None
+
+    def wait_ready(self, daemon, limit_s=START_LIMIT):
+        """Wait until a daemon reports ready."""
+        deadline = time.monotonic() + limit_s
+        while time.monotonic() < deadline:
+            if daemon.process.poll() is not None:
+                break
+            try:
+                if self.http.request(
+                    "GET", f"http://{daemon.http}/readyz"
+                ).status == (200):
+                    return
+            except (httpcore.NetworkError, httpcore.ProtocolError):
+                pass
+            time.sleep(0.05)
+        text = (self.path / f"{daemon.name}.log").read_text()[-2000:]
+        raise RuntimeError(f"{daemon.name} is not ready:\n{text}")
+
+    def select(self, role, zone=None):
+        """Return the daemons of a role."""
+        return [
+            d
+            for d in self.daemons.values()
+            if d.role == role and zone in (None, d.zone.name)
+        ]
+
+    # HTTP helpers.
+
+    def post(self, address, path, value):
+        """POST JSON and return the decoded answer."""
+        return self._json("POST", address, path, json.dumps(value).encode())
+
+    def get(self, address, path):
+        """GET and return the decoded answer."""
+        return self._json("GET", address, path, None)
+
+    def _json(self, method, address, path, body):
+        response = self.http.request(
+            method,
+            f"http://{address}{path}",
+            content=body,
+            headers={"content-type": "application/json"},
+        )
+        return json.loads(response.content or b"null")
+
+    # Internals.
+
+    def _ini(self, daemon):
+        sections = {
+            "process": {
+                "name": daemon.name,
+                "zone": daemon.zone.name,
+                "region": daemon.zone.region,
+            },
+            "listen": {"http": daemon.http, "peer": daemon.peer},
+            "platform": {
+                "log_url": f"http://{self.log}",
+                "vms_url": f"http://{self.vms}",
+            },
+        }
+        allowed = SETTINGS_OF[daemon.role]
+        for section, values in self._settings.items():
+            if section in allowed:
+                sections.setdefault(section, {}).update(values)
+        lines = []
+        for section, values in sections.items():
+            lines.append(f"[{section}]")
+            lines += [f"{key} = {value}" for key, value in values.items()]
+        return "\n".join(lines) + "\n"
+
+    def _spawn_standin(self, name, *arguments):
+        process = subprocess.Popen(
+            [sys.executable, "-m", f"tests.standins.{name}", *arguments],
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.PIPE,
+            env=_environment(),
+            text=True,
+        )
+        self._standins.append(process)
+
+    def _wait_line(self, process):
+        if process.stdout.readline().strip() != "ready":
+            raise RuntimeError("a stand-in did not start")
+
+
+SETTINGS_OF = {
+    "gateway": {"limits", "leases", "endpoints", "drain", "logging"},
+    "scheduler": {"limits", "leases", "workers", "drain", "logging"},
+}
+
+
+def entry_row(daemon, state="live"):
+    """Return the row of a daemon in the list of VMs."""
+    return {
+        "id": daemon.name,
+        "kind": "entry",
+        "role": daemon.role,
+        "zone": daemon.zone.name,
+        "region": daemon.zone.region,
+        "state": state,
+        "http": daemon.http,
+        "peer": daemon.peer,
+    }
+
+
+def _environment():
+    root = pathlib.Path(__file__).resolve().parent.parent
+    paths = [str(root / "src"), str(root)]
+    return {**os.environ, "PYTHONPATH": os.pathsep.join(paths)}
