--- a/src/citrondeal/endpoints/_client.py
+++ b/src/citrondeal/endpoints/_client.py
@@ -12,6 +12,8 @@
 KEEP_ALIVE = 2.0  # seconds
 ANSWER_LIMIT = 1536 * 1024  # bytes; fits a peer frame with its headers
 
+_NO_BODY = frozenset({204, 304})  # statuses without a body
+
 _HOP_HEADERS = frozenset(
     {
         "connection",
@@ -180,6 +182,10 @@
                         Sent.INCOMPLETE, reason="the answer is too large"
                     )
                 chunks.append(chunk)
+            if not _is_delimited(response):
+                return Outcome(
+                    Sent.INCOMPLETE, reason="the answer has no length"
+                )
             answer_headers = _end_to_end(response.headers)
         if (
             response.status == 503
@@ -217,6 +223,15 @@
     return f"{time.time() + deadline_s - now:.3f}"
 
 
+def _is_delimited(response):
+    # The end of an answer without a length cannot be told from a
+    # connection that broke in the middle of it.
+    if response.status in _NO_BODY:
+        return True
+    names = {name.lower() for name, _ in response.headers}
+    return b"content-length" in names or b"transfer-encoding" in names
+
+
 def _end_to_end(headers):
     decoded = (
         (name.decode("latin-1").lower(), value.decode("latin-1"))
--- /dev/null
+++ b/src/citrondeal/endpoints/tests/endpoints.feature
@@ -0,0 +1,32 @@
+Feature: endpoints
+  # Guards against answers that are truncated, mixed up or lost being
+  # reported as whole, and against a "not sent" that is false.
+
+  Scenario Outline: endpoints attempt against a faulty endpoint
+    Given endpoints an endpoint that <behaviour>
+    Then endpoints the attempt ends as <outcome>
+
+    Examples:
+      | behaviour                          | outcome    |
+      | answers                            | complete   |
+      | refuses connections                | not_sent   |
+      | closes before the answer           | unknown    |
+      | never answers                      | unknown    |
+      | sends half of the answer           | incomplete |
+      | sends half and goes silent         | incomplete |
+      | answers with too much              | incomplete |
+      | answers without a length           | incomplete |
+      | says that it did not run           | not_run    |
+      | sends garbage                      | unknown    |
+
+  Scenario: endpoints attempt withdrawn right before the first byte
+    Given endpoints an endpoint that answers
+    Then endpoints an attempt whose lease has ended writes nothing
+
+  Scenario: endpoints interleaved attempts get their own whole answers
+    Given endpoints an endpoint that answers out of order
+    Then endpoints 2000 interleaved attempts get their own answers
+
+  Scenario: endpoints connection is not reused after an error
+    Given endpoints an endpoint that answers late on the first connection
+    Then endpoints the next attempt gets its own answer
