Add a first version of the jobs and placement cores

Cause: the scheduler program needs the interface of both cores.

The first lease of a task is mapped to the worker's clock from the receipt of the reply, not from the send time of the poll: the clock may have been read as early as the send, so that a lease of clock_s + validity - send could end after our own validity by one round trip.

--- /dev/null
+++ b/src/citrondeal/jobs/_book.py
@@ -0,0 +1,554 @@
+"""Fold of the records of one ``jobs-<zone>`` stream."""
+
+import collections
+import dataclasses
+import math
+import re
+
+from citrondeal import errors
+from citrondeal import placement
+
+KINDS = ("service", "batch", "gang")
+# Outcome of one task, one character per task in snapshots.
+OPEN, FINISHED, FAILED, UNKNOWN = "ofxu"
+OUTCOMES = {OPEN: "open", FINISHED: "finished", FAILED: "failed"}
+OUTCOMES[UNKNOWN] = "unknown"
+
+MAX_TASKS = 10_000  # tasks of one job; one snapshot record stays under 2 MiB
+# Attempts per task that are remembered as counted; an append is repeated
+# within seconds, and a task fails at most about once a second.
+MAX_ATTEMPTS = 8
+MAX_TEXT = 4096  # characters of a command
+_ID = re.compile(r"[A-Za-z0-9._-]{1,128}\Z")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Config:
+    """Settings of the fold; all replicas of a zone need the same values.
+
+    Parameters
+    ----------
+    max_history : int
+        Ended jobs that are remembered (about 1 kB each), so that an id can
+        be recognised and its status be read.
+    max_restarts : int
+        Restarts of a failed batch or gang task if the job names none.
+    hold_workers : int
+        Distinct workers on which a job has to fail before it is put on
+        hold.
+    """
+
+    max_history: int = 4096
+    max_restarts: int = 3
+    hold_workers: int = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """Effect of one record: `kind` is the record's kind.
+
+    `tasks` are the task ids of a ``finished`` or ``intent`` record.
+    """
+
+    kind: str
+    job: str = ""
+    tasks: tuple = ()
+
+
+def task_id(job, index, attempt):
+    """Return ``<job>/<index>/<attempt>``."""
+    return f"{job}/{index}/{attempt}"
+
+
+def parse_task(text):
+    """Return ``(job, index, attempt)`` or None if malformed."""
+    if not isinstance(text, str):
+        return None
+    parts = text.split("/")
+    if len(parts) != 3 or not parts[1].isdecimal():
+        return None
+    if not _ID.match(parts[0]) or len(parts[1]) > 9 or not parts[2]:
+        return None
+    return parts[0], int(parts[1]), parts[2]
+
+
+class Job:
+    """One job; the public attributes are read only for users."""
+
+    __slots__ = (
+        "attempts",
+        "cancelled",
+        "command",
+        "failed_on",
+        "failures",
+        "finishes",
+        "hold",
+        "id",
+        "intents",
+        "max_restarts",
+        "open_tasks",
+        "outcomes",
+        "path",
+        "seen_after",
+        "tasks",
+        "work",
+    )
+
+    def __init__(self, job_id, path, work, tasks, max_restarts, command):
+        self.id = job_id
+        self.path = path
+        self.work = work
+        self.tasks = tasks
+        self.max_restarts = max_restarts
+        self.command = command
+        self.cancelled = False
+        self.hold = None
+        self.outcomes = bytearray(OPEN.encode() * tasks)
+        self.open_tasks = tasks
+        self.finishes = 0
+        self.failures = {}
+        self.attempts = {}
+        self.failed_on = []
+        self.intents = {}
+        # Send time of the last complete read of the stream before the
+        # record was read (our clock); None if unknown.
+        self.seen_after = None
+
+    @property
+    def once(self):
+        """Whether a task must not be run a second time."""
+        return self.work.once
+
+    @property
+    def ended(self):
+        """Whether no task of the job will be started any more."""
+        return self.cancelled or not self.open_tasks
+
+    @property
+    def state(self):
+        """Summary: open, held, cancelled, finished, failed or unknown."""
+        if self.cancelled:
+            return "cancelled"
+        if self.open_tasks:
+            return "held" if self.hold else "open"
+        for outcome in (UNKNOWN, FAILED):
+            if outcome.encode() in self.outcomes:
+                return OUTCOMES[outcome]
+        return "finished"
+
+    def is_open(self, index):
+        """Return whether the task has no outcome yet."""
+        return self.outcomes[index] == ord(OPEN)
+
+    def open_indices(self):
+        """Return the indices of tasks without outcome."""
+        return [i for i, c in enumerate(self.outcomes) if c == ord(OPEN)]
+
+
+def _number(value, low, high):
+    return (
+        isinstance(value, int | float)
+        and not isinstance(value, bool)
+        and math.isfinite(value)
+        and low <= value <= high
+    )
+
+
+def _whole(value, low, high):
+    return _number(value, low, high) and value == int(value)
+
+
+def _text(value, limit=256):
+    return isinstance(value, str) and len(value) <= limit
+
+
+class Book:
+    """Jobs of one zone as the log tells them.
+
+    Parameters
+    ----------
+    config : Config, optional
+        Settings.
+    """
+
+    def __init__(self, config=None):
+        self._config = config or Config()
+        self._open = {}
+        self._history = collections.OrderedDict()
+        self._malformed = 0
+        self._offset = -1
+
+    @classmethod
+    def from_config(cls, config):
+        """Return an empty book with the settings in `config`."""
+        return cls(config)
+
+    @property
+    def malformed(self):
+        """Number of records that were skipped."""
+        return self._malformed
+
+    @property
+    def offset(self):
+        """Offset of the last record applied, -1 before the first."""
+        return self._offset
+
+    @property
+    def open_jobs(self):
+        """Jobs that have not ended, as a live mapping by id."""
+        return self._open
+
+    def get(self, job_id):
+        """Return the job, or None if it is not known (any more)."""
+        return self._open.get(job_id) or self._history.get(job_id)
+
+    def apply(self, offset, record, seen_after=None):
+        """Apply one record.
+
+        Parameters
+        ----------
+        offset : int
+            Offset in the log; records up to the last one applied are
+            skipped.
+        record : object
+            Decoded JSON.
+        seen_after : float, optional
+            Send time of the last read of the stream that reached its end.
+
+        Returns
+        -------
+        Change or None
+            None if the record changes nothing.
+        """
+        if offset <= self._offset:
+            return None
+        self._offset = offset
+        kind = record.get("kind") if isinstance(record, dict) else None
+        if kind == "snapshot":
+            return None
+        handlers = {
+            "submit": self._submit,
+            "cancel": self._cancel,
+            "intent": self._intent,
+            "finished": self._finished,
+        }
+        handler = handlers.get(kind) if isinstance(kind, str) else None
+        if handler is None:
+            self._malformed += 1
+            return None
+        try:
+            return handler(record, seen_after)
+        except ValueError:
+            self._malformed += 1
+            return None
+
+    def _submit(self, record, seen_after):
+        job = self._read_job(record.get("job"))
+        if self.get(job.id) is not None:
+            return None
+        job.seen_after = seen_after
+        self._open[job.id] = job
+        return Change("submit", job.id)
+
+    def _read_job(self, raw):
+        if not isinstance(raw, dict):
+            raise ValueError("job is not an object")
+        job_id = raw.get("id")
+        kind = raw.get("kind", "batch")
+        priority = raw.get("priority", "normal")
+        once = raw.get("once", False)
+        run_time = raw.get("run_time_s")
+        restarts = raw.get("max_restarts")
+        sizes = [
+            raw.get("cores", 1),
+            raw.get("memory_mb", 0),
+            raw.get("accelerators", 0),
+        ]
+        path = raw.get("path", "")
+        team = raw.get("team", "")
+        command = raw.get("command", "")
+        checks = (
+            isinstance(job_id, str) and _ID.match(job_id),
+            kind in KINDS,
+            priority in placement.PRIORITIES,
+            isinstance(once, bool) and not (once and kind == "service"),
+            run_time is None or _number(run_time, 0, 1e9),
+            restarts is None or _whole(restarts, 0, 1_000_000),
+            all(_number(size, 0, 1e9) for size in sizes),
+            _whole(raw.get("tasks", 1), 1, MAX_TASKS),
+            _text(path) and _text(team),
+            _text(command, MAX_TEXT) or _is_words(command),
+        )
+        if not all(checks):
+            raise ValueError("malformed job")
+        work = placement.Work(
+            job=job_id,
+            family=path or job_id,
+            team=team,
+            priority=priority,
+            kind=kind,
+            size=placement.size_of(*sizes),
+            run_time_s=None if kind == "service" else run_time,
+            once=once,
+        )
+        tasks = int(raw.get("tasks", 1))
+        return Job(job_id, path, work, tasks, restarts, command)
+
+    def _cancel(self, record, _seen_after):
+        job_id = record.get("job")
+        if not isinstance(job_id, str):
+            raise ValueError("no job id")
+        job = self._open.get(job_id)
+        if job is None:
+            return None
+        job.cancelled = True
+        self._end(job)
+        return Change("cancel", job_id)
+
+    def _find_task(self, task):
+        parts = parse_task(task)
+        if parts is None:
+            raise ValueError("malformed task id")
+        job = self.get(parts[0])
+        if job is not None and parts[1] >= job.tasks:
+            raise ValueError("no such task")
+        return job, parts[1], parts[2]
+
+    def _intent(self, record, _seen_after):
+        task = record.get("task")
+        job, index, attempt = self._find_task(task)
+        if job is None or not job.once or index in job.intents:
+            return None
+        job.intents[index] = attempt
+        return Change("intent", job.id, (task,))
+
+    def _finished(self, record, _seen_after):
+        entries = record.get("tasks")
+        if not isinstance(entries, list):
+            raise ValueError("no list of tasks")
+        applied = []
+        for entry in entries:
+            try:
+                if not isinstance(entry, dict):
+                    raise ValueError("entry is not an object")
+                task = entry.get("task")
+                outcome = entry.get("outcome")
+                worker = entry.get("worker", "")
+                if outcome not in ("finished", "failed", "unknown"):
+                    raise ValueError("malformed outcome")
+                if not _text(worker):
+                    raise ValueError("malformed worker")
+                job, index, attempt = self._find_task(task)
+            except ValueError:
+                self._malformed += 1
+                continue
+            applied.append(task)
+            if job is not None:
+                blamed = worker if entry.get("blame") != "worker" else ""
+                self._outcome(job, index, attempt, outcome, blamed)
+        return Change("finished", "", tuple(applied))
+
+    def counted(self, job, index, attempt):
+        """Return whether the end of this attempt is recorded."""
+        if not job.is_open(index):
+            return True
+        return attempt in job.attempts.get(index, ())
+
+    def _outcome(self, job, index, attempt, outcome, worker):
+        if self.counted(job, index, attempt):
+            return
+        kept = job.attempts.setdefault(index, [])
+        kept.append(attempt)
+        del kept[:-MAX_ATTEMPTS]
+        if outcome == "failed":
+            failures = job.failures.get(index, 0) + 1
+            job.failures[index] = failures
+            if worker and worker not in job.failed_on:
+                job.failed_on.append(worker)
+                del job.failed_on[: -self._config.hold_workers]
+            if not job.finishes:
+                self._consider_hold(job)
+            if failures <= self.restarts_of(job):
+                return
+            self._close(job, index, FAILED)
+            if job.work.kind == "gang":
+                # A gang does nothing useful without one of its tasks.
+                for other in job.open_indices():
+                    self._close(job, other, FAILED)
+        elif job.work.kind == "service":
+            # A service that exits is started again.
+            job.finishes += 1
+        elif outcome == "finished":
+            job.finishes += 1
+            self._close(job, index, FINISHED)
+        elif job.once:
+            self._close(job, index, UNKNOWN)
+
+    def restarts_of(self, job):
+        """Return how many times a failed task of the job is restarted."""
+        if job.once:
+            return 0
+        if job.max_restarts is not None:
+            return job.max_restarts
+        if job.work.kind == "service":
+            return math.inf
+        return self._config.max_restarts
+
+    def _consider_hold(self, job):
+        if job.hold is None and (
+            len(job.failed_on) >= self._config.hold_workers
+        ):
+            job.hold = "failed on " + ", ".join(sorted(job.failed_on))
+
+    def _close(self, job, index, outcome):
+        job.outcomes[index] = ord(outcome)
+        job.attempts.pop(index, None)
+        job.failures.pop(index, None)
+        job.open_tasks -= 1
+        if not job.open_tasks and not job.cancelled:
+            self._end(job)
+
+    def _end(self, job):
+        self._open.pop(job.id, None)
+        self._history[job.id] = job
+        while len(self._history) > self._config.max_history:
+            self._history.popitem(last=False)
+
+    # Snapshots
+
+    def snapshot(self):
+        """Return a record that replaces all records up to `offset`."""
+        return {
+            "kind": "snapshot",
+            "covers": self._offset,
+            "state": {
+                "malformed": self._malformed,
+                "open": [_job_state(j) for j in self._open.values()],
+                "history": [_job_state(j) for j in self._history.values()],
+            },
+        }
+
+    @classmethod
+    def from_snapshot(cls, record, config=None):
+        """Return the book that wrote the snapshot record.
+
+        Raises
+        ------
+        ValueError
+            If the record is malformed.
+        """
+        book = cls(config)
+        try:
+            state = record["state"]
+            for name, table in (
+                ("open", book._open),
+                ("history", book._history),
+            ):
+                for raw in state[name]:
+                    job = book._job_from_state(raw)
+                    table[job.id] = job
+            book._malformed = int(state["malformed"])
+            book._offset = int(record["covers"])
+        except (KeyError, TypeError, AttributeError) as exc:
+            raise ValueError("malformed snapshot") from exc
+        return book
+
+    def _job_from_state(self, raw):
+        job = self._read_job(raw["job"])
+        job.outcomes = bytearray(raw["outcomes"].encode())
+        if len(job.outcomes) != job.tasks:
+            raise ValueError("outcomes do not match the tasks")
+        job.open_tasks = raw["outcomes"].count(OPEN)
+        job.cancelled = raw["cancelled"]
+        job.hold = raw["hold"]
+        job.finishes = raw["finishes"]
+        job.failures = {int(k): v for k, v in raw["failures"].items()}
+        job.attempts = {int(k): list(v) for k, v in raw["attempts"].items()}
+        job.failed_on = list(raw["failed_on"])
+        job.intents = {int(k): v for k, v in raw["intents"].items()}
+        return job
+
+    def refusal(self, raw, pool):
+        """Return why a job record cannot be accepted, or None.
+
+        Parameters
+        ----------
+        raw : dict
+            The job as it would be appended.
+        pool : placement.Pool
+            Knows the workers, quotas and the length of the queue.
+
+        Returns
+        -------
+        errors.Failure or None
+        """
+        try:
+            job = self._read_job(raw)
+        except ValueError as exc:
+            return errors.Failure(errors.Kind.MALFORMED, str(exc))
+        if self.get(job.id) is not None:
+            return None
+        return pool.refusal(job.work, job.tasks)
+
+    def status(self, job_id):
+        """Return the JSON-ready status of a job from the log alone."""
+        job = self.get(job_id)
+        if job is None:
+            return None
+        return {
+            "id": job.id,
+            "state": job.state,
+            "reason": job.hold,
+            "path": job.path,
+            "kind": job.work.kind,
+            "team": job.work.team,
+            "priority": job.work.priority,
+            "tasks": job.tasks,
+            "open": job.open_tasks,
+        }
+
+    def dump(self):
+        """Return the state for the state dump, bounded in size."""
+        return {
+            "offset": self._offset,
+            "open": len(self._open),
+            "history": len(self._history),
+            "malformed": self._malformed,
+        }
+
+
+def _is_words(command):
+    return (
+        isinstance(command, list)
+        and all(_text(word, MAX_TEXT) for word in command)
+        and sum(map(len, command)) <= MAX_TEXT
+    )
+
+
+def _job_state(job):
+    work = job.work
+    return {
+        "job": {
+            "id": job.id,
+            "path": job.path,
+            "kind": work.kind,
+            "team": work.team,
+            "priority": work.priority,
+            "tasks": job.tasks,
+            "cores": work.size[0] / 1000,
+            "memory_mb": work.size[1],
+            "accelerators": work.size[2],
+            "run_time_s": work.run_time_s,
+            "once": work.once,
+            "max_restarts": job.max_restarts,
+            "command": job.command,
+        },
+        "outcomes": job.outcomes.decode(),
+        "cancelled": job.cancelled,
+        "hold": job.hold,
+        "finishes": job.finishes,
+        "failures": {str(k): v for k, v in job.failures.items()},
+        "attempts": {str(k): list(v) for k, v in job.attempts.items()},
+        "failed_on": list(job.failed_on),
+        "intents": {str(k): v for k, v in job.intents.items()},
+    }
--- /dev/null
+++ b/src/citrondeal/jobs/_owner.py
@@ -0,0 +1,1033 @@
+"""The pool owner's view of the workers and of the tasks on them."""
+
+import dataclasses
+import heapq
+import itertools
+import math
+
+from citrondeal.jobs import _book
+from citrondeal import placement
+
+# Phases of a place.  INTENT waits for the read-back of the intent record,
+# READY waits for the next exchange with the worker, SENT waits for the
+# worker to list the task.
+INTENT, READY, SENT, RUNNING = "intent", "ready", "sent", "running"
+_ENDED = ("finished", "failed", "checkpointed", "expired")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerConfig:
+    """Settings of the owner's view; all times in seconds.
+
+    Parameters
+    ----------
+    task_ttl_s : float
+        Length of a renewed task lease.  Longer than the validity of an
+        owner plus a takeover, so that the failure of an owner ends no
+        healthy task.
+    lease_margin_s : float
+        Added to every lease end before its task counts as ended; covers
+        the difference in rate between two clocks.
+    renew_after_s : float
+        Age of a lease at which it is renewed.
+    min_lease_s : float
+        No start is sent with less of our own validity left; the first
+        renewal has to follow within this time.
+    append_retry_s : float
+        A record that is not read back is appended again after this time.
+    batch_tasks : int
+        Entries per ``finished`` record, about 100 bytes each.
+    restart_pause_s, restart_limit_s : float
+        First and longest pause before a failed task is started again.
+    refused_pause_s : float
+        Pause after a worker did not accept a start.
+    checkpoint_limit_s : float
+        Time for a checkpoint on a leaving worker before it is stopped.
+    move_share : float
+        Part of a service's tasks that may be on the move at once.
+    """
+
+    task_ttl_s: float = 30.0
+    lease_margin_s: float = 0.5
+    renew_after_s: float = 5.0
+    min_lease_s: float = 1.0
+    append_retry_s: float = 3.0
+    batch_tasks: int = 200
+    restart_pause_s: float = 1.0
+    restart_limit_s: float = 60.0
+    refused_pause_s: float = 1.0
+    checkpoint_limit_s: float = 10.0
+    move_share: float = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerInfo:
+    """One worker of the VM list.
+
+    Parameters
+    ----------
+    name : str
+        Id of the VM.
+    rack : str
+        Rack of the VM.
+    cores, memory_mb, accelerators : float
+        Capacity.
+    leaving : bool
+        Whether the VM is about to be taken away.
+    """
+
+    name: str
+    rack: str = ""
+    cores: float = 0
+    memory_mb: float = 0
+    accelerators: float = 0
+    leaving: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AppendRecord:
+    """`record` is to be appended to the zone's stream."""
+
+    record: dict
+
+
+class _Place:
+    """A task that runs, or may run, on a worker."""
+
+    __slots__ = (
+        "boot",
+        "index",
+        "job",
+        "key",
+        "lease_end",
+        "phase",
+        "renewed_at",
+        "size",
+        "stop",
+        "stop_at",
+        "task",
+        "throttled",
+        "unanswered_until",
+        "worker",
+    )
+
+    def __init__(self, task, job, index, worker, key, size, phase):
+        self.task = task
+        self.job = job
+        self.index = index
+        self.worker = worker
+        self.key = key
+        self.size = size
+        self.phase = phase
+        self.boot = None
+        # Latest end, on our clock, of any lease that the task may hold.
+        self.lease_end = -math.inf
+        # Until then a start whose reply was lost may still arrive.
+        self.unanswered_until = -math.inf
+        self.renewed_at = -math.inf
+        self.stop = None
+        self.stop_at = 0.0
+        self.throttled = False
+
+
+class _Worker:
+    """What is known about one worker."""
+
+    __slots__ = (
+        "acks",
+        "answering",
+        "boot",
+        "clock_at",
+        "clock_s",
+        "gone",
+        "info",
+        "outstanding",
+        "places",
+        "read",
+        "sent",
+    )
+
+    def __init__(self, info):
+        self.info = info
+        self.gone = False
+        self.boot = None
+        self.clock_s = 0.0
+        self.clock_at = 0.0
+        self.read = False
+        self.answering = False
+        self.places = {}
+        self.acks = set()
+        self.outstanding = None
+        self.sent = ()
+
+
+class Owner:
+    """Connects the fold, the pool and the workers of one zone.
+
+    Feed it with events; `sync_request` gives the next request to a worker
+    and `tick` the records to append.
+
+    Parameters
+    ----------
+    book : Book
+        Fold of the zone's jobs; `on_record` applies records to it.
+    pool : placement.Pool
+        Placement; its workers and allotments are managed here.
+    config : OwnerConfig, optional
+        Settings.
+    """
+
+    def __init__(self, book, pool, config=None):
+        self._book = book
+        self._pool = pool
+        self._config = config or OwnerConfig()
+        self._workers = {}
+        self._tail_sent = None
+        self._owned = False
+        self._reset(-math.inf)
+
+    @classmethod
+    def from_config(cls, config, book, pool):
+        """Return an owner's view with the settings in `config`."""
+        return cls(book, pool, config)
+
+    def _reset(self, bound):
+        self._epoch = None
+        self._attempt = 0
+        self._gained_at = 0.0
+        self._bound = bound
+        self._caught_up = False
+        self._released = False
+        # Places by (job, index).
+        self._at = {}
+        # Tasks that were found running before the release.
+        self._found_early = set()
+        # Ended tasks whose record is not read back: task -> entry.
+        self._records = {}
+        self._record_due = {}
+        # Tasks with a final outcome that is not read back.
+        self._finishing = {}
+        self._failing = {}
+        self._ended_on = {}
+        self._own_intents = set()
+        self._intent_due = {}
+        self._later = []
+        self._sequence = itertools.count()
+
+    # Properties for the shell
+
+    @property
+    def book(self):
+        """Fold of the zone's jobs."""
+        return self._book
+
+    @property
+    def pool(self):
+        """Placement state."""
+        return self._pool
+
+    @property
+    def owned(self):
+        """Whether this process owns the pool (its validity aside)."""
+        return self._owned
+
+    # Events
+
+    def on_workers(self, infos, now):
+        """Take the workers of the VM list.
+
+        Parameters
+        ----------
+        infos : iterable of WorkerInfo
+            Complete list; a worker that is missing is gone.
+        now : float
+            Monotonic seconds.
+        """
+        named = {info.name: info for info in infos}
+        for name, info in named.items():
+            worker = self._workers.get(name)
+            if worker is None:
+                worker = self._workers[name] = _Worker(info)
+            worker.info = info
+            worker.gone = False
+            self._refresh(worker, now)
+        for name, worker in list(self._workers.items()):
+            if name not in named:
+                worker.gone = True
+                self._refresh(worker, now)
+                self._forget(worker)
+
+    def _refresh(self, worker, now):
+        info = worker.info
+        is_open = (
+            self._owned
+            and worker.read
+            and worker.answering
+            and not worker.gone
+            and not info.leaving
+        )
+        self._pool.set_worker(
+            info.name,
+            placement.capacity_of(
+                info.cores, info.memory_mb, info.accelerators
+            ),
+            info.rack,
+            is_open,
+            now,
+        )
+
+    def _forget(self, worker):
+        if worker.gone and not worker.places:
+            self._pool.remove_worker(worker.info.name)
+            self._workers.pop(worker.info.name, None)
+
+    def on_record(self, offset, record, now):
+        """Apply one record of the stream, in log order.
+
+        Returns
+        -------
+        Change or None
+            What the record changed, see `Book.apply`.
+        """
+        change = self._book.apply(offset, record, self._tail_sent)
+        if change is None or not self._owned:
+            return change
+        if change.kind == "submit":
+            if self._caught_up:
+                self._offer(self._book.get(change.job), now)
+        elif change.kind == "cancel":
+            self._pool.withdraw(change.job)
+        elif change.kind == "intent":
+            self._on_intent(change.tasks[0], now)
+        elif change.kind == "finished":
+            self._on_finished(change.tasks, now)
+        return change
+
+    def on_tail(self, sent_at, now):
+        """Note that a read sent at `sent_at` reached the end of the log."""
+        self._tail_sent = sent_at
+        if self._owned and not self._caught_up:
+            if sent_at >= self._gained_at:
+                self._caught_up = True
+                for job in list(self._book.open_jobs.values()):
+                    self._offer(job, now)
+
+    def on_gained(self, epoch, previous_until, now):
+        """Start to act as the owner of the pool.
+
+        Parameters
+        ----------
+        epoch : int
+            Epoch of the ownership; unique per owner.
+        previous_until : float or None
+            Upper bound, on our clock, of the validity of every previous
+            owner.  None if there is no bound; then `now` is taken, since
+            an owner's validity ends before the next one begins.  ``-inf``
+            states that there never was another owner, nor an earlier
+            ownership of this process.
+        now : float
+            Monotonic seconds.
+        """
+        self.on_lost(now)
+        self._reset(now if previous_until is None else previous_until)
+        self._owned = True
+        self._epoch = epoch
+        self._gained_at = now
+        for worker in self._workers.values():
+            self._refresh(worker, now)
+
+    def on_lost(self, now):
+        """Stop to act as the owner; everything about tasks is forgotten."""
+        self._owned = False
+        self._reset(-math.inf)
+        self._pool.clear()
+        for name, worker in list(self._workers.items()):
+            if worker.gone:
+                self._pool.remove_worker(name)
+                del self._workers[name]
+                continue
+            fresh = self._workers[name] = _Worker(worker.info)
+            self._refresh(fresh, now)
+
+    # Exchanges with the workers
+
+    def sync_request(self, name, now, valid_until):
+        """Return the body of the next request to a worker.
+
+        Must be sent at once, in one exchange per worker at a time, and be
+        followed by `on_reply` or `on_poll_failed`.
+
+        Parameters
+        ----------
+        name : str
+            Id of the worker.
+        now : float
+            Monotonic seconds; `on_reply` has to name the same time.
+        valid_until : float or None
+            End of our own validity.
+
+        Returns
+        -------
+        dict or None
+            None if nothing may be sent.
+        """
+        worker = self._workers.get(name)
+        if worker is None or worker.gone or not self._owned:
+            return None
+        if valid_until is None or now >= valid_until:
+            return None
+        if worker.outstanding is not None:
+            self.on_poll_failed(name, now)
+        starts, renewals, stops = [], [], []
+        sent = []
+        for place in list(worker.places.values()):
+            if place.phase in (INTENT, READY):
+                if not self._wanted(place):
+                    self._remove(worker, place)
+                elif place.phase == READY and worker.answering:
+                    left = valid_until - now
+                    if left >= self._config.min_lease_s:
+                        starts.append(self._start(worker, place, valid_until))
+                        sent.append(place)
+                continue
+            if not self._wanted(place):
+                place.stop = "stop"
+            if place.stop is not None:
+                stops.append({"task": place.task, "how": place.stop})
+            if place.phase == RUNNING and worker.answering:
+                if place.stop != "stop":
+                    self._renew(worker, place, renewals, now)
+        worker.outstanding = now
+        worker.sent = sent
+        return {
+            "boot_id": worker.boot or "",
+            "starts": starts,
+            "renew": renewals,
+            "stop": stops,
+            "ack": sorted(worker.acks),
+        }
+
+    def _start(self, worker, place, valid_until):
+        # The worker's clock showed `clock_s` no later than `clock_at`, the
+        # receipt of the reply, so that this lease cannot end after our own
+        # validity, however long the reply was under way.
+        until = worker.clock_s + (valid_until - worker.clock_at)
+        place.phase = SENT
+        place.boot = worker.boot
+        place.lease_end = valid_until
+        place.unanswered_until = valid_until
+        job = place.job
+        cores, memory_mb, accelerators = job.work.size
+        return {
+            "task": place.task,
+            "job": job.id,
+            "cores": cores / 1000,
+            "memory_mb": memory_mb,
+            "accelerators": accelerators,
+            "run_time_s": job.work.run_time_s,
+            "lease_until": until,
+            "command": job.command,
+        }
+
+    def _renew(self, worker, place, renewals, now):
+        if now - place.renewed_at < self._config.renew_after_s:
+            return
+        ttl = self._config.task_ttl_s
+        until = worker.clock_s + (now - worker.clock_at) + ttl
+        place.renewed_at = now
+        place.lease_end = max(place.lease_end, now + ttl)
+        renewals.append({"task": place.task, "lease_until": until})
+
+    def on_poll_failed(self, name, now):
+        """Note that no reply to the last request will be used.
+
+        The next request carries neither starts nor renewals, so that the
+        leases on a worker that has failed run out.
+        """
+        worker = self._workers.get(name)
+        if worker is None or worker.outstanding is None:
+            return
+        worker.outstanding = None
+        worker.sent = ()
+        worker.answering = False
+        self._refresh(worker, now)
+
+    def on_reply(self, name, reply, sent_at, now):
+        """Take a worker's reply.
+
+        Parameters
+        ----------
+        name : str
+            Id of the worker.
+        reply : dict
+            Body of the reply.
+        sent_at : float
+            The `now` of the `sync_request` that it answers; replies to
+            other requests are ignored.
+        now : float
+            Monotonic seconds, not before the receipt.
+
+        Returns
+        -------
+        bool
+            False if the reply was ignored or malformed.
+        """
+        worker = self._workers.get(name)
+        if worker is None or worker.outstanding != sent_at:
+            return False
+        tasks = _read_reply(reply)
+        if tasks is None:
+            self.on_poll_failed(name, now)
+            return False
+        worker.outstanding = None
+        for place in worker.sent:
+            place.unanswered_until = -math.inf
+        worker.sent = ()
+        worker.answering = True
+        worker.clock_s = reply["clock_s"]
+        worker.clock_at = now
+        if worker.boot != reply["boot_id"]:
+            worker.boot = reply["boot_id"]
+            for place in list(worker.places.values()):
+                if place.phase in (SENT, RUNNING):
+                    self._gone(worker, place, place.phase == RUNNING, now)
+        worker.read = True
+        worker.acks.intersection_update(tasks)
+        for place in list(worker.places.values()):
+            if place.task not in tasks and place.phase in (SENT, RUNNING):
+                if sent_at <= place.unanswered_until + self._margin:
+                    continue
+                self._gone(worker, place, place.phase == RUNNING, now)
+        for task in tasks.values():
+            self._listed(worker, task, now)
+        self._refresh(worker, now)
+        return True
+
+    @property
+    def _margin(self):
+        return self._config.lease_margin_s
+
+    def _listed(self, worker, listing, now):
+        task = listing["task"]
+        place = worker.places.get(task)
+        if listing["state"] in _ENDED:
+            self._listed_end(worker, place, listing, now)
+            return
+        size = placement.size_of(
+            listing["cores"], listing["memory_mb"], listing["accelerators"]
+        )
+        if place is None:
+            place = self._found(worker, listing, size, now)
+        elif place.job is None and place.stop is None:
+            # The job may have become known since the task was found.
+            self._remove(worker, place)
+            place = self._found(worker, listing, size, now)
+        place.phase = RUNNING
+        place.unanswered_until = -math.inf
+        if not place.throttled:
+            size = tuple(map(max, size, place.size))
+        if size != place.size:
+            place.size = size
+            self._allot(worker, place, now)
+        usage = listing.get("usage")
+        if usage and place.job is not None:
+            self._pool.report_usage(worker.info.name, place.key, usage, now)
+
+    def _found(self, worker, listing, size, now):
+        """Count a task that this owner has not started."""
+        task = listing["task"]
+        parts = _book.parse_task(task)
+        job = self._book.get(parts[0]) if parts else None
+        if job is not None and parts[1] >= job.tasks:
+            job = None
+        place = _Place(task, job, None, worker, task, size, RUNNING)
+        place.lease_end = (
+            max(self._bound, self._gained_at) + self._config.task_ttl_s
+        )
+        worker.places[task] = place
+        self._allot(worker, place, now)
+        if job is not None:
+            spot = (job.id, parts[1])
+            if self._at.get(spot) or spot in self._finishing:
+                place.stop = "stop"
+            else:
+                place.index = parts[1]
+                self._at[spot] = place
+                if not self._released:
+                    self._found_early.add(spot)
+        return place
+
+    def _allot(self, worker, place, now):
+        work = place.job.work if place.job is not None else None
+        self._pool.allot(worker.info.name, place.key, place.size, work, now)
+
+    def _wanted(self, place):
+        """Return whether the task should run."""
+        job = place.job
+        if job is None:
+            return not self._caught_up
+        if place.index is None:
+            return False
+        return not job.ended and job.is_open(place.index)
+
+    def _remove(self, worker, place):
+        del worker.places[place.task]
+        self._pool.release(worker.info.name, place.key)
+        self._intent_due.pop(place.task, None)
+        if place.index is not None:
+            self._at.pop((place.job.id, place.index), None)
+        self._forget(worker)
+
+    def _gone(self, worker, place, may_have_run, now, pause_s=0.0):
+        """Handle a task that certainly does not run any more."""
+        self._remove(worker, place)
+        if place.index is None:
+            return
+        if place.job.once and may_have_run:
+            self._record(
+                place.job, place.index, place.task, "unknown", "", now
+            )
+            return
+        if not may_have_run:
+            pause_s = max(pause_s, self._config.refused_pause_s)
+        self._vacated(place.job, place.index, now, pause_s)
+
+    def _listed_end(self, worker, place, listing, now):
+        task = listing["task"]
+        state = listing["state"]
+        name = worker.info.name
+        parts = _book.parse_task(task)
+        job = self._book.get(parts[0]) if parts else None
+        if job is None or parts[1] >= job.tasks:
+            if place is not None:
+                self._remove(worker, place)
+            if self._caught_up:
+                worker.acks.add(task)
+            return
+        index = parts[1]
+        if place is not None:
+            self._remove(worker, place)
+            if state in ("finished", "failed"):
+                self._pool.record_outcome(
+                    name, job.work, state == "finished", now
+                )
+        if self._book.counted(job, index, parts[2]):
+            worker.acks.add(task)
+        elif task in self._records:
+            self._ended_on[task] = name
+        elif state in ("finished", "failed"):
+            self._ended_on[task] = name
+            self._record(job, index, task, state, name, now)
+        elif job.once:
+            self._ended_on[task] = name
+            self._record(job, index, task, "unknown", name, now)
+        else:
+            worker.acks.add(task)
+        if place is not None and place.index is not None:
+            pause = 0.0
+            if state == "failed":
+                pause = self._restart_pause(job, index)
+            if (job.id, index) not in self._finishing:
+                self._vacated(job, index, now, pause)
+
+    def _restart_pause(self, job, index):
+        count = job.failures.get(index, 0)
+        count += self._failing.get((job.id, index), 0)
+        pause = self._config.restart_pause_s * 2 ** min(max(count - 1, 0), 16)
+        return min(pause, self._config.restart_limit_s)
+
+    def _record(self, job, index, task, outcome, worker, now):
+        entry = {"task": task, "outcome": outcome, "worker": worker}
+        if worker and self._pool.is_quarantined(worker):
+            entry["blame"] = "worker"
+        self._records[task] = entry
+        self._record_due[task] = now
+        spot = (job.id, index)
+        final = outcome != "failed" and job.work.kind != "service"
+        if outcome == "failed":
+            self._failing[spot] = self._failing.get(spot, 0) + 1
+            failures = job.failures.get(index, 0) + self._failing[spot]
+            final = failures > self._book.restarts_of(job)
+        if final:
+            self._finishing[spot] = task
+
+    def _on_finished(self, tasks, now):
+        for task in tasks:
+            entry = self._records.pop(task, None)
+            self._record_due.pop(task, None)
+            parts = _book.parse_task(task)
+            spot = parts[:2]
+            job = self._book.get(parts[0])
+            if entry is not None and entry["outcome"] == "failed":
+                left = self._failing.get(spot, 0) - 1
+                if left > 0:
+                    self._failing[spot] = left
+                else:
+                    self._failing.pop(spot, None)
+            if self._finishing.get(spot) == task:
+                del self._finishing[spot]
+            worker = self._workers.get(self._ended_on.pop(task, None))
+            if worker is not None:
+                worker.acks.add(task)
+            if job is None or job.ended or job.hold:
+                self._pool.withdraw(parts[0])
+
+    # Queueing
+
+    def _vacated(self, job, index, now, pause_s):
+        """Queue a task again after its place has become free."""
+        if job.ended or not job.is_open(index):
+            return
+        if job.work.kind == "gang":
+            self._break_gang(job, now, pause_s)
+            return
+        if pause_s > 0:
+            entry = (now + pause_s, next(self._sequence), job, index)
+            heapq.heappush(self._later, entry)
+        elif self._may_offer(job, index):
+            self._pool.offer(job.work, [index], now, job.failed_on)
+
+    def _break_gang(self, job, now, pause_s):
+        """Stop the rest of a gang; it is queued once nothing of it runs."""
+        alone = True
+        for index in range(job.tasks):
+            place = self._at.get((job.id, index))
+            if place is None:
+                continue
+            if place.phase in (INTENT, READY):
+                self._remove(place.worker, place)
+                continue
+            alone = False
+            if place.stop is None:
+                place.stop = "checkpoint"
+                place.stop_at = now
+        if alone:
+            due = now + max(pause_s, self._config.refused_pause_s)
+            entry = (due, next(self._sequence), job, None)
+            heapq.heappush(self._later, entry)
+
+    def _may_offer(self, job, index):
+        spot = (job.id, index)
+        if job.hold or spot in self._at or spot in self._finishing:
+            return False
+        if job.once and index in job.intents:
+            if spot not in self._own_intents:
+                return False
+        return (
+            self._released or spot in self._found_early or self._is_fresh(job)
+        )
+
+    def _is_fresh(self, job):
+        """Return whether no previous owner can have started the job.
+
+        True if the record came after a read that reached the end of the
+        log and was sent after the previous owner's validity.
+        """
+        return job.seen_after is not None and job.seen_after >= self._bound
+
+    def _offer(self, job, now):
+        """Queue all tasks of a job that may be started."""
+        if job is None or job.ended:
+            return
+        indices = [i for i in job.open_indices() if self._may_offer(job, i)]
+        if job.work.kind == "gang":
+            open_tasks = [
+                i
+                for i in job.open_indices()
+                if (job.id, i) not in self._finishing
+            ]
+            if indices != open_tasks:
+                return
+        if indices:
+            self._pool.withdraw(job.id)
+            self._pool.offer(job.work, indices, now, job.failed_on)
+
+    def _release(self, now):
+        """Restart what was not found; every earlier lease has ended."""
+        self._released = True
+        for job in list(self._book.open_jobs.values()):
+            if job.once:
+                for index in job.open_indices():
+                    spot = (job.id, index)
+                    if (
+                        index in job.intents
+                        and spot not in self._at
+                        and spot not in self._own_intents
+                        and spot not in self._finishing
+                    ):
+                        task = _book.task_id(job.id, index, job.intents[index])
+                        self._record(job, index, task, "unknown", "", now)
+            if job.work.kind == "gang":
+                spots = [(job.id, i) for i in job.open_indices()]
+                here = [spot in self._at for spot in spots]
+                if any(here) and not all(here):
+                    self._break_gang(job, now, 0.0)
+            self._offer(job, now)
+        self._found_early.clear()
+
+    def tick(self, now, valid_until):
+        """Advance time: place tasks, give up lost ones, write records.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+        valid_until : float or None
+            End of our own validity.
+
+        Returns
+        -------
+        list of AppendRecord
+        """
+        if not self._owned or valid_until is None or now >= valid_until:
+            return []
+        self._give_up(now)
+        if not self._caught_up:
+            return []
+        end = self._bound + self._config.task_ttl_s + self._margin
+        if not self._released and now >= end:
+            self._release(now)
+        while self._later and self._later[0][0] <= now:
+            _, _, job, index = heapq.heappop(self._later)
+            if job.ended:
+                continue
+            if index is None:
+                self._offer(job, now)
+            elif job.is_open(index) and self._may_offer(job, index):
+                self._pool.offer(job.work, [index], now, job.failed_on)
+        self._move(now)
+        for action in self._pool.place(now):
+            if isinstance(action, placement.Start):
+                self._on_start(action, now)
+            elif isinstance(action, placement.Preempt):
+                self._on_preempt(action, now)
+        return self._appends(now)
+
+    def _give_up(self, now):
+        """Handle tasks whose leases ended on workers that do not answer."""
+        for worker in list(self._workers.values()):
+            if worker.answering and not worker.gone:
+                continue
+            for place in list(worker.places.values()):
+                if place.phase in (INTENT, READY):
+                    if worker.gone:
+                        self._gone(worker, place, False, now)
+                elif now > place.lease_end + self._margin:
+                    self._gone(worker, place, True, now)
+
+    def _move(self, now):
+        """Stop tasks on leaving workers and end slow checkpoints."""
+        limit = self._config.checkpoint_limit_s
+        moving = None
+        for worker in self._workers.values():
+            for place in list(worker.places.values()):
+                if place.stop == "checkpoint" and now - place.stop_at > limit:
+                    place.stop = "stop"
+            if not worker.info.leaving:
+                continue
+            for place in list(worker.places.values()):
+                if place.phase in (INTENT, READY):
+                    self._gone(worker, place, False, now)
+                elif place.stop is None and place.index is not None:
+                    if moving is None:
+                        moving = self._moving()
+                    self._move_one(place, moving, now)
+
+    def _moving(self):
+        """Return the number of tasks per service that are not running."""
+        counts = {}
+        for spot, place in self._at.items():
+            if place.stop is not None or place.phase != RUNNING:
+                counts[spot[0]] = counts.get(spot[0], 0) + 1
+        return counts
+
+    def _move_one(self, place, moving, now):
+        job = place.job
+        if job.once or place.phase != RUNNING:
+            return
+        if job.work.kind == "service":
+            allowed = max(1, int(job.tasks * self._config.move_share))
+            if moving.get(job.id, 0) >= allowed:
+                return
+            moving[job.id] = moving.get(job.id, 0) + 1
+            place.stop = "stop"
+        else:
+            place.stop = "checkpoint"
+        place.stop_at = now
+
+    def _on_start(self, action, now):
+        job = self._book.get(action.job)
+        spot = (action.job, action.index)
+        worker = self._workers[action.worker]
+        if job is None or job.ended or not self._may_offer(job, action.index):
+            self._pool.release(action.worker, spot)
+            return
+        if job.once and spot in self._own_intents:
+            attempt = job.intents[action.index]
+        else:
+            self._attempt += 1
+            attempt = f"{self._epoch}.{self._attempt}"
+        task = _book.task_id(job.id, action.index, attempt)
+        place = _Place(
+            task, job, action.index, worker, spot, job.work.size, READY
+        )
+        if job.once and spot not in self._own_intents:
+            place.phase = INTENT
+            self._intent_due[task] = (now, place)
+        worker.places[task] = place
+        self._at[spot] = place
+
+    def _on_intent(self, task, now):
+        parts = _book.parse_task(task)
+        spot = parts[:2]
+        place = self._at.get(spot)
+        if place is not None and place.phase == INTENT:
+            if place.task == task:
+                place.phase = READY
+                self._own_intents.add(spot)
+                self._intent_due.pop(task, None)
+            else:
+                # Another owner's intent came first.
+                job = place.job
+                self._remove(place.worker, place)
+                self._record(job, spot[1], task, "unknown", "", now)
+
+    def _on_preempt(self, action, now):
+        worker = self._workers.get(action.worker)
+        if worker is None:
+            return
+        for place in list(worker.places.values()):
+            if place.key != action.key:
+                continue
+            if place.phase in (INTENT, READY):
+                self._gone(worker, place, False, now)
+            elif place.stop != "stop":
+                place.stop = action.how
+                place.stop_at = now
+                if action.how == "throttle":
+                    place.throttled = True
+
+    def _appends(self, now):
+        actions = []
+        retry = self._config.append_retry_s
+        due = [t for t, at in self._record_due.items() if at <= now]
+        size = self._config.batch_tasks
+        for first in range(0, len(due), size):
+            batch = due[first : first + size]
+            for task in batch:
+                self._record_due[task] = now + retry
+            entries = [self._records[task] for task in batch]
+            record = {"kind": "finished", "tasks": entries}
+            actions.append(AppendRecord(record))
+        for task, (at, place) in list(self._intent_due.items()):
+            if not self._wanted(place):
+                self._remove(place.worker, place)
+            elif at <= now:
+                self._intent_due[task] = (now + retry, place)
+                actions.append(
+                    AppendRecord(
+                        {
+                            "kind": "intent",
+                            "task": task,
+                            "worker": place.worker.info.name,
+                        }
+                    )
+                )
+        return actions
+
+    # Queries
+
+    def workers(self):
+        """Return the names of the workers to poll."""
+        return [n for n, w in self._workers.items() if not w.gone]
+
+    def has_news(self, name):
+        """Return whether a worker should be polled before its period."""
+        worker = self._workers.get(name)
+        if worker is None or worker.outstanding is not None:
+            return False
+        if not worker.answering:
+            return False
+        return any(p.phase == READY for p in worker.places.values())
+
+    def refusal(self, job):
+        """Return why a job record cannot be accepted, or None.
+
+        Parameters
+        ----------
+        job : dict
+            The job as it would be appended.
+
+        Returns
+        -------
+        errors.Failure or None
+            ``malformed``, ``never_fits`` or ``overloaded``.
+        """
+        return self._book.refusal(job, self._pool)
+
+    def status(self, job_id):
+        """Return the status of a job and of each task, or None."""
+        job = self._book.get(job_id)
+        if job is None:
+            return None
+        status = self._book.status(job_id)
+        tasks = []
+        for index, code in enumerate(job.outcomes):
+            place = self._at.get((job_id, index))
+            state = _book.OUTCOMES[chr(code)]
+            if place is not None:
+                state = "stopping" if place.stop else place.phase
+                if not self._wanted(place):
+                    state = "stopping"
+            elif state == "open":
+                state = "cancelled" if job.cancelled else "waiting"
+            tasks.append(
+                {
+                    "index": index,
+                    "state": state,
+                    "task": place.task if place else None,
+                    "worker": place.worker.info.name if place else None,
+                    "failures": job.failures.get(index, 0),
+                }
+            )
+        status["task_states"] = tasks
+        return status
+
+    def dump(self):
+        """Return the state for the state dump, bounded in size."""
+        return {
+            "owned": self._owned,
+            "epoch": self._epoch,
+            "caught_up": self._caught_up,
+            "released": self._released,
+            "workers": len(self._workers),
+            "answering": sum(w.answering for w in self._workers.values()),
+            "places": sum(len(w.places) for w in self._workers.values()),
+            "unrecorded": len(self._records),
+            "book": self._book.dump(),
+            "pool": self._pool.dump(),
+        }
+
+
+def _read_reply(reply):
+    """Return the listed tasks by id, or None if the reply is malformed."""
+    try:
+        if not isinstance(reply["boot_id"], str) or not reply["boot_id"]:
+            return None
+        if not math.isfinite(reply["clock_s"]):
+            return None
+        tasks = {}
+        for task in reply["tasks"]:
+            if not isinstance(task["task"], str):
+                return None
+            if task["state"] not in (*_ENDED, "running"):
+                return None
+            if not all(
+                math.isfinite(task[name]) and task[name] >= 0
+                for name in ("cores", "memory_mb", "accelerators")
+            ):
+                return None
+            tasks[task["task"]] = task
+    except (KeyError, TypeError, AttributeError):
+        return None
+    return tasks
--- /dev/null
+++ b/src/citrondeal/placement/__init__.py
@@ -0,0 +1,28 @@
+"""Placement of tasks on workers: fit, queues, gangs, preemption, quotas."""
+
+from citrondeal.placement import _model
+from citrondeal.placement import _pool
+
+__all__ = [
+    "Config",
+    "PRIORITIES",
+    "Pool",
+    "Preempt",
+    "Quota",
+    "Reserve",
+    "Start",
+    "Work",
+    "capacity_of",
+    "size_of",
+]
+
+PRIORITIES = _model.PRIORITIES
+Config = _model.Config
+Pool = _pool.Pool
+Preempt = _model.Preempt
+Quota = _model.Quota
+Reserve = _model.Reserve
+Start = _model.Start
+Work = _model.Work
+capacity_of = _model.capacity_of
+size_of = _model.size_of
