--- a/src/citrondeal/peers/_codec.py
+++ b/src/citrondeal/peers/_codec.py
@@ -107,6 +107,8 @@
     ttypes.Records: "records",
     ttypes.RecordsReply: "records_reply",
     ttypes.Ok: "ok",
+    ttypes.IntentReply: "intent_reply",
+    ttypes.Handover: "handover",
 }
 
 
--- a/src/citrondeal/peers/gen/peers/ttypes.py
+++ b/src/citrondeal/peers/gen/peers/ttypes.py
@@ -224,6 +224,247 @@
         return not (self == other)
 
 
+class ClaimRef(object):
+    """
+    Attributes:
+     - process
+     - incarnation
+     - number
+     - attempt
+
+    """
+
+    __slots__ = (
+        'process',
+        'incarnation',
+        'number',
+        'attempt',
+    )
+
+
+    def __init__(self, process=None, incarnation=None, number=None, attempt=None,):
+        self.process = process
+        self.incarnation = incarnation
+        self.number = number
+        self.attempt = attempt
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.process = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ClaimRef')
+        if self.process is not None:
+            oprot.writeFieldBegin('process', TType.STRING, 1)
+            oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 3)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 4)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Permit(object):
+    """
+    Attributes:
+     - process
+     - incarnation
+     - attempt
+     - claim
+     - over
+     - age_s
+
+    """
+
+    __slots__ = (
+        'process',
+        'incarnation',
+        'attempt',
+        'claim',
+        'over',
+        'age_s',
+    )
+
+
+    def __init__(self, process=None, incarnation=None, attempt=None, claim=None, over=None, age_s=None,):
+        self.process = process
+        self.incarnation = incarnation
+        self.attempt = attempt
+        self.claim = claim
+        self.over = over
+        self.age_s = age_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.process = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.claim = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.over = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = ClaimRef()
+                        _elem5.read(iprot)
+                        self.over.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.age_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Permit')
+        if self.process is not None:
+            oprot.writeFieldBegin('process', TType.STRING, 1)
+            oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 3)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        if self.claim is not None:
+            oprot.writeFieldBegin('claim', TType.I64, 4)
+            oprot.writeI64(self.claim)
+            oprot.writeFieldEnd()
+        if self.over is not None:
+            oprot.writeFieldBegin('over', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.over))
+            for iter6 in self.over:
+                iter6.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.age_s is not None:
+            oprot.writeFieldBegin('age_s', TType.DOUBLE, 6)
+            oprot.writeDouble(self.age_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Forward(object):
     """
     Attributes:
@@ -237,6 +478,8 @@
      - body
      - headers
      - origin
+     - number
+     - permit
 
     """
 
@@ -251,10 +494,12 @@
         'body',
         'headers',
         'origin',
+        'number',
+        'permit',
     )
 
 
-    def __init__(self, request_id=None, service_name=None, path=None, request_class=None, team=None, idempotent=None, deadline_ms=None, body=None, headers=None, origin=None,):
+    def __init__(self, request_id=None, service_name=None, path=None, request_class=None, team=None, idempotent=None, deadline_ms=None, body=None, headers=None, origin=None, number=None, permit=None,):
         self.request_id = request_id
         self.service_name = service_name
         self.path = path
@@ -265,6 +510,8 @@
         self.body = body
         self.headers = headers
         self.origin = origin
+        self.number = number
+        self.permit = permit
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -318,11 +565,11 @@
             elif fid == 9:
                 if ftype == TType.MAP:
                     self.headers = {}
-                    (_ktype1, _vtype2, _size0) = iprot.readMapBegin()
-                    for _i4 in range(_size0):
-                        _key5 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val6 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.headers[_key5] = _val6
+                    (_ktype8, _vtype9, _size7) = iprot.readMapBegin()
+                    for _i11 in range(_size7):
+                        _key12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val13 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.headers[_key12] = _val13
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -331,6 +578,17 @@
                     self.origin = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.STRUCT:
+                    self.permit = Permit()
+                    self.permit.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -376,15 +634,23 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.MAP, 9)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.headers))
-            for kiter7, viter8 in self.headers.items():
-                oprot.writeString(kiter7.encode('utf-8') if sys.version_info[0] == 2 else kiter7)
-                oprot.writeString(viter8.encode('utf-8') if sys.version_info[0] == 2 else viter8)
+            for kiter14, viter15 in self.headers.items():
+                oprot.writeString(kiter14.encode('utf-8') if sys.version_info[0] == 2 else kiter14)
+                oprot.writeString(viter15.encode('utf-8') if sys.version_info[0] == 2 else viter15)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.origin is not None:
             oprot.writeFieldBegin('origin', TType.STRING, 10)
             oprot.writeString(self.origin.encode('utf-8') if sys.version_info[0] == 2 else self.origin)
             oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 11)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.permit is not None:
+            oprot.writeFieldBegin('permit', TType.STRUCT, 12)
+            self.permit.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -426,10 +692,282 @@
     )
 
 
-    def __init__(self, status=None, headers=None, body=None,):
-        self.status = status
-        self.headers = headers
-        self.body = body
+    def __init__(self, status=None, headers=None, body=None,):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.status = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.MAP:
+                    self.headers = {}
+                    (_ktype17, _vtype18, _size16) = iprot.readMapBegin()
+                    for _i20 in range(_size16):
+                        _key21 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val22 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.headers[_key21] = _val22
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Reply')
+        if self.status is not None:
+            oprot.writeFieldBegin('status', TType.I32, 1)
+            oprot.writeI32(self.status)
+            oprot.writeFieldEnd()
+        if self.headers is not None:
+            oprot.writeFieldBegin('headers', TType.MAP, 2)
+            oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.headers))
+            for kiter23, viter24 in self.headers.items():
+                oprot.writeString(kiter23.encode('utf-8') if sys.version_info[0] == 2 else kiter23)
+                oprot.writeString(viter24.encode('utf-8') if sys.version_info[0] == 2 else viter24)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 3)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Intent(object):
+    """
+    Attributes:
+     - request_id
+     - permit
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'permit',
+    )
+
+
+    def __init__(self, request_id=None, permit=None,):
+        self.request_id = request_id
+        self.permit = permit
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.permit = Permit()
+                    self.permit.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Intent')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
+            oprot.writeFieldEnd()
+        if self.permit is not None:
+            oprot.writeFieldBegin('permit', TType.STRUCT, 2)
+            self.permit.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class IntentReply(object):
+    """
+    Attributes:
+     - verdict
+     - attempt
+
+    """
+
+    __slots__ = (
+        'verdict',
+        'attempt',
+    )
+
+
+    def __init__(self, verdict=None, attempt=None,):
+        self.verdict = verdict
+        self.attempt = attempt
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.verdict = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('IntentReply')
+        if self.verdict is not None:
+            oprot.writeFieldBegin('verdict', TType.STRING, 1)
+            oprot.writeString(self.verdict.encode('utf-8') if sys.version_info[0] == 2 else self.verdict)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 2)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Claim(object):
+    """
+    Attributes:
+     - request_id
+     - process
+     - incarnation
+     - number
+     - attempt
+     - fence
+
+    """
+
+    __slots__ = (
+        'request_id',
+        'process',
+        'incarnation',
+        'number',
+        'attempt',
+        'fence',
+    )
+
+
+    def __init__(self, request_id=None, process=None, incarnation=None, number=None, attempt=None, fence=None,):
+        self.request_id = request_id
+        self.process = process
+        self.incarnation = incarnation
+        self.number = number
+        self.attempt = attempt
+        self.fence = fence
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -441,24 +979,33 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I32:
-                    self.status = iprot.readI32()
+                if ftype == TType.STRING:
+                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.MAP:
-                    self.headers = {}
-                    (_ktype10, _vtype11, _size9) = iprot.readMapBegin()
-                    for _i13 in range(_size9):
-                        _key14 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val15 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.headers[_key14] = _val15
-                    iprot.readMapEnd()
+                if ftype == TType.STRING:
+                    self.process = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.body = iprot.readBinary()
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.attempt = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.fence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -470,22 +1017,30 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Reply')
-        if self.status is not None:
-            oprot.writeFieldBegin('status', TType.I32, 1)
-            oprot.writeI32(self.status)
+        oprot.writeStructBegin('Claim')
+        if self.request_id is not None:
+            oprot.writeFieldBegin('request_id', TType.STRING, 1)
+            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
             oprot.writeFieldEnd()
-        if self.headers is not None:
-            oprot.writeFieldBegin('headers', TType.MAP, 2)
-            oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.headers))
-            for kiter16, viter17 in self.headers.items():
-                oprot.writeString(kiter16.encode('utf-8') if sys.version_info[0] == 2 else kiter16)
-                oprot.writeString(viter17.encode('utf-8') if sys.version_info[0] == 2 else viter17)
-            oprot.writeMapEnd()
+        if self.process is not None:
+            oprot.writeFieldBegin('process', TType.STRING, 2)
+            oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
             oprot.writeFieldEnd()
-        if self.body is not None:
-            oprot.writeFieldBegin('body', TType.STRING, 3)
-            oprot.writeBinary(self.body)
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 3)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 4)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.attempt is not None:
+            oprot.writeFieldBegin('attempt', TType.I32, 5)
+            oprot.writeI32(self.attempt)
+            oprot.writeFieldEnd()
+        if self.fence is not None:
+            oprot.writeFieldBegin('fence', TType.I64, 6)
+            oprot.writeI64(self.fence)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -512,26 +1067,26 @@
         return not (self == other)
 
 
-class Intent(object):
+class SeenBy(object):
     """
     Attributes:
-     - request_id
-     - dispatcher
+     - process
      - incarnation
+     - state
 
     """
 
     __slots__ = (
-        'request_id',
-        'dispatcher',
+        'process',
         'incarnation',
+        'state',
     )
 
 
-    def __init__(self, request_id=None, dispatcher=None, incarnation=None,):
-        self.request_id = request_id
-        self.dispatcher = dispatcher
+    def __init__(self, process=None, incarnation=None, state=None,):
+        self.process = process
         self.incarnation = incarnation
+        self.state = state
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -544,17 +1099,17 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.process = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.dispatcher = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.STRING:
-                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             else:
@@ -566,19 +1121,19 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Intent')
-        if self.request_id is not None:
-            oprot.writeFieldBegin('request_id', TType.STRING, 1)
-            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
-            oprot.writeFieldEnd()
-        if self.dispatcher is not None:
-            oprot.writeFieldBegin('dispatcher', TType.STRING, 2)
-            oprot.writeString(self.dispatcher.encode('utf-8') if sys.version_info[0] == 2 else self.dispatcher)
+        oprot.writeStructBegin('SeenBy')
+        if self.process is not None:
+            oprot.writeFieldBegin('process', TType.STRING, 1)
+            oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
             oprot.writeFieldEnd()
         if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.STRING, 3)
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
             oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
             oprot.writeFieldEnd()
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRING, 3)
+            oprot.writeString(self.state.encode('utf-8') if sys.version_info[0] == 2 else self.state)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -604,26 +1159,26 @@
         return not (self == other)
 
 
-class Claim(object):
+class Inherited(object):
     """
     Attributes:
-     - request_id
-     - claimant
+     - process
      - incarnation
+     - complete_for_s
 
     """
 
     __slots__ = (
-        'request_id',
-        'claimant',
+        'process',
         'incarnation',
+        'complete_for_s',
     )
 
 
-    def __init__(self, request_id=None, claimant=None, incarnation=None,):
-        self.request_id = request_id
-        self.claimant = claimant
+    def __init__(self, process=None, incarnation=None, complete_for_s=None,):
+        self.process = process
         self.incarnation = incarnation
+        self.complete_for_s = complete_for_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -636,17 +1191,17 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.request_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.process = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.claimant = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.DOUBLE:
+                    self.complete_for_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             else:
@@ -658,19 +1213,19 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Claim')
-        if self.request_id is not None:
-            oprot.writeFieldBegin('request_id', TType.STRING, 1)
-            oprot.writeString(self.request_id.encode('utf-8') if sys.version_info[0] == 2 else self.request_id)
-            oprot.writeFieldEnd()
-        if self.claimant is not None:
-            oprot.writeFieldBegin('claimant', TType.STRING, 2)
-            oprot.writeString(self.claimant.encode('utf-8') if sys.version_info[0] == 2 else self.claimant)
+        oprot.writeStructBegin('Inherited')
+        if self.process is not None:
+            oprot.writeFieldBegin('process', TType.STRING, 1)
+            oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
             oprot.writeFieldEnd()
         if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.STRING, 3)
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
             oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
             oprot.writeFieldEnd()
+        if self.complete_for_s is not None:
+            oprot.writeFieldBegin('complete_for_s', TType.DOUBLE, 3)
+            oprot.writeDouble(self.complete_for_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -699,28 +1254,43 @@
 class ClaimReply(object):
     """
     Attributes:
-     - state
-     - dispatcher
+     - process
      - incarnation
      - up_for_s
+     - claims_over
+     - refused
+     - seen
+     - claims
+     - known
+     - inherited
      - answer
 
     """
 
     __slots__ = (
-        'state',
-        'dispatcher',
+        'process',
         'incarnation',
         'up_for_s',
+        'claims_over',
+        'refused',
+        'seen',
+        'claims',
+        'known',
+        'inherited',
         'answer',
     )
 
 
-    def __init__(self, state=None, dispatcher=None, incarnation=None, up_for_s=None, answer=None,):
-        self.state = state
-        self.dispatcher = dispatcher
+    def __init__(self, process=None, incarnation=None, up_for_s=None, claims_over=None, refused=None, seen=None, claims=None, known=None, inherited=None, answer=None,):
+        self.process = process
         self.incarnation = incarnation
         self.up_for_s = up_for_s
+        self.claims_over = claims_over
+        self.refused = refused
+        self.seen = seen
+        self.claims = claims
+        self.known = known
+        self.inherited = inherited
         self.answer = answer
 
     def read(self, iprot):
@@ -734,25 +1304,73 @@
                 break
             if fid == 1:
                 if ftype == TType.STRING:
-                    self.state = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.process = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.STRING:
-                    self.dispatcher = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
-                if ftype == TType.STRING:
-                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.DOUBLE:
+                    self.up_for_s = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.DOUBLE:
-                    self.up_for_s = iprot.readDouble()
+                if ftype == TType.I64:
+                    self.claims_over = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
+                if ftype == TType.I32:
+                    self.refused = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.seen = []
+                    (_etype28, _size25) = iprot.readListBegin()
+                    for _i29 in range(_size25):
+                        _elem30 = SeenBy()
+                        _elem30.read(iprot)
+                        self.seen.append(_elem30)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.claims = []
+                    (_etype34, _size31) = iprot.readListBegin()
+                    for _i35 in range(_size31):
+                        _elem36 = ClaimRef()
+                        _elem36.read(iprot)
+                        self.claims.append(_elem36)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.known = []
+                    (_etype40, _size37) = iprot.readListBegin()
+                    for _i41 in range(_size37):
+                        _elem42 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.known.append(_elem42)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.inherited = []
+                    (_etype46, _size43) = iprot.readListBegin()
+                    for _i47 in range(_size43):
+                        _elem48 = Inherited()
+                        _elem48.read(iprot)
+                        self.inherited.append(_elem48)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
                 if ftype == TType.STRUCT:
                     self.answer = Reply()
                     self.answer.read(iprot)
@@ -768,24 +1386,56 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('ClaimReply')
-        if self.state is not None:
-            oprot.writeFieldBegin('state', TType.STRING, 1)
-            oprot.writeString(self.state.encode('utf-8') if sys.version_info[0] == 2 else self.state)
-            oprot.writeFieldEnd()
-        if self.dispatcher is not None:
-            oprot.writeFieldBegin('dispatcher', TType.STRING, 2)
-            oprot.writeString(self.dispatcher.encode('utf-8') if sys.version_info[0] == 2 else self.dispatcher)
+        if self.process is not None:
+            oprot.writeFieldBegin('process', TType.STRING, 1)
+            oprot.writeString(self.process.encode('utf-8') if sys.version_info[0] == 2 else self.process)
             oprot.writeFieldEnd()
         if self.incarnation is not None:
-            oprot.writeFieldBegin('incarnation', TType.STRING, 3)
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
             oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
             oprot.writeFieldEnd()
         if self.up_for_s is not None:
-            oprot.writeFieldBegin('up_for_s', TType.DOUBLE, 4)
+            oprot.writeFieldBegin('up_for_s', TType.DOUBLE, 3)
             oprot.writeDouble(self.up_for_s)
             oprot.writeFieldEnd()
+        if self.claims_over is not None:
+            oprot.writeFieldBegin('claims_over', TType.I64, 4)
+            oprot.writeI64(self.claims_over)
+            oprot.writeFieldEnd()
+        if self.refused is not None:
+            oprot.writeFieldBegin('refused', TType.I32, 5)
+            oprot.writeI32(self.refused)
+            oprot.writeFieldEnd()
+        if self.seen is not None:
+            oprot.writeFieldBegin('seen', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.seen))
+            for iter49 in self.seen:
+                iter49.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.claims is not None:
+            oprot.writeFieldBegin('claims', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.claims))
+            for iter50 in self.claims:
+                iter50.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRING, len(self.known))
+            for iter51 in self.known:
+                oprot.writeString(iter51.encode('utf-8') if sys.version_info[0] == 2 else iter51)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.inherited is not None:
+            oprot.writeFieldBegin('inherited', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.inherited))
+            for iter52 in self.inherited:
+                iter52.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         if self.answer is not None:
-            oprot.writeFieldBegin('answer', TType.STRUCT, 5)
+            oprot.writeFieldBegin('answer', TType.STRUCT, 10)
             self.answer.write(oprot)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -875,11 +1525,11 @@
             elif fid == 5:
                 if ftype == TType.MAP:
                     self.epochs = {}
-                    (_ktype19, _vtype20, _size18) = iprot.readMapBegin()
-                    for _i22 in range(_size18):
-                        _key23 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val24 = iprot.readI64()
-                        self.epochs[_key23] = _val24
+                    (_ktype54, _vtype55, _size53) = iprot.readMapBegin()
+                    for _i57 in range(_size53):
+                        _key58 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val59 = iprot.readI64()
+                        self.epochs[_key58] = _val59
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -917,9 +1567,9 @@
         if self.epochs is not None:
             oprot.writeFieldBegin('epochs', TType.MAP, 5)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.epochs))
-            for kiter25, viter26 in self.epochs.items():
-                oprot.writeString(kiter25.encode('utf-8') if sys.version_info[0] == 2 else kiter25)
-                oprot.writeI64(viter26)
+            for kiter60, viter61 in self.epochs.items():
+                oprot.writeString(kiter60.encode('utf-8') if sys.version_info[0] == 2 else kiter60)
+                oprot.writeI64(viter61)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.ttl_ms is not None:
@@ -955,16 +1605,19 @@
     """
     Attributes:
      - granted
+     - incarnation
 
     """
 
     __slots__ = (
         'granted',
+        'incarnation',
     )
 
 
-    def __init__(self, granted=None,):
+    def __init__(self, granted=None, incarnation=None,):
         self.granted = granted
+        self.incarnation = incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -980,6 +1633,11 @@
                     self.granted = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -994,6 +1652,10 @@
             oprot.writeFieldBegin('granted', TType.BOOL, 1)
             oprot.writeBool(self.granted)
             oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1052,22 +1714,22 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.free = {}
-                    (_ktype28, _vtype29, _size27) = iprot.readMapBegin()
-                    for _i31 in range(_size27):
-                        _key32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val33 = iprot.readI32()
-                        self.free[_key32] = _val33
+                    (_ktype63, _vtype64, _size62) = iprot.readMapBegin()
+                    for _i66 in range(_size62):
+                        _key67 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val68 = iprot.readI32()
+                        self.free[_key67] = _val68
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.queued = {}
-                    (_ktype35, _vtype36, _size34) = iprot.readMapBegin()
-                    for _i38 in range(_size34):
-                        _key39 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val40 = iprot.readI32()
-                        self.queued[_key39] = _val40
+                    (_ktype70, _vtype71, _size69) = iprot.readMapBegin()
+                    for _i73 in range(_size69):
+                        _key74 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val75 = iprot.readI32()
+                        self.queued[_key74] = _val75
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -1089,17 +1751,17 @@
         if self.free is not None:
             oprot.writeFieldBegin('free', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.free))
-            for kiter41, viter42 in self.free.items():
-                oprot.writeString(kiter41.encode('utf-8') if sys.version_info[0] == 2 else kiter41)
-                oprot.writeI32(viter42)
+            for kiter76, viter77 in self.free.items():
+                oprot.writeString(kiter76.encode('utf-8') if sys.version_info[0] == 2 else kiter76)
+                oprot.writeI32(viter77)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.queued is not None:
             oprot.writeFieldBegin('queued', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.queued))
-            for kiter43, viter44 in self.queued.items():
-                oprot.writeString(kiter43.encode('utf-8') if sys.version_info[0] == 2 else kiter43)
-                oprot.writeI32(viter44)
+            for kiter78, viter79 in self.queued.items():
+                oprot.writeString(kiter78.encode('utf-8') if sys.version_info[0] == 2 else kiter78)
+                oprot.writeI32(viter79)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.draining is not None:
@@ -1269,20 +1931,20 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.offsets = []
-                    (_etype48, _size45) = iprot.readListBegin()
-                    for _i49 in range(_size45):
-                        _elem50 = iprot.readI64()
-                        self.offsets.append(_elem50)
+                    (_etype83, _size80) = iprot.readListBegin()
+                    for _i84 in range(_size80):
+                        _elem85 = iprot.readI64()
+                        self.offsets.append(_elem85)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.data = []
-                    (_etype54, _size51) = iprot.readListBegin()
-                    for _i55 in range(_size51):
-                        _elem56 = iprot.readBinary()
-                        self.data.append(_elem56)
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = iprot.readBinary()
+                        self.data.append(_elem91)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1307,15 +1969,15 @@
         if self.offsets is not None:
             oprot.writeFieldBegin('offsets', TType.LIST, 3)
             oprot.writeListBegin(TType.I64, len(self.offsets))
-            for iter57 in self.offsets:
-                oprot.writeI64(iter57)
+            for iter92 in self.offsets:
+                oprot.writeI64(iter92)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.data is not None:
             oprot.writeFieldBegin('data', TType.LIST, 4)
             oprot.writeListBegin(TType.STRING, len(self.data))
-            for iter58 in self.data:
-                oprot.writeBinary(iter58)
+            for iter93 in self.data:
+                oprot.writeBinary(iter93)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1343,6 +2005,74 @@
         return not (self == other)
 
 
+class Handover(object):
+    """
+    Attributes:
+     - state
+
+    """
+
+    __slots__ = (
+        'state',
+    )
+
+
+    def __init__(self, state=None,):
+        self.state = state
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.state = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Handover')
+        if self.state is not None:
+            oprot.writeFieldBegin('state', TType.STRING, 1)
+            oprot.writeBinary(self.state)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Ok(object):
 
     __slots__ = (
@@ -1409,6 +2139,8 @@
      - records
      - records_reply
      - ok
+     - intent_reply
+     - handover
 
     """
 
@@ -1426,10 +2158,12 @@
         'records',
         'records_reply',
         'ok',
+        'intent_reply',
+        'handover',
     )
 
 
-    def __init__(self, hello=None, fault=None, forward=None, reply=None, intent=None, claim=None, claim_reply=None, promise=None, promise_reply=None, load=None, records=None, records_reply=None, ok=None,):
+    def __init__(self, hello=None, fault=None, forward=None, reply=None, intent=None, claim=None, claim_reply=None, promise=None, promise_reply=None, load=None, records=None, records_reply=None, ok=None, intent_reply=None, handover=None,):
         self.hello = hello
         self.fault = fault
         self.forward = forward
@@ -1443,6 +2177,8 @@
         self.records = records
         self.records_reply = records_reply
         self.ok = ok
+        self.intent_reply = intent_reply
+        self.handover = handover
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1531,6 +2267,18 @@
                     self.ok.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.STRUCT:
+                    self.intent_reply = IntentReply()
+                    self.intent_reply.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRUCT:
+                    self.handover = Handover()
+                    self.handover.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1593,6 +2341,14 @@
             oprot.writeFieldBegin('ok', TType.STRUCT, 13)
             self.ok.write(oprot)
             oprot.writeFieldEnd()
+        if self.intent_reply is not None:
+            oprot.writeFieldBegin('intent_reply', TType.STRUCT, 14)
+            self.intent_reply.write(oprot)
+            oprot.writeFieldEnd()
+        if self.handover is not None:
+            oprot.writeFieldBegin('handover', TType.STRUCT, 15)
+            self.handover.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1725,6 +2481,24 @@
     (2, TType.STRING, 'message', 'UTF8', None, ),  # 2
     (3, TType.DOUBLE, 'retry_after_s', None, None, ),  # 3
 )
+all_structs.append(ClaimRef)
+ClaimRef.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'process', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'number', None, None, ),  # 3
+    (4, TType.I32, 'attempt', None, None, ),  # 4
+)
+all_structs.append(Permit)
+Permit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'process', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'attempt', None, None, ),  # 3
+    (4, TType.I64, 'claim', None, None, ),  # 4
+    (5, TType.LIST, 'over', (TType.STRUCT, [ClaimRef, None], False), None, ),  # 5
+    (6, TType.DOUBLE, 'age_s', None, None, ),  # 6
+)
 all_structs.append(Forward)
 Forward.thrift_spec = (
     None,  # 0
@@ -1738,6 +2512,8 @@
     (8, TType.STRING, 'body', 'BINARY', None, ),  # 8
     (9, TType.MAP, 'headers', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 9
     (10, TType.STRING, 'origin', 'UTF8', None, ),  # 10
+    (11, TType.I64, 'number', None, None, ),  # 11
+    (12, TType.STRUCT, 'permit', [Permit, None], None, ),  # 12
 )
 all_structs.append(Reply)
 Reply.thrift_spec = (
@@ -1750,24 +2526,51 @@
 Intent.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'dispatcher', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'incarnation', 'UTF8', None, ),  # 3
+    (2, TType.STRUCT, 'permit', [Permit, None], None, ),  # 2
+)
+all_structs.append(IntentReply)
+IntentReply.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'verdict', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'attempt', None, None, ),  # 2
 )
 all_structs.append(Claim)
 Claim.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'request_id', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'claimant', 'UTF8', None, ),  # 2
+    (2, TType.STRING, 'process', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'incarnation', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'number', None, None, ),  # 4
+    (5, TType.I32, 'attempt', None, None, ),  # 5
+    (6, TType.I64, 'fence', None, None, ),  # 6
+)
+all_structs.append(SeenBy)
+SeenBy.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'process', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'state', 'UTF8', None, ),  # 3
+)
+all_structs.append(Inherited)
+Inherited.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'process', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.DOUBLE, 'complete_for_s', None, None, ),  # 3
 )
 all_structs.append(ClaimReply)
 ClaimReply.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'state', 'UTF8', None, ),  # 1
-    (2, TType.STRING, 'dispatcher', 'UTF8', None, ),  # 2
-    (3, TType.STRING, 'incarnation', 'UTF8', None, ),  # 3
-    (4, TType.DOUBLE, 'up_for_s', None, None, ),  # 4
-    (5, TType.STRUCT, 'answer', [Reply, None], None, ),  # 5
+    (1, TType.STRING, 'process', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.DOUBLE, 'up_for_s', None, None, ),  # 3
+    (4, TType.I64, 'claims_over', None, None, ),  # 4
+    (5, TType.I32, 'refused', None, None, ),  # 5
+    (6, TType.LIST, 'seen', (TType.STRUCT, [SeenBy, None], False), None, ),  # 6
+    (7, TType.LIST, 'claims', (TType.STRUCT, [ClaimRef, None], False), None, ),  # 7
+    (8, TType.LIST, 'known', (TType.STRING, 'UTF8', False), None, ),  # 8
+    (9, TType.LIST, 'inherited', (TType.STRUCT, [Inherited, None], False), None, ),  # 9
+    (10, TType.STRUCT, 'answer', [Reply, None], None, ),  # 10
 )
 all_structs.append(Promise)
 Promise.thrift_spec = (
@@ -1783,6 +2586,7 @@
 PromiseReply.thrift_spec = (
     None,  # 0
     (1, TType.BOOL, 'granted', None, None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
 )
 all_structs.append(Load)
 Load.thrift_spec = (
@@ -1806,6 +2610,11 @@
     (3, TType.LIST, 'offsets', (TType.I64, None, False), None, ),  # 3
     (4, TType.LIST, 'data', (TType.STRING, 'BINARY', False), None, ),  # 4
 )
+all_structs.append(Handover)
+Handover.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'state', 'BINARY', None, ),  # 1
+)
 all_structs.append(Ok)
 Ok.thrift_spec = (
 )
@@ -1825,6 +2634,8 @@
     (11, TType.STRUCT, 'records', [Records, None], None, ),  # 11
     (12, TType.STRUCT, 'records_reply', [RecordsReply, None], None, ),  # 12
     (13, TType.STRUCT, 'ok', [Ok, None], None, ),  # 13
+    (14, TType.STRUCT, 'intent_reply', [IntentReply, None], None, ),  # 14
+    (15, TType.STRUCT, 'handover', [Handover, None], None, ),  # 15
 )
 all_structs.append(Message)
 Message.thrift_spec = (
--- a/src/citrondeal/peers/peers.thrift
+++ b/src/citrondeal/peers/peers.thrift
@@ -18,6 +18,24 @@
   3: optional double retry_after_s
 }
 
+// One claim of an id by one incarnation of a process.
+struct ClaimRef {
+  1: string process
+  2: string incarnation
+  3: i64 number
+  4: i32 attempt
+}
+
+// The part of an intent or a forward that decides its acceptance.
+struct Permit {
+  1: string process
+  2: string incarnation
+  3: i32 attempt
+  4: i64 claim
+  5: list<ClaimRef> over
+  6: double age_s
+}
+
 // A caller's request on its way to the gateway that holds the endpoint.
 struct Forward {
   1: string request_id
@@ -30,6 +48,8 @@
   8: binary body
   9: map<string, string> headers
   10: string origin
+  11: i64 number
+  12: Permit permit
 }
 
 struct Reply {
@@ -41,24 +61,49 @@
 // Asks the receiver to record that an id is about to be dispatched.
 struct Intent {
   1: string request_id
-  2: string dispatcher
-  3: string incarnation
+  2: Permit permit
+}
+
+// verdict: accepted, barred, seen, young
+struct IntentReply {
+  1: string verdict
+  2: i32 attempt
 }
 
-// Asks whether an id was seen; bars it when not.
+// Asks what is known of an id and bars every other attempt of it.
 struct Claim {
   1: string request_id
-  2: string claimant
+  2: string process
   3: string incarnation
+  4: i64 number
+  5: i32 attempt
+  6: i64 fence
+}
+
+// state: running, done, unknown, witnessed, refused
+struct SeenBy {
+  1: string process
+  2: string incarnation
+  3: string state
+}
+
+struct Inherited {
+  1: string process
+  2: string incarnation
+  3: double complete_for_s
 }
 
-// state: unseen, barred, running, done, refused, lost
 struct ClaimReply {
-  1: string state
-  2: string dispatcher
-  3: string incarnation
-  4: double up_for_s
-  5: optional Reply answer
+  1: string process
+  2: string incarnation
+  3: double up_for_s
+  4: i64 claims_over
+  5: i32 refused
+  6: list<SeenBy> seen
+  7: list<ClaimRef> claims
+  8: list<string> known
+  9: list<Inherited> inherited
+  10: optional Reply answer
 }
 
 // Asks for a promise not to claim resources of the group.
@@ -73,6 +118,7 @@
 
 struct PromiseReply {
   1: bool granted
+  2: string incarnation
 }
 
 // Free capacity of one gateway by service; no reply.
@@ -96,6 +142,11 @@
   4: list<binary> data
 }
 
+// Records of a gateway that leaves, for the gateway that keeps them.
+struct Handover {
+  1: binary state
+}
+
 struct Ok {
 }
 
@@ -113,6 +164,8 @@
   11: Records records
   12: RecordsReply records_reply
   13: Ok ok
+  14: IntentReply intent_reply
+  15: Handover handover
 }
 
 // call pairs a reply with its request; 0 needs no reply.
--- a/src/citrondeal/peers/tests/steps.py
+++ b/src/citrondeal/peers/tests/steps.py
@@ -117,7 +117,7 @@
                 await anyio.lowlevel.checkpoint()
 
         async def call(pool, address, text):
-            intent = ttypes.Intent(text, "g", "1")
+            intent = ttypes.Intent(text)
             reply = await pool.call(address, intent, 20)
             answers[text] = reply.body.decode()
 
@@ -152,12 +152,12 @@
         address = await _serve(task_group, handle)
         pool = peers.Pool(_identity("client"), task_group)
         try:
-            await pool.call(address, ttypes.Intent("first", "g", "1"), 0.2)
+            await pool.call(address, ttypes.Intent("first"), 0.2)
             raise AssertionError("the first call must time out")
         except peers.PeerError as exc:
             assert exc.sent
         first_timed_out.set()
-        reply = await pool.call(address, ttypes.Intent("second", "g", "1"), 5)
+        reply = await pool.call(address, ttypes.Intent("second"), 5)
         assert reply.body == b"second"
 
     _run(scenario)
@@ -187,7 +187,7 @@
 
         address = await _serve(task_group, handle)
         pool = peers.Pool(_identity("client"), task_group)
-        intent = ttypes.Intent("a", "g", "1")
+        intent = ttypes.Intent("a")
         await pool.call(address, intent, 5)
         host, _, port = address.rpartition(":")
         bad = await anyio.connect_tcp(host, int(port))
@@ -212,7 +212,7 @@
         ) as probe:
             port = probe.extra(anyio.abc.SocketAttribute.local_port)
         pool = peers.Pool(_identity("client"), task_group)
-        intent = ttypes.Intent("a", "g", "1")
+        intent = ttypes.Intent("a")
         try:
             await pool.call(f"127.0.0.1:{port}", intent, 5)
             raise AssertionError("the call must fail")
@@ -238,7 +238,7 @@
 
         address = await _serve(task_group, handle)
         pool = peers.Pool(_identity("client"), task_group, 0.1)
-        intent = ttypes.Intent("a", "g", "1")
+        intent = ttypes.Intent("a")
         slot_links = []
         for _ in range(2):
             try:
--- /dev/null
+++ b/src/citrondeal/runtime/_leases.py
@@ -0,0 +1,211 @@
+"""Drives the lease core of one group: log, promises and clock."""
+
+import logging
+
+import anyio
+
+from citrondeal import ownership
+from citrondeal import peers
+from citrondeal.peers.gen.peers import ttypes
+from citrondeal.runtime import _replica
+from citrondeal import telemetry
+
+# Bounds how late a claim, a renewal or a request for promises is sent.
+TICK_S = 0.1
+# A promise that comes later than this is of no use to its holder.
+PROMISE_TIMEOUT_S = 1.0
+
+_LOG = logging.getLogger(__name__)
+
+
+class LeaseDriver:
+    """Runs one `ownership.Group` against log and peers.
+
+    Parameters
+    ----------
+    group : citrondeal.ownership.Group
+        The core.
+    identity : citrondeal.peers.Identity
+        This process.
+    log : citrondeal.platform.LogClient
+        Client of the log service.
+    pool : citrondeal.peers.Pool
+        Links to other daemons.
+    task_group : anyio.abc.TaskGroup
+        Runs appends and calls.
+    metrics : citrondeal.telemetry.Metrics
+        Counts gains, losses and promises.
+    """
+
+    def __init__(self, group, identity, log, pool, task_group, metrics):
+        self._group = group
+        self._identity = identity
+        self._stream = f"members-{identity.zone}"
+        self._log = log
+        self._pool = pool
+        self._task_group = task_group
+        self._metrics = metrics
+        self._on_gained = None
+        self._on_lost = None
+        self._on_drain = None
+
+    @classmethod
+    def from_config(cls, config, identity, log, pool, task_group, metrics):
+        """Build the group of this process from a daemon's settings."""
+        leases = config.leases
+        group = ownership.Group.from_config(
+            ownership.Config(
+                lease_ttl_s=leases.ttl_s,
+                renew_period_s=leases.renew_period_s,
+                lease_margin_s=leases.margin_s,
+                promise_ttl_s=leases.promise_ttl_s,
+                outage_limit_s=leases.outage_limit_s,
+                claim_stagger_s=leases.claim_stagger_s,
+                rebalance_after_s=leases.rebalance_after_s,
+            ),
+            zone=identity.zone,
+            role=identity.role,
+            process=identity.process,
+            incarnation=identity.incarnation,
+            address=str(config.listen.peer),
+        )
+        return cls(group, identity, log, pool, task_group, metrics)
+
+    @property
+    def group(self):
+        """The core, for queries."""
+        return self._group
+
+    def listen(self, on_gained, on_lost, on_drain):
+        """Set the functions told of gained, lost and draining resources.
+
+        Parameters
+        ----------
+        on_gained, on_lost : callable
+            ``f(resource, epoch, now)``.
+        on_drain : callable
+            ``f(resource, now)``; releases the resource once its work is
+            done.
+        """
+        self._on_gained = on_gained
+        self._on_lost = on_lost
+        self._on_drain = on_drain
+
+    async def run(self):
+        """Follow the stream of the group and tick, until cancelled."""
+        replica = _replica.Replica(
+            self._log,
+            self._stream,
+            apply=self._apply,
+            load=self._load,
+            snapshot=self._group.snapshot,
+            task_group=self._task_group,
+        )
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(
+                replica.run, self._after_batch, self._after_failure
+            )
+            while True:
+                await anyio.sleep(TICK_S)
+                self.tick()
+
+    def tick(self):
+        """Let the core act on the present time."""
+        self._perform(self._group.tick(anyio.current_time()))
+
+    def release(self, resource):
+        """Give up a resource and tell the log at once."""
+        now = anyio.current_time()
+        self._perform(self._group.release(resource, now))
+        self._perform(self._group.tick(now))
+
+    def answer_promise(self, message):
+        """Return the reply to a peer's `ttypes.Promise`."""
+        group = (message.zone, message.role)
+        if group != (self._identity.zone, self._identity.role):
+            return ttypes.PromiseReply(False, self._identity.incarnation)
+        granted, actions = self._group.grant_promise(
+            message.holder,
+            message.incarnation,
+            message.epochs,
+            message.ttl_ms / 1000,
+            anyio.current_time(),
+        )
+        self._perform(actions)
+        self._metrics.count("citrondeal.lease.promises", granted=granted)
+        return ttypes.PromiseReply(granted, self._identity.incarnation)
+
+    def _apply(self, offset, payload):
+        now = anyio.current_time()
+        self._perform(self._group.on_record(offset, payload, now))
+
+    def _load(self, state):
+        now = anyio.current_time()
+        if state is None:
+            return True
+        loaded, actions = self._group.load(state, now)
+        self._perform(actions)
+        return loaded
+
+    def _after_batch(self, follower, sent_at):
+        if follower.at_tail:
+            now = anyio.current_time()
+            self._perform(self._group.on_tail(now, follower.complete))
+
+    def _after_failure(self, now):
+        self._perform(self._group.on_read_failed(now))
+
+    def _perform(self, actions):
+        for action in actions:
+            if isinstance(action, ownership.AppendRecord):
+                self._task_group.start_soon(self._append, action.record)
+            elif isinstance(action, ownership.AskPromise):
+                self._task_group.start_soon(self._ask, action)
+            else:
+                self._report(action)
+
+    def _report(self, action):
+        now = anyio.current_time()
+        kind = type(action).__name__.lower()
+        self._metrics.count(f"citrondeal.lease.{kind}")
+        telemetry.event(
+            _LOG, logging.INFO, f"lease {kind}", resource=action.resource
+        )
+        if isinstance(action, ownership.Gained):
+            self._on_gained(action.resource, action.epoch, now)
+        elif isinstance(action, ownership.Lost):
+            self._on_lost(action.resource, action.epoch, now)
+        else:
+            self._on_drain(action.resource, now)
+
+    async def _append(self, record):
+        outcome = await self._log.append(self._stream, record)
+        if outcome.is_err():
+            self._metrics.count("citrondeal.lease.append_failures")
+
+    async def _ask(self, action):
+        message = ttypes.Promise(
+            zone=self._identity.zone,
+            role=self._identity.role,
+            holder=self._identity.process,
+            incarnation=self._identity.incarnation,
+            epochs=action.epochs,
+            ttl_ms=int(action.ttl_s * 1000),
+        )
+        granted = False
+        incarnation = ""
+        try:
+            reply = await self._pool.call(
+                action.address, message, PROMISE_TIMEOUT_S
+            )
+        except peers.PeerError:
+            reply = None
+        if isinstance(reply, ttypes.PromiseReply):
+            granted = reply.granted
+            incarnation = reply.incarnation
+        now = anyio.current_time()
+        self._perform(
+            self._group.on_promise_reply(
+                action.process, incarnation, granted, action.sent_at, now
+            )
+        )
