--- /dev/null
+++ b/src/citrondeal/tree/__init__.py
@@ -0,0 +1,28 @@
+"""Settings tree: fold of stream ``tree``, inheritance, history."""
+
+from citrondeal.tree import _records
+from citrondeal.tree import _tree
+from citrondeal.tree import schema
+
+__all__ = [
+    "Code",
+    "Edit",
+    "Effective",
+    "Limits",
+    "Outcome",
+    "Tree",
+    "Verdict",
+    "Winner",
+    "edit_record",
+    "schema",
+]
+
+Code = _tree.Code
+Edit = _records.Edit
+Effective = _tree.Effective
+Limits = _tree.Limits
+Outcome = _tree.Outcome
+Tree = _tree.Tree
+Verdict = _tree.Verdict
+Winner = _tree.Winner
+edit_record = _records.edit_record
