Add the admission core

Cause: requests need bounded queues with shares per class and team. Ruled out: plain strict priority, which gives the most urgent class the whole capacity during its own flood, and per-request scans of the queue.

--- /dev/null
+++ b/src/citrondeal/admission/__init__.py
@@ -0,0 +1,24 @@
+"""Queues of requests: classes, teams, shares, deadlines, retry budget."""
+
+from citrondeal.admission import _model
+from citrondeal.admission import _queues
+
+__all__ = [
+    "Admitted",
+    "CLASSES",
+    "Config",
+    "Queues",
+    "Refusal",
+    "Request",
+    "ServiceConfig",
+    "Taken",
+]
+
+Admitted = _model.Admitted
+CLASSES = _model.CLASSES
+Config = _model.Config
+Queues = _queues.Queues
+Refusal = _model.Refusal
+Request = _model.Request
+ServiceConfig = _model.ServiceConfig
+Taken = _model.Taken
