--- a/src/citrondeal/admission/_queues.py
+++ b/src/citrondeal/admission/_queues.py
@@ -363,22 +363,33 @@
         """Return the number of queued requests of a service."""
         return sum(c.queue.count for c in self._services[service].classes)
 
-    def room(self, service):
-        """Return guaranteed slots per class that are not claimed here.
+    def room(self, service, free):
+        """Return how many further requests would start before others.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        free : int
+            Free slots of this gateway.
 
         Returns
         -------
         dict of str to int
-            Slots that a class would get before any other class, less
-            those that it holds and those that its queue will get.
+            By class: free slots that the class may use, or guaranteed
+            slots that it neither holds nor has requests queued for,
+            whichever is more.
         """
         state = self._services[service]
-        return {
-            c.name: max(
-                0, int(c.share * state.slots) - c.running - c.queue.count
-            )
-            for c in state.classes
-        }
+        room = {}
+        for c in state.classes:
+            usable = free
+            if c is state.classes[-1]:
+                usable -= _shares.reserved(state.config.reserve, state.slots)
+            due = int(c.share * state.slots) - c.running
+            room[c.name] = max(0, usable, due) - c.queue.count
+            room[c.name] = max(0, room[c.name])
+        return room
 
     def dump(self):
         """Return a JSON-ready summary, bounded by the number of services."""
--- a/src/citrondeal/routing/_model.py
+++ b/src/citrondeal/routing/_model.py
@@ -29,11 +29,11 @@
         A report older than this many periods is not used; it exceeds
         `report_refresh`, so that one lost report changes nothing.
     report_change : float
-        Part of the slots by which free slots or the queue must change
-        before a new report is sent.
-    low_margin : float
-        Part of the free slots that a peer reports which low-class requests
-        leave free.
+        Relative change of a reported number that is worth a report; a
+        change from or to zero always is.
+    queue_price_ms : float
+        Milliseconds of expected waiting that justify a forward to a peer
+        that has no free slot but would give its next one to the class.
     spread : float
         Part of a peer's reported free slots that this gateway uses before
         the next report; the other gateways read the same report.
@@ -42,6 +42,8 @@
     probe_min_s, probe_max_s : float
         An avoided endpoint gets one probe after this time, which doubles
         with each failed probe from the minimum to the maximum, seconds.
+    forward_limit : int
+        Bound on requests in flight to one peer.
     blind_forwards : int
         Requests in flight to one peer without a report of free slots, for
         a gateway that holds no endpoint of the service.
@@ -55,12 +57,13 @@
     report_across_s: float = 2.0
     report_refresh: int = 4
     report_stale: int = 10
-    report_change: float = 0.05
-    low_margin: float = 0.5
+    report_change: float = 0.2
+    queue_price_ms: float = 20.0
     spread: float = 0.5
     fail_threshold: int = 2
     probe_min_s: float = 0.5
     probe_max_s: float = 15.0
+    forward_limit: int = 256
     blind_forwards: int = 4
 
 
@@ -124,7 +127,8 @@
     """Send the load of this gateway to a peer.
 
     `free` and `queued` are by service; `free` also has keys
-    ``service/class`` for guaranteed slots that the class does not use.
+    ``service/class`` for requests of a class that would start before the
+    queue of other classes.
     """
 
     process: str
