Add ownership groups and the log follower

Ruled out: keeping leases by process name only (a replaced VM and its partitioned predecessor share the name); taking state from records after a gap (replicas would disagree on epochs).

--- /dev/null
+++ b/src/citrondeal/ownership/__init__.py
@@ -0,0 +1,28 @@
+"""Leases on worker pools and endpoints through the log."""
+
+from citrondeal.ownership import _actions
+from citrondeal.ownership import _fold
+from citrondeal.ownership import _group
+from citrondeal.ownership import _rank
+
+__all__ = [
+    "AppendRecord",
+    "AskPromise",
+    "Config",
+    "Drain",
+    "Fold",
+    "Gained",
+    "Group",
+    "Lost",
+    "order",
+]
+
+AppendRecord = _actions.AppendRecord
+AskPromise = _actions.AskPromise
+Config = _group.Config
+Drain = _actions.Drain
+Fold = _fold.Fold
+Gained = _actions.Gained
+Group = _group.Group
+Lost = _actions.Lost
+order = _rank.order
--- /dev/null
+++ b/src/citrondeal/ownership/_rank.py
@@ -0,0 +1,32 @@
+"""Rendezvous order of the members for one resource."""
+
+import xxhash
+
+
+def order(resource, names):
+    """Return `names` from the most to the least preferred holder.
+
+    Parameters
+    ----------
+    resource : str
+        Name of the resource.
+    names : iterable of str
+        Process names.
+
+    Returns
+    -------
+    list of str
+        Highest random weight first (Thaler and Ravishankar, 1998).
+
+    Examples
+    --------
+    >>> sorted(order("endpoint/1", ["a", "b"]))
+    ['a', 'b']
+    """
+    return sorted(names, key=lambda name: (-_weight(resource, name), name))
+
+
+def _weight(resource, name):
+    # JSON strings may hold lone surrogates, which strict UTF-8 rejects.
+    text = f"{name}\0{resource}".encode("utf-8", "surrogatepass")
+    return xxhash.xxh3_64_intdigest(text)
