--- /dev/null
+++ b/src/citrondeal/dedup/__init__.py
@@ -0,0 +1,58 @@
+"""Request ids at one gateway: at most one run, and truthful refusals.
+
+`Ledger` is a deterministic core. Its rules and their limits are described
+in ``docs/at-most-once.md``.
+"""
+
+from citrondeal.dedup import _ledger
+from citrondeal.dedup import _model
+
+__all__ = [
+    "ID_WINDOW",
+    "Answer",
+    "Claim",
+    "ClaimReply",
+    "Config",
+    "Dispatch",
+    "Drop",
+    "IntentReply",
+    "Join",
+    "Ledger",
+    "Permit",
+    "Proceed",
+    "Ready",
+    "Refuse",
+    "RejectForward",
+    "Seen",
+    "SendClaimReply",
+    "SendClaims",
+    "SendForward",
+    "SendIntent",
+    "SendIntentReply",
+    "Verdict",
+    "created_unix",
+]
+
+ID_WINDOW = _model.ID_WINDOW
+Answer = _model.Answer
+Claim = _model.Claim
+ClaimReply = _model.ClaimReply
+Config = _model.Config
+Dispatch = _model.Dispatch
+Drop = _model.Drop
+IntentReply = _model.IntentReply
+Join = _model.Join
+Ledger = _ledger.Ledger
+Permit = _model.Permit
+Proceed = _model.Proceed
+Ready = _model.Ready
+Refuse = _model.Refuse
+RejectForward = _model.RejectForward
+Seen = _model.Seen
+SendClaimReply = _model.SendClaimReply
+SendClaims = _model.SendClaims
+SendForward = _model.SendForward
+SendIntent = _model.SendIntent
+SendIntentReply = _model.SendIntentReply
+Verdict = _model.Verdict
+created_unix = _model.created_unix
