--- a/src/citrondeal/jobs/_owner.py
+++ b/src/citrondeal/jobs/_owner.py
@@ -349,6 +349,34 @@
             fresh = self._workers[name] = _Worker(worker.info)
             self._refresh(fresh, now)
 
+    def replace_book(self, book, now):
+        """Take a book that was loaded from a snapshot.
+
+        Happens at the start of a process, and when retention has passed
+        its position; tasks that run keep their places.
+
+        Parameters
+        ----------
+        book : Book
+            The new fold.
+        now : float
+            Monotonic seconds.
+        """
+        for job_id in list(self._book.open_jobs):
+            self._pool.withdraw(job_id)
+        self._book = book
+        self._tail_sent = None
+        for place in self._at.values():
+            # A job that the new book does not know counts as ended.
+            known = book.get(place.job.id)
+            if known is not None:
+                place.job = known
+            else:
+                place.job.cancelled = True
+        if self._owned:
+            self._caught_up = False
+            self._gained_at = now
+
     # Exchanges with the workers
 
     def sync_request(self, name, now, valid_until):
--- a/src/citrondeal/runtime/_process.py
+++ b/src/citrondeal/runtime/_process.py
@@ -73,6 +73,32 @@
                     self.drain()
 
 
+async def serve_until_drained(program, config):
+    """Run a program until its graceful shutdown has ended.
+
+    Parameters
+    ----------
+    program : type
+        Class with ``from_config(config, task_group)`` and the methods
+        ``start``, ``serve_http``, ``drain`` and ``stop``, which run in this
+        order, and the property ``lifecycle``.
+    config : object
+        Settings of the program.
+    """
+    async with anyio.create_task_group() as background:
+        daemon = program.from_config(config, background)
+        await daemon.start()
+        async with anyio.create_task_group() as front:
+            await front.start(daemon.serve_http)
+            telemetry.event(_LOG, logging.INFO, "daemon started")
+            await daemon.lifecycle.wait_drain()
+            await daemon.drain()
+            front.cancel_scope.cancel()
+        await daemon.stop()
+        background.cancel_scope.cancel()
+    telemetry.event(_LOG, logging.INFO, "graceful shutdown complete")
+
+
 def run(serve, config):
     """Run a daemon until it has shut down.
 
--- /dev/null
+++ b/src/citrondeal/runtime/_tree.py
@@ -0,0 +1,101 @@
+"""The settings tree of a process, as its replica of the stream has it."""
+
+import logging
+
+import anyio
+
+from citrondeal.runtime import _replica
+from citrondeal import telemetry
+from citrondeal import tree as tree_core
+
+STREAM = "tree"
+
+_LOG = logging.getLogger(__name__)
+
+
+class TreeReplica:
+    """Follows the stream of the settings tree.
+
+    Parameters
+    ----------
+    log : citrondeal.platform.LogClient
+        Client of the log service.
+    task_group : anyio.abc.TaskGroup
+        Runs the appends of snapshots.
+    metrics : citrondeal.telemetry.Metrics
+        Counts the verdicts.
+    """
+
+    def __init__(self, log, task_group, metrics):
+        self._tree = tree_core.Tree()
+        self._metrics = metrics
+        self._changed = []
+        self._advanced = anyio.Event()
+        self._replica = _replica.Replica(
+            log,
+            STREAM,
+            apply=self._apply,
+            load=self._load,
+            snapshot=lambda: self._tree.snapshot(),
+            task_group=task_group,
+        )
+
+    @property
+    def tree(self):
+        """The tree as of now; a later snapshot may replace the object."""
+        return self._tree
+
+    @property
+    def complete(self):
+        """Whether the tree includes all records that were read."""
+        return self._replica.follower.complete
+
+    def on_changed(self, function):
+        """Call `function()` after each batch that changed the tree."""
+        self._changed.append(function)
+
+    async def run(self):
+        """Follow the stream until cancelled."""
+        await self._replica.run(self._after_batch, lambda now: None)
+
+    async def wait_advanced(self):
+        """Return after the next read of the stream."""
+        await self._advanced.wait()
+
+    def dump(self):
+        """Return the JSON-ready state of tree and replica."""
+        return {**self._tree.dump(), "replica": self._replica.follower.dump()}
+
+    def _apply(self, offset, payload):
+        outcome = self._tree.apply(offset, payload)
+        self._metrics.count(
+            "citrondeal.tree.records", verdict=outcome.verdict.value
+        )
+
+    def _load(self, state):
+        if state is None:
+            self._tree = tree_core.Tree()
+            return True
+        try:
+            loaded = tree_core.Tree.from_snapshot(state)
+        except ValueError as exc:
+            telemetry.event(
+                _LOG,
+                logging.WARNING,
+                "malformed snapshot of the settings tree",
+                reason=str(exc),
+            )
+            return False
+        if loaded.version < self._tree.version:
+            # Never go back to older settings; a later record or snapshot
+            # will reach this version.
+            return False
+        self._tree = loaded
+        return True
+
+    def _after_batch(self, follower, sent_at):
+        advanced, self._advanced = self._advanced, anyio.Event()
+        advanced.set()
+        if self.complete:
+            for function in self._changed:
+                function()
--- /dev/null
+++ b/src/citrondeal/scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""Program that places jobs on workers and serves operators."""
