--- a/src/citrondeal/tree/_tree.py
+++ b/src/citrondeal/tree/_tree.py
@@ -25,6 +25,7 @@
 
 FORMAT = 1
 CACHED_NODES = 1024
+KNOWN_WITHOUT_TEXT = 7  # fields of a remembered id before its reason
 REASON_LIMIT = 300  # characters, since reasons are remembered
 
 _LOG = logging.getLogger(__name__)
@@ -96,6 +97,8 @@
         For conflicts.
     first : Outcome or None
         For a repeated id, the verdict on its first record.
+    offset : int
+        Offset of the record that was judged; -1 for an answer of `check`.
     """
 
     verdict: Verdict
@@ -106,6 +109,7 @@
     version: int = 0
     winner: Winner | None = None
     first: "Outcome | None" = None
+    offset: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -271,8 +275,10 @@
                 offset=offset,
                 reason=reason,
             )
-            return Outcome(Verdict.IGNORED, Code.MALFORMED, reason)
-        outcome = self.check(edit)
+            return Outcome(
+                Verdict.IGNORED, Code.MALFORMED, reason, offset=offset
+            )
+        outcome = dataclasses.replace(self.check(edit), offset=offset)
         if outcome.verdict is Verdict.ACCEPTED:
             self._commit(offset, edit, outcome)
         if outcome.verdict is not Verdict.IGNORED:
@@ -544,8 +550,12 @@
 
     def digest(self):
         """Return a hash that is equal on replicas at the same position."""
-        content = _records.canonical(self._content())
-        return xxhash.xxh3_128_hexdigest(content)
+        content = self._content()
+        # Texts for people may differ between two releases in one cell.
+        content["known"] = [
+            item[:KNOWN_WITHOUT_TEXT] for item in content["known"]
+        ]
+        return xxhash.xxh3_128_hexdigest(_records.canonical(content))
 
     def dump(self):
         """Return the state dump, bounded in size."""
@@ -847,6 +857,7 @@
         outcome.path,
         outcome.verdict.value,
         outcome.version,
+        outcome.offset,
     ]
     if outcome.verdict is not Verdict.ACCEPTED:
         winner = outcome.winner
@@ -859,7 +870,7 @@
 
 
 def _known_of(item):
-    key, fingerprint, base, path, verdict, version, *rest = item
+    key, fingerprint, base, path, verdict, version, offset, *rest = item
     code, reason, winner = rest if rest else (Code.NONE.value, "", None)
     outcome = Outcome(
         Verdict(verdict),
@@ -869,6 +880,7 @@
         path,
         version,
         None if winner is None else Winner(*winner),
+        offset=offset,
     )
     return key, _Known(fingerprint, base, outcome)
 
--- a/src/citrondeal/tree/schema.py
+++ b/src/citrondeal/tree/schema.py
@@ -14,6 +14,7 @@
 import re
 
 __all__ = [
+    "CONTAINERS",
     "KEYS",
     "Key",
     "PathKind",
@@ -36,6 +37,9 @@
 
 MS_PER_DAY = 86_400_000
 
+#: Paths that hold nodes but are none themselves.
+CONTAINERS = ("/services", "/batch", "/teams")
+
 
 class PathKind(enum.StrEnum):
     """Kinds of paths."""
