dedup: end local attempts that an accepted claimant has cleared

A claimant whose round succeeded could meet a witness whose own attempt was still waiting for a reply, and both attempts then failed without a fault. The witness now ends its own attempt when it accepts the claimant's intent.

--- a/src/citrondeal/dedup/_ledger.py
+++ b/src/citrondeal/dedup/_ledger.py
@@ -1,7 +1,6 @@
 """The ledger of request ids at one gateway."""
 
 import collections
-import dataclasses
 import enum
 
 import xxhash
@@ -50,13 +49,14 @@
         "over",
         "provable",
         "round",
+        "sent_at",
         "settled",
         "target",
         "tried",
         "waiters",
     )
 
-    def __init__(self, born, provable):
+    def __init__(self, born, provable, now):
         self.waiters = 1
         self.born = born  # latest time at which the id can be created
         self.provable = provable  # whether the id itself shows its age
@@ -67,6 +67,7 @@
         self.round = None
         self.origin = None  # (process, incarnation, number) of the forward
         self.target = None  # (process, incarnation) of our own forward
+        self.sent_at = now  # time of that forward
         self.number = 0  # of the intent, forward or claim in progress
         self.displaced = 0  # attempt that claimed the id while forwarded
         self.tried = None  # witnesses that did not accept
@@ -237,7 +238,7 @@
         record = self._records.get(request_id)
         if record is not None and record.live is not None:
             return self._join(request_id, record, attempt or 2)
-        if idempotent:
+        if idempotent or request_id in self._idempotent:
             return self._idempotent.begin(request_id)
         if record is not None and record.state == _State.DONE:
             return self._answer_kept(request_id)
@@ -250,7 +251,8 @@
             return [_refuse(request_id, "UNKNOWN_OUTCOME", message)]
         # A creation time in the future proves nothing about the age.
         provable = age_s is not None and age_s > -self._config.skew_s
-        live = _Live(now - max(0.0, age_s) if provable else now, provable)
+        born = now - max(0.0, age_s) if provable else now
+        live = _Live(born, provable, now)
         first = attempt == 1
         if self._has_left:
             kind = "UNAVAILABLE" if first else "UNKNOWN_OUTCOME"
@@ -261,7 +263,7 @@
             record.attempt = live.settled = 1
             record.live = live
             return [_model.Proceed(request_id)]
-        if first and record.state == _State.NONE and not record.holders:
+        if first and self._is_only_barred(record):
             message = "A newer attempt of the id has taken over."
             return [_refuse(request_id, "BARRED", message)]
         number = max(attempt or 2, 2)
@@ -311,7 +313,7 @@
         if request_id in self._idempotent:
             return [_model.Ready(request_id)]
         record = self._records.get(request_id)
-        if record is None or record.live is None:
+        if record is None or record.live is None or self._has_left:
             return []
         if record.state == _State.READY:
             return [_model.Ready(request_id)]
@@ -359,7 +361,7 @@
         if request_id in self._idempotent:
             return self._idempotent.start(request_id)
         record = self._records.get(request_id)
-        if record is None or record.live is None:
+        if record is None or record.live is None or self._has_left:
             return []
         if record.state != _State.READY:
             return []
@@ -493,7 +495,7 @@
                 request_id, gateway, self._number, permit
             )
         record = self._records.get(request_id)
-        if record is None or record.live is None:
+        if record is None or record.live is None or self._has_left:
             return []
         if record.state not in _WAITING:
             return []
@@ -503,6 +505,7 @@
         record.state = _State.FORWARDED
         record.live.number = self._number
         record.live.target = (gateway, incarnation)
+        record.live.sent_at = now
         self._touch(request_id, record, now)
         permit = self._permit(record, now)
         return [_model.SendForward(request_id, gateway, self._number, permit)]
@@ -598,9 +601,18 @@
         list
             `Proceed`, `RejectForward`, or `Answer` for an id that is done.
         """
+        record = self._records.get(request_id)
+        busy = record is not None and record.live is not None
+        if (
+            idempotent
+            and busy
+            or not idempotent
+            and (request_id in self._idempotent)
+        ):
+            message = "The id is handled here."
+            return [self._reject(request_id, permit, "IN_PROGRESS", message)]
         if idempotent:
             return self._idempotent.begin(request_id)
-        record = self._records.get(request_id)
         if record is not None and record.state == _State.DONE:
             return self._answer_kept(request_id)
         if record is not None and record.state == _State.UNKNOWN:
@@ -616,15 +628,16 @@
         verdict = self._judge(record, permit, now).verdict
         if verdict == _model.Verdict.ACCEPTED:
             record = record or self._new_record(request_id, now)
+            actions = self._make_way(request_id, record, permit, now)
             record.state = _State.READY
             record.attempt = max(record.attempt, permit.attempt)
-            record.live = _Live(now - permit.age_s, False)
+            record.live = _Live(now - permit.age_s, False, now)
             record.live.settled = permit.attempt
             record.live.claim = permit.claim
             record.live.over = {(p, i): n for p, i, n in permit.over}
             record.live.origin = (permit.process, permit.incarnation, number)
             self._touch(request_id, record, now)
-            return [_model.Proceed(request_id)]
+            return [*actions, _model.Proceed(request_id)]
         kind, message = {
             _model.Verdict.BARRED: (
                 "BARRED",
@@ -644,13 +657,15 @@
         """Handle an intent: another gateway is about to dispatch the id."""
         record = self._records.get(request_id)
         reply = self._judge(record, permit, now)
+        actions = []
         if reply.verdict == _model.Verdict.ACCEPTED:
             record = record or self._new_record(request_id, now)
-            # A claimant has cleared the earlier holders with its claim.
+            actions = self._make_way(request_id, record, permit, now)
             holder = (permit.process, permit.incarnation)
             record.holders = {holder: _model.Seen.WITNESSED}
             self._touch(request_id, record, now)
-        return [_model.SendIntentReply(request_id, permit.process, reply)]
+        reply = _model.SendIntentReply(request_id, permit.process, reply)
+        return [reply, *actions]
 
     def on_claim(self, request_id, claim, now):
         """Handle a claim, or the fence of a forward that broke."""
@@ -661,9 +676,9 @@
         if claim.fence:
             actions = self._fence(request_id, record, claim, now)
         elif self._denies(record, claim):
-            if record.state == _State.CLAIMING:
-                source = (claim.process, claim.incarnation)
-                record.live.over[source] = claim.number
+            over = record.live.over
+            source = (claim.process, claim.incarnation)
+            over[source] = max(over.get(source, 0), claim.number)
             return [self._claim_reply(request_id, record, claim, True, now)]
         else:
             actions = self._bar(request_id, record, claim, now)
@@ -700,9 +715,10 @@
     def export(self, now):
         """Stop accepting ids and return the records for another gateway.
 
-        Call this when no request is in progress here any more. Requests
-        that are nevertheless in progress are exported as unknown if they
-        were dispatched, and end without a run otherwise.
+        Call this when no request is in progress here any more. A request
+        that is nevertheless dispatched is exported as unknown; one that
+        waits gets no permission from `prepare`, `forward` or `start` any
+        more, and `not_run` refuses it.
 
         Returns
         -------
@@ -717,9 +733,6 @@
             holders = dict(record.holders or {})
             if record.live is not None and record.state in _ELSEWHERE:
                 holders[record.live.target] = _model.Seen.WITNESSED
-            if record.live is not None and record.state in _WAITING:
-                record.state = _State.YIELDED
-                record.live = None
             if seen == _model.Seen.RUNNING:
                 seen = _model.Seen.UNKNOWN
             if seen is None and record.state != _State.NONE:
@@ -841,6 +854,12 @@
         del self._records[request_id]
         self._answers.discard(request_id)
 
+    def _is_only_barred(self, record):
+        """Return whether claims are all that is known of an id."""
+        if record.state != _State.NONE or record.holders:
+            return False
+        return any(len(key) == 2 for key in record.claims or ())
+
     def _touch(self, request_id, record, now):
         record.touched = now
         self._records.move_to_end(request_id)
@@ -903,8 +922,7 @@
         return [_refuse(request_id, "UNKNOWN_OUTCOME", message)]
 
     def _forward_lost(self, request_id, record, now):
-        target = record.live.target
-        record.holders = {target: _model.Seen.WITNESSED}
+        self._refer(record, _model.Seen.WITNESSED)
         message = "The other gateway cannot tell whether the request ran."
         return self._end_unknown(request_id, record, message, now)
 
@@ -985,6 +1003,11 @@
         sender = (permit.process, permit.incarnation)
         if record is not None:
             busy = record.live is not None
+            if busy and permit.claim:
+                # The claimant's round has resolved a forward, or denied
+                # a claim, that was in progress here.
+                cleared = (*_ELSEWHERE, _State.CLAIMING)
+                busy = record.state not in cleared
             if busy or record.state in (_State.DONE, _State.UNKNOWN):
                 return _model.IntentReply(verdict.SEEN, newest)
         over = {(p, i): n for p, i, n in permit.over}
@@ -1010,6 +1033,15 @@
             return _model.IntentReply(verdict.YOUNG, newest)
         return _model.IntentReply(verdict.ACCEPTED, newest)
 
+    def _make_way(self, request_id, record, permit, now):
+        """End what an accepted claimant has cleared with its claim."""
+        if not permit.claim:
+            return []
+        record.holders = None
+        if record.live is None:
+            return []
+        return self._displace(request_id, record, permit.attempt, now)
+
     # Claims
 
     def _claim(self, request_id, record, attempt, now):
@@ -1122,7 +1154,7 @@
     def _evaluate(self, request_id, record, now):
         """Conclude a claim round as soon as its replies allow it."""
         claim_round = record.live.round
-        own = self._claim_view(record, now)
+        own = self._claim_view(request_id, record, now)
         views = [own, *claim_round.replies.values()]
         sightings = {}
         for view in views:
@@ -1166,13 +1198,15 @@
             return self._displace(request_id, record, newest, now)
         record.live.settled = attempt
         record.live.round = None
+        record.holders = None
         record.state = _State.QUEUED
         return [_model.Proceed(request_id)]
 
-    def _claim_view(self, record, now):
+    def _claim_view(self, request_id, record, now):
         """Return what this gateway would reply to its own claim."""
         holders = (record.holders or {}).items()
         claims = (record.claims or {}).items()
+        kept = self._answers.get(request_id)
         return _model.ClaimReply(
             self._process,
             self._incarnation,
@@ -1183,6 +1217,7 @@
             tuple((*k, *v) for k, v in claims if len(k) == 2),
             (self._process, *self._gateways, *self._departed),
             tuple(self._inherited_at(now)),
+            None if kept is None else kept[0],
         )
 
     def _doubt(self, record, views, sightings):
@@ -1240,16 +1275,20 @@
                 return self.answer_lost(request_id, message, now)
             return self._answer_elsewhere(request_id, record, reply, now)
         if _model.Seen.RUNNING in seen:
-            record.holders = {target: _model.Seen.WITNESSED}
+            self._refer(record, _model.Seen.WITNESSED)
             return self._yield_to_other(request_id, record, now)
-        remembers = now - reply.up_for_s <= record.touched
+        remembers = now - reply.up_for_s <= live.sent_at
         if seen or me != target or not remembers:
             return self._forward_lost(request_id, record, now)
         return self._forward_not_run(request_id, record, None, now)
 
+    def _refer(self, record, seen):
+        """Remember the receiver of the forward in progress."""
+        record.holders = {**(record.holders or {}), record.live.target: seen}
+
     def _answer_elsewhere(self, request_id, record, reply, now):
         # The receiver keeps the answer; this gateway refers to it.
-        record.holders = {(reply.process, reply.incarnation): _model.Seen.DONE}
+        self._refer(record, _model.Seen.DONE)
         self._conclude(request_id, record, _State.YIELDED, now)
         return [_model.Answer(request_id, reply.answer)]
 
