--- a/src/citrondeal/operators/api.py
+++ b/src/citrondeal/operators/api.py
@@ -68,13 +68,14 @@
     return app
 
 
-def tree_views(tree):
+def tree_views(current):
     """Return the reading callables of a `Backend` for one tree.
 
     Parameters
     ----------
-    tree : citrondeal.tree.Tree
-        Tree that the program folds.
+    current : callable
+        Returns the `citrondeal.tree.Tree` that the program folds; a
+        snapshot may replace the object.
 
     Returns
     -------
@@ -85,10 +86,10 @@
     async def listing(below):
         if below not in schema.CONTAINERS and schema.kind_of(below) is None:
             return result.Err(_no_path(below))
-        return result.Ok(tree.listing(below))
+        return result.Ok(current().listing(below))
 
     async def node(path):
-        found = tree.describe(path)
+        found = current().describe(path)
         if found is None:
             return result.Err(_no_path(path))
         return result.Ok(found)
@@ -96,7 +97,7 @@
     async def history(path):
         if schema.kind_of(path) is None:
             return result.Err(_no_path(path))
-        return result.Ok(tree.history(path))
+        return result.Ok(current().history(path))
 
     return {"tree": listing, "node": node, "history": history}
 
--- a/src/citrondeal/runtime/_process.py
+++ b/src/citrondeal/runtime/_process.py
@@ -117,12 +117,19 @@
     telemetry.configure_logging(
         config.process.name, config.process.zone, config.logging.level
     )
+    status = 0
     try:
         anyio.run(serve, config)
     except* OSError as group:
-        for exc in group.exceptions:
-            telemetry.event(
-                _LOG, logging.ERROR, "daemon failed", reason=str(exc)
-            )
-        return 1
-    return 0
+        status = 1
+        telemetry.event(
+            _LOG, logging.ERROR, "daemon failed", reason=_first(group)
+        )
+    return status
+
+
+def _first(group):
+    """Return the text of the first exception that is no group itself."""
+    while isinstance(group, BaseExceptionGroup):
+        group = group.exceptions[0]
+    return str(group)
--- a/src/citrondeal/scheduler/_edits.py
+++ b/src/citrondeal/scheduler/_edits.py
@@ -70,5 +70,3 @@
 
 def _err(kind, message):
     return result.Err(errors.Failure(kind, message))
-
-
--- a/src/citrondeal/scheduler/main.py
+++ b/src/citrondeal/scheduler/main.py
@@ -222,7 +222,7 @@
         return ttypes.Fault(kind="protocol", message="unexpected message")
 
     def _backend(self):
-        views = api.tree_views(self._settings)
+        views = api.tree_views(lambda: self._settings.tree)
         return operators.Backend(
             **views,
             edit=self._edits.edit,
