--- a/src/citrondeal/dedup/_ledger.py
+++ b/src/citrondeal/dedup/_ledger.py
@@ -985,7 +985,7 @@
         for name, zone in self._gateways.items():
             if name in tried:
                 continue
-            score = xxhash.xxh64_intdigest(f"{request_id}/{name}")
+            score = xxhash.xxh64_intdigest(f"{request_id}/{name}".encode())
             suspect = self._suspects.get(name, now) > now
             key = (suspect, zone != self._zone, score)
             if best_key is None or key < best_key:
--- /dev/null
+++ b/src/citrondeal/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Program that takes callers' requests to endpoints."""
--- /dev/null
+++ b/src/citrondeal/gateway/main.py
@@ -0,0 +1,423 @@
+"""Entry point of ``citrondeal-gateway``."""
+
+import functools
+import itertools
+import random
+import sys
+
+import anyio
+import result
+
+from citrondeal import admission
+from citrondeal import callers
+from citrondeal import config as settings
+from citrondeal import dedup
+from citrondeal import endpoints
+from citrondeal import errors
+from citrondeal.gateway import _flow
+from citrondeal.gateway import _holdings
+from citrondeal.gateway import _messages
+from citrondeal.gateway import _service
+from citrondeal.gateway import _work
+from citrondeal import peers
+from citrondeal.peers.gen.peers import ttypes
+from citrondeal import platform
+from citrondeal import routing
+from citrondeal import runtime
+from citrondeal import telemetry
+from citrondeal import web
+
+USAGE = "usage: citrondeal-gateway SETTINGS.ini"
+REPORT_TICK_S = 0.1  # bounds how late a load report is sent
+HANDOVER_TIMEOUT = 3.0  # seconds for the records of the ids
+RELEASE_S = 3.0  # seconds for releases to be read back from the log
+
+
+class Gateway:
+    """Cores and borders of one gateway process.
+
+    Parameters
+    ----------
+    config : citrondeal.config.GatewayConfig
+        Settings of the process.
+    task_group : anyio.abc.TaskGroup
+        Runs everything but the HTTP server.
+    """
+
+    def __init__(self, config, task_group):
+        self._config = config
+        self._task_group = task_group
+        self._keys = itertools.count()
+        self._identity = runtime.identity_of(config, "gateway")
+        self._lifecycle = runtime.Lifecycle(self.dump)
+        self._metrics = telemetry.Metrics(config.process.name)
+        self._log = platform.LogClient.from_config(config)
+        self._vm_client = platform.VmClient.from_config(config)
+        self._directory = platform.Directory()
+        self._links = peers.Pool(self._identity, task_group)
+        self._leases = runtime.LeaseDriver.from_config(
+            config,
+            self._identity,
+            self._log,
+            self._links,
+            task_group,
+            self._metrics,
+        )
+        self._settings = runtime.TreeReplica(
+            self._log, task_group, self._metrics
+        )
+        self._queues = admission.Queues.from_config(
+            admission.Config(
+                total_count=config.limits.queue_requests,
+                total_bytes=config.limits.queue_bytes,
+            )
+        )
+        self._configured = set()
+        # Seeded by the name, so that a run can be repeated.
+        self._table = routing.Table.from_config(
+            routing.Config(),
+            config.process.zone,
+            config.process.region,
+            random.Random(config.process.name),
+        )
+        self._ledger = dedup.Ledger.from_config(
+            dedup.Config(
+                max_ids=config.limits.ids,
+                answer_bytes=config.limits.answer_cache_bytes,
+            ),
+            self._identity.process,
+            self._identity.incarnation,
+            self._identity.zone,
+            anyio.current_time(),
+        )
+        self._holdings = _holdings.Holdings(
+            self._leases,
+            self._directory,
+            self._table,
+            config.process.zone,
+            self._attempt_timeout,
+            self._on_holdings,
+        )
+        self._client = endpoints.Client.from_config(config)
+        self._flow = _flow.Flow(
+            self._ledger,
+            self._queues,
+            self._table,
+            self._holdings,
+            self._directory,
+            self._client,
+            self._links,
+            task_group,
+            self._metrics,
+        )
+        self._app = callers.build_app(self._submit, config.limits.body_bytes)
+        runtime.add_probes(
+            self._app, self._lifecycle, self._metrics, self.dump
+        )
+
+    @classmethod
+    def from_config(cls, config, task_group):
+        """Build a gateway from its settings."""
+        return cls(config, task_group)
+
+    @property
+    def lifecycle(self):
+        """State between start and exit."""
+        return self._lifecycle
+
+    async def start(self):
+        """Start everything that runs in the background."""
+        start = self._task_group.start
+        start_soon = self._task_group.start_soon
+        await start(self._lifecycle.handle_signals)
+        address = self._config.listen.peer
+        await start(
+            functools.partial(
+                peers.serve,
+                address.host,
+                address.port,
+                self._identity,
+                self._answer,
+            )
+        )
+        self._leases.listen(
+            self._holdings.on_gained,
+            self._holdings.on_lost,
+            self._holdings.on_drain,
+        )
+        self._settings.on_changed(self._on_settings)
+        self._lifecycle.set_ready_check(self._is_ready)
+        start_soon(self._leases.run)
+        start_soon(self._settings.run)
+        start_soon(self._flow.run)
+        start_soon(self._report_load)
+        start_soon(
+            runtime.poll_vms, self._vm_client, self._directory, self._on_vms
+        )
+
+    async def serve_http(self, *, task_status):
+        """Serve callers until cancelled."""
+        address = self._config.listen.http
+        await web.run_server(
+            self._app,
+            address.host,
+            address.port,
+            self._config.drain.limit_s,
+            task_status=task_status,
+        )
+
+    async def drain(self):
+        """Finish callers' requests after readiness is withdrawn."""
+        await anyio.sleep(runtime.UNREADY_S)
+        self._app.close_connections()
+        with anyio.move_on_after(self._config.drain.limit_s):
+            while self._flow.active:
+                await anyio.sleep(0.05)
+
+    async def stop(self):
+        """Hand endpoints and ids to the other gateways."""
+        self._holdings.drain_all()
+        self._leases.group.want([], anyio.current_time())
+        with anyio.move_on_after(self._config.drain.limit_s):
+            while self._flow.active or self._holdings.held:
+                await anyio.sleep(0.05)
+        await self._hand_over_ids()
+        with anyio.move_on_after(RELEASE_S):
+            while self._leases.group.dump()["held"]:
+                await anyio.sleep(0.05)
+        await self._client.aclose()
+
+    def dump(self):
+        """Return the JSON-ready state of the process."""
+        return {
+            "process": self._identity.process,
+            "incarnation": self._identity.incarnation,
+            "zone": self._identity.zone,
+            "ready": self._lifecycle.ready,
+            "draining": self._lifecycle.draining,
+            "usage": runtime.usage(),
+            "traffic": {
+                "log": self._log.traffic,
+                "vms": self._vm_client.traffic,
+                "peers": self._links.traffic,
+            },
+            "vms": self._directory.dump(),
+            "leases": self._leases.group.dump(),
+            "tree": self._settings.dump(),
+            "requests": self._flow.dump(),
+        }
+
+    # Callers.
+
+    async def _submit(self, request):
+        values = self._settings.tree.values(f"/services/{request.service}")
+        if values is None:
+            return self._no_service(request)
+        work = self._work_of(request, values)
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(self._watch_caller, request, work)
+            outcome = await self._flow.handle(work, request.attempt)
+            task_group.cancel_scope.cancel()
+        return outcome
+
+    async def _watch_caller(self, request, work):
+        await request.disconnected()
+        self._flow.leave(work)
+
+    def _no_service(self, request):
+        if not self._settings.complete:
+            kind = errors.Kind.UNAVAILABLE
+            message = "the settings are not read yet"
+        else:
+            kind = errors.Kind.UNKNOWN_SERVICE
+            message = f"no service {request.service}"
+        if request.attempt != 1:
+            # Only the first attempt is known not to have run before.
+            kind = errors.Kind.UNKNOWN_OUTCOME
+        return result.Err(errors.Failure(kind, message))
+
+    def _work_of(self, request, values):
+        deadline_ms = request.deadline_ms or values["request.deadline_ms"]
+        idempotent = request.idempotent
+        if idempotent is None:
+            idempotent = values["request.idempotent"]
+        return _work.Work(
+            key=next(self._keys),
+            request_id=request.request_id,
+            service=request.service,
+            path=request.path,
+            request_class=request.request_class or "normal",
+            team=request.team or values["team.default"],
+            idempotent=idempotent,
+            deadline=anyio.current_time() + deadline_ms / 1000,
+            attempt_timeout=values["request.attempt_timeout_ms"] / 1000,
+            headers=request.headers,
+            body=request.body,
+        )
+
+    # Other gateways.
+
+    async def _answer(self, peer, value):
+        if isinstance(value, ttypes.Load):
+            self._on_load(peer, value)
+            return ttypes.Ok()
+        if isinstance(value, ttypes.Intent):
+            return self._flow.answer_intent(value)
+        if isinstance(value, ttypes.Claim):
+            return self._flow.answer_claim(value)
+        if isinstance(value, ttypes.Forward):
+            return await self._on_forward(value)
+        if isinstance(value, ttypes.Promise):
+            return self._leases.answer_promise(value)
+        if isinstance(value, ttypes.Handover):
+            return self._on_handover(value)
+        return ttypes.Fault(kind="protocol", message="unexpected message")
+
+    async def _on_forward(self, message):
+        service = message.service_name
+        values = self._settings.tree.values(f"/services/{service}")
+        if values is None:
+            failure = errors.Failure(
+                errors.Kind.UNAVAILABLE, f"no service {service} here"
+            )
+            return _messages.fault_out(failure)
+        work = _work.Work(
+            key=next(self._keys),
+            request_id=message.request_id,
+            service=service,
+            path=message.path,
+            request_class=message.request_class,
+            team=message.team,
+            idempotent=message.idempotent,
+            deadline=anyio.current_time() + message.deadline_ms / 1000,
+            attempt_timeout=values["request.attempt_timeout_ms"] / 1000,
+            headers=message.headers,
+            body=message.body,
+            forwarded=True,
+        )
+        outcome = await self._flow.handle_forward(work, message)
+        if outcome.is_ok():
+            return _messages.reply_out(outcome.ok_value)
+        return _messages.fault_out(outcome.err_value)
+
+    def _on_load(self, peer, message):
+        self._table.on_report(
+            peer.process,
+            message.free,
+            message.queued,
+            message.draining,
+            anyio.current_time(),
+        )
+        self._flow.pump_all()
+
+    def _on_handover(self, message):
+        state = _messages.handover_in(message)
+        self._ledger.import_records(state, anyio.current_time())
+        return ttypes.Ok()
+
+    async def _hand_over_ids(self):
+        state = self._ledger.export(anyio.current_time())
+        message = _messages.handover_out(state)
+        zone = self._identity.zone
+        others = sorted(self._other_gateways(), key=lambda vm: vm.zone != zone)
+        for vm in others:
+            try:
+                reply = await self._links.call(
+                    vm.peer, message, HANDOVER_TIMEOUT
+                )
+            except peers.PeerError:
+                continue
+            if isinstance(reply, ttypes.Ok):
+                return
+
+    async def _report_load(self):
+        while True:
+            await anyio.sleep(REPORT_TICK_S)
+            now = anyio.current_time()
+            free, queued = self._load(now)
+            for report in self._table.reports(free, queued, now):
+                vm = self._directory.get(report.process)
+                if vm is not None:
+                    message = ttypes.Load(
+                        report.free, report.queued, self._lifecycle.draining
+                    )
+                    self._task_group.start_soon(
+                        self._links.notify, vm.peer, message
+                    )
+
+    def _load(self, now):
+        free, queued = {}, {}
+        for service in self._configured:
+            count = self._table.free(service, now)
+            if self._lifecycle.draining:
+                count = 0
+            free[service] = count
+            queued[service] = self._queues.queued(service)
+            room = self._queues.room(service, count)
+            for name, places in room.items():
+                free[f"{service}/{name}"] = places
+        return free, queued
+
+    # Changes.
+
+    def _is_ready(self):
+        return self._settings.complete and bool(self._directory.updated_at)
+
+    def _other_gateways(self):
+        return [
+            vm
+            for vm in self._directory.select("entry", role="gateway")
+            if vm.id != self._identity.process
+        ]
+
+    def _on_vms(self):
+        now = anyio.current_time()
+        others = self._other_gateways()
+        self._table.set_peers({vm.id: (vm.zone, vm.region) for vm in others})
+        self._ledger.set_gateways({vm.id: vm.zone for vm in others}, now)
+        self._holdings.on_vms()
+
+    def _on_settings(self):
+        tree = self._settings.tree
+        weights = _service.team_weights(tree)
+        now = anyio.current_time()
+        for path in tree.paths("/services"):
+            values = tree.values(path)
+            if values is None:
+                continue
+            name = path.removeprefix("/services/")
+            config = _service.service_config(values, weights)
+            self._queues.configure(name, config, now)
+            self._configured.add(name)
+        self._on_holdings()
+
+    def _on_holdings(self):
+        now = anyio.current_time()
+        for service in self._configured:
+            self._queues.set_slots(service, self._table.slots(service), now)
+        self._flow.pump_all()
+
+    def _attempt_timeout(self, service):
+        values = self._settings.tree.values(f"/services/{service}")
+        if values is None:
+            values = self._settings.tree.values("/")
+        return values["request.attempt_timeout_ms"] / 1000
+
+
+async def serve(config):
+    """Run a gateway until its graceful shutdown has ended."""
+    await runtime.serve_until_drained(Gateway, config)
+
+
+@settings.main_guard
+def main():
+    """Run the program; exits with 2 if the settings are invalid."""
+    if len(sys.argv) != 2:
+        print(USAGE, file=sys.stderr)
+        sys.exit(2)
+    config = settings.GatewayConfig.from_file(sys.argv[1])
+    sys.exit(runtime.run(serve, config))
+
+
+if __name__ == "__main__":
+    main()
--- a/src/citrondeal/peers/_pool.py
+++ b/src/citrondeal/peers/_pool.py
@@ -16,6 +16,15 @@
 # is closed: something between both ends may have dropped its state.
 SILENT_AFTER = 2.0  # seconds
 
+# TimeoutError is an OSError.
+_CONNECT_ERRORS = (
+    OSError,
+    _codec.FrameError,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+    anyio.EndOfStream,
+)
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -58,6 +67,24 @@
         received = self._closed_bytes[1] + sum(k.bytes_in for k in links)
         return sent, received
 
+    def incarnation_of(self, address):
+        """Return the incarnation at the other end of the open link.
+
+        Parameters
+        ----------
+        address : str
+            ``host:port``.
+
+        Returns
+        -------
+        str
+            Empty if there is no open link.
+        """
+        slot = self._slots.get(address)
+        if slot is None or slot.link is None or slot.link.closed:
+            return ""
+        return slot.link.peer.incarnation
+
     async def call(self, address, value, timeout_s):
         """Call the peer at `address` and return the body of its reply.
 
@@ -114,7 +141,7 @@
             try:
                 with anyio.fail_after(min(timeout_s, CONNECT_TIMEOUT)):
                     slot.link = await self._open(address, slot)
-            except (OSError, _codec.FrameError) as exc:
+            except _CONNECT_ERRORS as exc:
                 slot.failed_at = anyio.current_time()
                 telemetry.event(
                     _LOG,
--- a/src/citrondeal/web/_app.py
+++ b/src/citrondeal/web/_app.py
@@ -196,7 +196,7 @@
                 path=request.path,
                 reason=repr(exc),
             )
-            _LOG.debug("traceback of the failed handler", exc_info=True)
+            _LOG.warning("traceback of the failed handler", exc_info=True)
             failure = errors.Failure(errors.Kind.INTERNAL, "internal error")
             return failure_response(failure, headers.get("request-id"))
 
