--- /dev/null
+++ b/src/citrondeal/tree/tests/steps.py
@@ -0,0 +1,186 @@
+"""Steps for the settings tree."""
+
+import copy
+import json
+
+from behave import given
+from behave import then
+from behave import when
+
+from citrondeal import tree as tree_package
+from citrondeal.tree import schema
+from citrondeal.tree.tests import histories
+
+EXAMPLES = 150
+
+MUTATIONS = {
+    "accepts any base": [("if edit.base != current:", "if False:")],
+    "forgets edit ids": [
+        ("if known is not None and known.fingerprint", "if False and known"),
+        ("if edit.edit_id in self._known:", "if False:"),
+    ],
+    "applies snapshots while running": [
+        (
+            'reason = "a running replica ignores snapshots"',
+            'self._restore(record["state"]); reason = ""',
+        )
+    ],
+    "applies the valid part of an edit": [
+        (
+            'return f"{edit.path}: {name} {reason}", None',
+            "del values[name]",
+        )
+    ],
+    "validates only the edited branch": [
+        ("for path in (edit.path, *below):", "for path in (edit.path,):")
+    ],
+    "deletes nodes with children": [
+        ("if self._children(edit.path):", "if False:")
+    ],
+    "restarts versions after a deletion": [
+        (
+            "return self._floor if winner is None else winner.version",
+            "return 0",
+        )
+    ],
+    "restarts versions of forgotten paths": [
+        (
+            "self._floor = self._deleted.pop(oldest)",
+            "self._deleted.pop(oldest)",
+        )
+    ],
+    "lets forgotten rejections return": [
+        ("if known.base < self.branch_version(path):", "if True:")
+    ],
+    "forgets the id counter in snapshots": [
+        ('self._counter = _whole(state["counter"])', "self._counter = 0")
+    ],
+}
+
+
+@given("tree an empty tree")
+def empty_tree(context):
+    context.tree = tree_package.Tree()
+    context.log = []
+
+
+@when("tree the records are applied")
+def apply_records(context):
+    context.outcomes = []
+    for line in context.text.splitlines():
+        record = {"kind": "edit", "set": {}, **json.loads(line)}
+        outcome = context.tree.apply(len(context.log), record)
+        context.log.append(record)
+        context.outcomes.append(outcome)
+
+
+@then('tree the last verdict is "{verdict}" because of "{code}"')
+def last_verdict(context, verdict, code):
+    outcome = context.outcomes[-1]
+    assert (outcome.verdict, outcome.code) == (verdict, code), outcome
+
+
+@then('tree the reason names "{words}"')
+def reason_names(context, words):
+    reason = context.outcomes[-1].reason
+    assert all(word in reason for word in words.split()), reason
+
+
+@then('tree the winner is edit "{edit_id}" with version {version:d}')
+def winner_is(context, edit_id, version):
+    winner = context.outcomes[-1].winner
+    assert (winner.edit_id, winner.version) == (edit_id, version), winner
+
+
+@then('tree "{path}" has "{name}" {value} from "{origin}"')
+def value_from(context, path, name, value, origin):
+    found = context.tree.resolve(path)[name]
+    expected = (json.loads(value), None if origin == "default" else origin)
+    assert (found.value, found.origin) == expected, found
+
+
+@then('tree the history of "{path}" has edits "{edit_ids}"')
+def history_has(context, path, edit_ids):
+    found = [entry["edit_id"] for entry in context.tree.history(path)]
+    assert found == edit_ids.split(), found
+
+
+@then("tree {count:d} records were malformed and version is {version:d}")
+def counts(context, count, version):
+    assert context.tree.malformed == count, context.tree.malformed
+    assert context.tree.version == version, context.tree.version
+
+
+@then("tree random histories agree with the naive fold")
+def agree(context):
+    check = histories.agrees_with_naive
+    histories.check_all(check, tree_package.Tree, EXAMPLES)
+
+
+@then("tree random histories are safe when ids are forgotten")
+def safe(context):
+    histories.check_all(histories.never_twice, tree_package.Tree, EXAMPLES)
+
+
+@then('tree the test notices a fold that "{mutation}"')
+def notices(context, mutation):
+    tree_class = histories.mutant(*MUTATIONS[mutation])
+    for check in (histories.agrees_with_naive, histories.never_twice):
+        try:
+            histories.check_all(check, tree_class, EXAMPLES)
+        except (AssertionError, ValueError):
+            # ValueError: a snapshot that does not match its digest.
+            return
+    raise AssertionError(f"not noticed: {mutation}")
+
+
+@then("tree a changed snapshot is refused")
+def changed_snapshot(context):
+    good = json.loads(json.dumps(context.tree.snapshot()))
+    assert tree_package.Tree.from_snapshot(good).snapshot() == good
+    broken = [{}, None, [], {**good, "version": 99}, {**good, "format": 2}]
+    for name in good:
+        without = copy.deepcopy(good)
+        del without[name]
+        broken.append(without)
+    for state in broken:
+        try:
+            tree_package.Tree.from_snapshot(state)
+        except ValueError:
+            continue
+        raise AssertionError(f"restored from {state}")
+
+
+@then("tree check gives the verdict of apply without a change")
+def check_is_pure(context):
+    tree = context.tree
+    for number, record in enumerate(context.log):
+        edit = tree_package.Edit(
+            f"n{number}", record["path"], record["base"], record["set"]
+        )
+        before = tree.snapshot()
+        foreseen = tree.check(edit)
+        assert tree.snapshot() == before
+        copied = tree_package.Tree.from_snapshot(before)
+        found = copied.apply(1000, tree_package.edit_record(edit))
+        assert (found.verdict, found.code, found.version) == (
+            foreseen.verdict,
+            foreseen.code,
+            foreseen.version,
+        )
+
+
+@then("tree the default of every key is valid, alone and together")
+def defaults_valid(context):
+    for key in schema.KEYS.values():
+        assert schema.check_value(key, key.default) == (key.default, None)
+    for kind in schema.PathKind:
+        keys = schema.keys_of(kind)
+        values = {name: key.default for name, key in keys.items()}
+        assert schema.conflict_of(values.get) is None
+
+
+@then('tree key "{name}" refuses {value}')
+def key_refuses(context, name, value):
+    found, reason = schema.check_value(schema.KEYS[name], json.loads(value))
+    assert found is None and reason, found
