--- a/src/citrondeal/config/tests/config.feature
+++ b/src/citrondeal/config/tests/config.feature
@@ -96,3 +96,6 @@
     # A model class loads 12 MB that a daemon cannot give back.
     Then config importing the package loads nothing of pydantic
     And config loading a file loads only the core of pydantic
+
+  Scenario: config the documentation lists every key with its default
+    Then config docs/settings.md has a row for every key
--- a/src/citrondeal/config/tests/steps.py
+++ b/src/citrondeal/config/tests/steps.py
@@ -170,3 +170,19 @@
         "c.GatewayConfig.from_file(c.sample_path('gateway'))"
     )
     assert "pydantic_core" in loaded and "pydantic" not in loaded, loaded
+
+
+@then("config docs/settings.md has a row for every key")
+def documented(context):
+    root = pathlib.Path(__file__).parents[4]
+    rows = (root / "docs" / "settings.md").read_text().splitlines()
+    for cls in CLASSES.values():
+        for section in dataclasses.fields(cls):
+            for key in dataclasses.fields(section.type):
+                default = "required"
+                if key.default is not dataclasses.MISSING:
+                    default = f"`{key.default}`".replace(".0`", "`")
+                start = f"| `[{section.name}]` | `{key.name}` | {default} |"
+                found = [row for row in rows if row.startswith(start)]
+                assert len(found) == 1, start
+                assert key.metadata["meaning"] in found[0], found
--- a/src/citrondeal/tree/tests/steps.py
+++ b/src/citrondeal/tree/tests/steps.py
@@ -2,6 +2,7 @@
 
 import copy
 import json
+import pathlib
 
 from behave import given
 from behave import then
@@ -185,6 +186,19 @@
         assert schema.conflict_of(values.get) is None
 
 
+@then("tree docs/settings.md has a row for every key")
+def documented(context):
+    root = pathlib.Path(__file__).parents[4]
+    rows = (root / "docs" / "settings.md").read_text().splitlines()
+    for key in schema.KEYS.values():
+        at = "/".join(key.kinds) or "root only"
+        found = [r for r in rows if r.startswith(f"| `{key.name}` | {at} |")]
+        assert len(found) == 1, key.name
+        default = json.dumps(key.default).strip('"').removesuffix(".0")
+        assert (f"`{default}`" if default else "(empty)") in found[0], found
+        assert key.meaning in found[0], found
+
+
 @then('tree key "{name}" refuses {value}')
 def key_refuses(context, name, value):
     found, reason = schema.check_value(schema.KEYS[name], json.loads(value))
--- a/src/citrondeal/tree/tests/tree.feature
+++ b/src/citrondeal/tree/tests/tree.feature
@@ -103,6 +103,9 @@
   Scenario: tree defaults are valid
     Then tree the default of every key is valid, alone and together
 
+  Scenario: tree the documentation lists every key
+    Then tree docs/settings.md has a row for every key
+
   Scenario: tree a snapshot that was changed is refused
     Given tree an empty tree
     When tree the records are applied
