--- a/src/citrondeal/jobs/_owner.py
+++ b/src/citrondeal/jobs/_owner.py
@@ -606,11 +606,11 @@
             return
         index = parts[1]
         if place is not None:
-            self._remove(worker, place)
             if state in ("finished", "failed"):
                 self._pool.record_outcome(
-                    name, job.work, state == "finished", now
+                    name, place.key, state == "finished", now
                 )
+            self._remove(worker, place)
         if self._book.counted(job, index, parts[2]):
             worker.acks.add(task)
         elif task in self._records:
--- /dev/null
+++ b/src/citrondeal/jobs/tests/machine.py
@@ -0,0 +1,451 @@
+"""Random faults against two owners and three workers, in virtual time.
+
+`run` is also called by the fault runner.
+"""
+
+import collections
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from citrondeal import jobs
+from citrondeal.jobs.tests import fakes
+from citrondeal import placement
+
+VALIDITY = 4.0  # seconds after a renewal, as in the ownership core
+KINDS = ("batch", "batch", "once", "gang", "service")
+FATES = ("ok", "ok", "ok", "drop", "late", "reply_lost")
+
+
+class World:
+    """Two schedulers, three workers, a log and a lossy network."""
+
+    def __init__(self, owner_class=jobs.Owner, relative_lease=False):
+        self.relative_lease = relative_lease
+        self.now = 1000.0
+        self.log = fakes.Log()
+        self.workers = [
+            fakes.Worker("w0", offset=-500.0, rack="r0", rate=1.005),
+            fakes.Worker("w1", offset=0.0, rack="r0"),
+            fakes.Worker("w2", offset=9e5, rack="r1", rate=0.995),
+        ]
+        self.schedulers = [
+            fakes.Scheduler(self.log, owner_class) for _ in range(2)
+        ]
+        self.present = {worker.name for worker in self.workers}
+        self.epoch = 0
+        self.holder = None
+        self.late = []
+        self.late_appends = []
+        self.submitted = 0
+        self.services = 0
+        self.once_starts = collections.Counter()
+        self.publish()
+        self.take_over(0, None)
+
+    def publish(self):
+        infos = [w.info() for w in self.workers if w.name in self.present]
+        for scheduler in self.schedulers:
+            scheduler.owner.on_workers(infos, self.now)
+
+    def take_over(self, index, slack):
+        """Let a scheduler claim the pool after the holder's validity."""
+        last = -1e9 if self.holder is None else self.holder.valid_until
+        scheduler = self.schedulers[index]
+        if scheduler.paused or scheduler is self.holder:
+            return
+        self.now = max(self.now, last + 0.5)
+        self.epoch += 1
+        bound = None if slack is None else min(last + slack, self.now)
+        scheduler.follow(self.now)
+        scheduler.owner.on_gained(self.epoch, bound, self.now)
+        scheduler.valid_until = self.now + VALIDITY
+        self.holder = scheduler
+
+    def notice(self):
+        """Tell resumed schedulers that their ownership has ended."""
+        for scheduler in self.schedulers:
+            if scheduler is not self.holder and not scheduler.paused:
+                if scheduler.owner.owned:
+                    scheduler.owner.on_lost(self.now)
+
+    def advance(self, seconds):
+        self.now += seconds
+        holder = self.holder
+        if not holder.paused and self.now < holder.valid_until:
+            holder.valid_until = self.now + VALIDITY
+
+    def regain(self):
+        """Renew an ownership that ran out and that nobody else took."""
+        holder = self.holder
+        if holder.paused or self.now < holder.valid_until:
+            return
+        self.epoch += 1
+        holder.owner.on_gained(self.epoch, holder.valid_until, self.now)
+        holder.valid_until = self.now + VALIDITY
+
+    def decide(self, scheduler, delay_append=False):
+        scheduler.follow(self.now)
+        until = scheduler.valid_until
+        for action in scheduler.owner.tick(self.now, until):
+            if delay_append:
+                self.late_appends.append(action.record)
+            else:
+                self.log.append(action.record)
+
+    def send(self, scheduler, worker, fate):
+        """Exchange with a worker; `fate` says what the network does."""
+        owner = scheduler.owner
+        sent_at = self.now
+        request = owner.sync_request(
+            worker.name, sent_at, scheduler.valid_until
+        )
+        if request is None:
+            return
+        if fate == "late":
+            self.late.append((worker, request, sent_at))
+        if fate in ("drop", "late"):
+            self.now += 0.01
+            owner.on_poll_failed(worker.name, self.now)
+            return
+        reply = self.deliver(worker, request, sent_at)
+        self.now += 0.01
+        if fate == "ok":
+            owner.on_reply(worker.name, reply, sent_at, self.now)
+        else:
+            owner.on_poll_failed(worker.name, self.now)
+
+    def deliver(self, worker, request, sent_at):
+        if self.relative_lease:
+            delay = self.now - sent_at
+            for start in request["starts"]:
+                start["lease_until"] += delay
+        if request["boot_id"] == worker.boot_id:
+            self.check_acks(worker, request["ack"])
+        before = {t["task"] for t in worker.running(self.now)}
+        reply = worker.sync(request, self.now)
+        for task in worker.running(self.now):
+            if task["task"] not in before:
+                job, index, _ = jobs.parse_task(task["task"])
+                if job.startswith("once"):
+                    self.once_starts[job, index] += 1
+        return reply
+
+    def check_acks(self, worker, acks):
+        """An end may be acknowledged only when it is in the log."""
+        recorded = {
+            entry["task"]
+            for record in self.log.records
+            if record["kind"] == "finished"
+            for entry in record["tasks"]
+        }
+        for task in acks:
+            entry = worker.tasks.get(task)
+            if entry is not None and entry["state"] in ("finished", "failed"):
+                if not jobs.parse_task(task)[0].startswith("orphan"):
+                    assert task in recorded, f"{task} acknowledged too early"
+
+    def submit(self, kind, tasks, cores, priority):
+        if kind == "service":
+            # All services together leave room for everything else.
+            if self.services + tasks * cores > 4:
+                return
+            self.services += tasks * cores
+        once = kind == "once"
+        record = fakes.submit(
+            f"{kind}{self.submitted + 1}",
+            kind="batch" if once else kind,
+            once=once,
+            tasks=tasks,
+            cores=cores,
+            priority=priority,
+            run_time_s=None if kind == "service" else 5,
+        )
+        if self.holder.owner.refusal(record["job"]) is None:
+            self.submitted += 1
+            self.log.append(record)
+
+    def job_ids(self):
+        return [
+            record["job"]["id"]
+            for record in self.log.records
+            if record["kind"] == "submit"
+        ]
+
+    def check(self):
+        seen = set()
+        for worker in self.workers:
+            running = worker.running(self.now)
+            cores = sum(task["cores"] for task in running)
+            assert cores <= worker.cores, f"{worker.name} is overloaded"
+            for task in running:
+                spot = jobs.parse_task(task["task"])[:2]
+                assert spot not in seen, f"{spot} runs in two places"
+                seen.add(spot)
+        for spot, count in self.once_starts.items():
+            assert count <= 1, f"{spot} was started {count} times"
+
+    def heal(self):
+        """End all faults; check that everything gets to its end."""
+        for scheduler in self.schedulers:
+            scheduler.paused = False
+        for worker in self.workers:
+            worker.leaving = False
+        self.present = {worker.name for worker in self.workers}
+        self.publish()
+        self.notice()
+        self.regain()
+        self._settle("service")
+        # A gang may need the room of the services.
+        for job_id in self.job_ids():
+            if job_id.startswith("service"):
+                self.log.append({"kind": "cancel", "job": job_id})
+        self._settle("")
+
+    def _settle(self, prefix):
+        """Run without faults until the jobs named `prefix` are settled."""
+        for round_ in range(200):
+            self.advance(1.0)
+            self.decide(self.holder)
+            for worker in self.workers:
+                self.send(self.holder, worker, "ok")
+                for task in worker.running(self.now):
+                    if not task["job"].startswith("service"):
+                        if round_ % 3 == 2:
+                            worker.end(task["task"], "finished")
+            self.check()
+            # Every lease of an earlier owner has ended after 31 s.
+            if round_ > 40 and not self._unsettled(prefix):
+                return
+        raise AssertionError(f"not settled: {self._unsettled(prefix)}")
+
+    def _unsettled(self, prefix):
+        book = self.holder.owner.book
+        running = {
+            jobs.parse_task(task["task"])[:2]
+            for worker in self.workers
+            for task in worker.running(self.now)
+        }
+        left = []
+        for job_id in self.job_ids():
+            job = book.get(job_id)
+            if not job_id.startswith(prefix):
+                continue
+            spots = {(job_id, index) for index in range(job.tasks)}
+            if job.ended or job.hold:
+                if job.ended and running & spots:
+                    left.append(f"{job_id} has ended but runs")
+            elif job.work.kind != "service" or not spots <= running:
+                left.append(f"{job_id} is {job.state}")
+        return left
+
+
+class Machine(stateful.RuleBasedStateMachine):
+    """Rules that apply faults; the checks run after each of them."""
+
+    world_class = World
+    owner_class = jobs.Owner
+    relative_lease = False
+
+    def __init__(self):
+        super().__init__()
+        self.world = self.world_class(self.owner_class, self.relative_lease)
+
+    @stateful.rule(
+        kind=st.sampled_from(KINDS),
+        tasks=st.integers(1, 4),
+        cores=st.sampled_from([1, 2, 3]),
+        priority=st.sampled_from(placement.PRIORITIES),
+    )
+    def submit(self, kind, tasks, cores, priority):
+        if len(self.world.holder.owner.book.open_jobs) < 8:
+            self.world.submit(kind, tasks, cores, priority)
+
+    @stateful.rule(number=st.integers(0, 7))
+    def cancel(self, number):
+        ids = self.world.job_ids()
+        if ids:
+            job = ids[number % len(ids)]
+            self.world.log.append({"kind": "cancel", "job": job})
+
+    @stateful.rule(
+        fates=st.tuples(*[st.sampled_from(FATES)] * 3),
+        seconds=st.sampled_from([0.2, 1.0, 1.0, 3.0]),
+    )
+    def cycle(self, fates, seconds, delay=False):
+        world = self.world
+        world.advance(seconds)
+        for scheduler in world.schedulers:
+            if scheduler.paused:
+                continue
+            world.decide(scheduler, delay)
+            for worker, fate in zip(world.workers, fates, strict=True):
+                if worker.name in world.present:
+                    world.send(scheduler, worker, fate)
+                    world.check()
+
+    @stateful.rule(rounds=st.integers(2, 12))
+    def work(self, rounds):
+        for _ in range(rounds):
+            self.cycle(("ok",) * 3, 1.0)
+
+    @stateful.rule(worker=st.integers(0, 2), seconds=st.integers(5, 40))
+    def partition(self, worker, seconds):
+        fates = ["ok"] * 3
+        fates[worker] = "drop"
+        for _ in range(seconds):
+            self.cycle(fates, 1.0)
+
+    @stateful.rule(which=st.integers(0, 9))
+    def deliver_late(self, which):
+        world = self.world
+        if world.late:
+            worker, request, sent_at = world.late.pop(which % len(world.late))
+            world.deliver(worker, request, sent_at)
+
+    @stateful.rule()
+    def append_late(self):
+        world = self.world
+        if world.late_appends:
+            world.log.append(world.late_appends.pop())
+
+    @stateful.rule(
+        worker=st.integers(0, 2),
+        number=st.integers(0, 3),
+        state=st.sampled_from(["finished", "failed"]),
+    )
+    def end_task(self, worker, number, state):
+        world = self.world
+        running = world.workers[worker].running(world.now)
+        if running:
+            task = running[number % len(running)]["task"]
+            world.workers[worker].end(task, state)
+
+    @stateful.rule(worker=st.integers(0, 2))
+    def reboot(self, worker):
+        self.world.workers[worker].reboot()
+
+    @stateful.rule(worker=st.integers(0, 2), leaving=st.booleans())
+    def leave(self, worker, leaving):
+        self.world.workers[worker].leaving = leaving
+        self.world.publish()
+
+    @stateful.rule(worker=st.integers(0, 2))
+    def list_or_unlist(self, worker):
+        world = self.world
+        world.present ^= {world.workers[worker].name}
+        world.publish()
+
+    @stateful.rule(
+        resumed=st.booleans(),
+        slack=st.sampled_from([0.0, 0.3, None]),
+        fates=st.tuples(*[st.sampled_from(FATES)] * 3),
+        kind=st.sampled_from(KINDS),
+        cores=st.sampled_from([1, 3]),
+        reboot=st.integers(0, 5),
+        rounds=st.sampled_from([0, 2, 35]),
+    )
+    def pause_and_take_over(
+        self, resumed, slack, fates, kind, cores, reboot, rounds
+    ):
+        """The holder sends, pauses, and its messages arrive late."""
+        world = self.world
+        old = world.holder
+        self.submit(kind, 2, cores, "normal")
+        world.decide(old)
+        if not old.paused:
+            for worker, fate in zip(world.workers, fates, strict=True):
+                if worker.name in world.present:
+                    world.send(old, worker, fate)
+        old.paused = True
+        new = world.schedulers[1 - world.schedulers.index(old)]
+        new.paused = False
+        world.notice()
+        world.take_over(world.schedulers.index(new), slack)
+        if reboot < 3:
+            world.workers[reboot].reboot()
+        self.submit("batch", 4, cores, "normal")
+        old.paused = not resumed
+        for _ in range(rounds + 1):
+            self.cycle(("ok",) * 3, 1.0)
+        self.deliver_all()
+
+    @stateful.rule(
+        fates=st.tuples(*[st.sampled_from(FATES)] * 3),
+        rounds=st.integers(0, 3),
+        cores=st.integers(1, 3),
+    )
+    def late_messages(self, fates, rounds, cores):
+        """Messages are overtaken by those of the next exchanges."""
+        self.submit("batch", 4, cores, "normal")
+        self.cycle(fates, 1.0)
+        for _ in range(rounds):
+            self.cycle(("ok",) * 3, 0.9)
+        self.deliver_all()
+
+    def deliver_all(self):
+        world = self.world
+        while world.late:
+            world.deliver(*world.late.pop(0))
+            world.check()
+
+    @stateful.rule(rounds=st.integers(1, 6))
+    def log_outage(self, rounds):
+        """Appends take effect only after the outage, in another order."""
+        for _ in range(rounds):
+            self.cycle(("ok",) * 3, 1.0, delay=True)
+
+    @stateful.rule()
+    def resume(self):
+        for scheduler in self.world.schedulers:
+            scheduler.paused = False
+
+    @stateful.rule()
+    def lapse(self):
+        """The holder's validity ends for a while; nobody takes over."""
+        world = self.world
+        world.now = max(world.now, world.holder.valid_until + 0.5)
+        world.regain()
+
+    @stateful.rule()
+    def notice_loss(self):
+        self.world.notice()
+
+    @stateful.invariant()
+    def safe(self):
+        self.world.check()
+
+    def teardown(self):
+        self.world.heal()
+
+
+def run(seed, max_examples, machine=Machine, steps=40):
+    """Run the machine; raises AssertionError on a violated guarantee.
+
+    Parameters
+    ----------
+    seed : int
+        Seed of the generated examples.
+    max_examples : int
+        Number of examples.
+    machine : type, optional
+        The machine or a mutated version of it.
+    steps : int, optional
+        Rules per example.
+    """
+    seeded = hypothesis.seed(seed)(type("Seeded", (machine,), {}))
+    stateful.run_state_machine_as_test(
+        seeded,
+        settings=hypothesis.settings(
+            max_examples=max_examples,
+            stateful_step_count=steps,
+            database=None,
+            deadline=None,
+            derandomize=True,
+            print_blob=False,
+            report_multiple_bugs=False,
+            phases=[hypothesis.Phase.generate],
+            suppress_health_check=list(hypothesis.HealthCheck),
+        ),
+    )
--- /dev/null
+++ b/src/citrondeal/jobs/tests/mutations.py
@@ -0,0 +1,132 @@
+"""Versions of the owner with one rule removed; the machine must fail."""
+
+import math
+
+from citrondeal import jobs
+from citrondeal.jobs.tests import machine
+
+
+class UnknownNotCounted(jobs.Owner):
+    """Tasks that are found on a worker do not occupy it."""
+
+    def _found(self, worker, listing, size, now):
+        place = super()._found(worker, listing, size, now)
+        self._pool.release(worker.info.name, place.key)
+        return place
+
+
+class NoLeaseWait(jobs.Owner):
+    """Tasks that are not found are restarted at once."""
+
+    def on_gained(self, epoch, previous_until, now):
+        super().on_gained(epoch, -math.inf, now)
+
+
+class LostReplyIgnored(jobs.Owner):
+    """A start whose reply was lost does not occupy its place."""
+
+    def on_poll_failed(self, name, now):
+        worker = self._workers.get(name)
+        sent = worker.sent if worker is not None else ()
+        super().on_poll_failed(name, now)
+        for place in sent:
+            self._gone(worker, place, False, now)
+
+
+class RenewalIgnored(jobs.Owner):
+    """The end of a lease is not moved by a renewal without reply."""
+
+    def _renew(self, worker, place, renewals, now):
+        before = place.lease_end
+        super()._renew(worker, place, renewals, now)
+        place.lease_end = before
+
+
+class StaleList(jobs.Owner):
+    """Lists that were read before the ownership count as read."""
+
+    def on_gained(self, epoch, previous_until, now):
+        super().on_gained(epoch, previous_until, now)
+        for worker in self._workers.values():
+            known = self.__dict__.setdefault("known", {})
+            old = known.get(worker.info.name)
+            if old is not None:
+                worker.boot, worker.clock_s, worker.clock_at = old
+                worker.read = worker.answering = True
+                self._refresh(worker, now)
+
+    def on_reply(self, name, reply, sent_at, now):
+        used = super().on_reply(name, reply, sent_at, now)
+        if used:
+            worker = self._workers[name]
+            known = self.__dict__.setdefault("known", {})
+            known[name] = (worker.boot, worker.clock_s, worker.clock_at)
+        return used
+
+
+class EarlyAck(jobs.Owner):
+    """Ended tasks are acknowledged before the record is read back."""
+
+    def _listed_end(self, worker, place, listing, now):
+        super()._listed_end(worker, place, listing, now)
+        worker.acks.add(listing["task"])
+
+
+class StopOnce(jobs.Owner):
+    """A cancelled task is forgotten when the stop has been sent."""
+
+    def sync_request(self, name, now, valid_until):
+        request = super().sync_request(name, now, valid_until)
+        if request is not None:
+            worker = self._workers[name]
+            for stop in request["stop"]:
+                place = worker.places.get(stop["task"])
+                if place is not None:
+                    self._remove(worker, place)
+        return request
+
+
+class NoValidityCheck(jobs.Owner):
+    """Requests are built after the end of our own validity."""
+
+    def sync_request(self, name, now, valid_until):
+        return super().sync_request(name, now, now + machine.VALIDITY)
+
+    def tick(self, now, valid_until):
+        return super().tick(now, now + machine.VALIDITY)
+
+
+class NoIntent(jobs.Owner):
+    """Tasks that must run once are started without a record."""
+
+    def _on_start(self, action, now):
+        super()._on_start(action, now)
+        place = self._at.get((action.job, action.index))
+        if place is not None and place.phase == "intent":
+            place.phase = "ready"
+            del self._intent_due[place.task]
+
+
+def mutated(owner_class):
+    """Return the machine with another owner class."""
+    return type("Mutated", (machine.Machine,), {"owner_class": owner_class})
+
+
+class RelativeLease(machine.Machine):
+    """Leases of starts count from their receipt."""
+
+    relative_lease = True
+
+
+MACHINES = {
+    "unknown tasks not counted": mutated(UnknownNotCounted),
+    "restart without waiting for the lease": mutated(NoLeaseWait),
+    "lost start reply ignored": mutated(LostReplyIgnored),
+    "renewal without reply ignored": mutated(RenewalIgnored),
+    "task lists from before the ownership": mutated(StaleList),
+    "acknowledgement before the record": mutated(EarlyAck),
+    "stop sent only once": mutated(StopOnce),
+    "requests after the end of validity": mutated(NoValidityCheck),
+    "start without intent": mutated(NoIntent),
+    "relative lease": RelativeLease,
+}
--- /dev/null
+++ b/src/citrondeal/placement/_health.py
@@ -0,0 +1,76 @@
+"""Suspicion and quarantine of workers that fail dissimilar jobs.
+
+The score of a worker sums over the families that failed on it since its
+last success.  A family that succeeds elsewhere counts 1 and a little more
+for each further failure; a family that never succeeded, or that fails on
+other workers too, counts 1/2 once, since the job may be at fault.
+"""
+
+# At this score the worker is quarantined: two families that succeed
+# elsewhere, or four of which nothing is known.
+QUARANTINE_SCORE = 2.0
+_REPEAT_SCORE = 0.25
+# A trial task that runs for this many seconds counts as a success, since
+# black-hole workers fail tasks soon after the start.
+TRIAL_OK = 30.0
+# Families remembered per worker.
+_MAX_FAMILIES = 16
+
+
+def score(worker, families):
+    """Return how much speaks against a worker."""
+    total = 0.0
+    for name, count in worker.failures.items():
+        family = families.get(name)
+        elsewhere = any(other != worker.name for other in family.failed_on)
+        if family.succeeded and not elsewhere:
+            total += 1.0 + _REPEAT_SCORE * (count - 1)
+        else:
+            total += 0.5
+    return total
+
+
+def may_start(worker):
+    """Return whether tasks of all kinds may be placed on a worker.
+
+    A suspect worker, on which a family failed that fails nowhere else, gets
+    one task at a time until one succeeds.
+    """
+    if not worker.open or worker.paused_until is not None:
+        return False
+    return not (worker.suspect and worker.trial is not None)
+
+
+def may_probe(worker, now):
+    """Return whether a quarantined worker may get one task."""
+    return (
+        worker.open
+        and worker.paused_until is not None
+        and worker.trial is None
+        and now >= worker.paused_until
+    )
+
+
+def take_failure(worker, family, families, config, may_pause, now):
+    """Count a failure; returns whether the worker is quarantined."""
+    count = worker.failures.get(family, 0)
+    if count or len(worker.failures) < _MAX_FAMILIES:
+        worker.failures[family] = count + 1
+    failed_on = families.get(family).failed_on
+    if not any(other != worker.name for other in failed_on):
+        worker.suspect = True
+    if worker.paused_until is not None:
+        worker.pause_s = min(worker.pause_s * 2, config.quarantine_limit_s)
+        worker.paused_until = now + worker.pause_s
+    elif may_pause and score(worker, families) >= QUARANTINE_SCORE:
+        worker.pause_s = config.quarantine_s
+        worker.paused_until = now + worker.pause_s
+    return worker.paused_until is not None
+
+
+def take_success(worker):
+    """Clear everything that speaks against a worker."""
+    worker.failures.clear()
+    worker.suspect = False
+    worker.pause_s = 0.0
+    worker.paused_until = None
--- a/src/citrondeal/placement/_model.py
+++ b/src/citrondeal/placement/_model.py
@@ -48,6 +48,15 @@
     return size[0] <= room[0] and size[1] <= room[1] and size[2] <= room[2]
 
 
+def copies(size, room, limit):
+    """Return how many tasks of `size` fit into `room`, at most `limit`."""
+    count = limit
+    for part, whole in zip(size, room, strict=True):
+        if part > 0:
+            count = min(count, whole // part)
+    return max(count, 0)
+
+
 def plus(left, right):
     """Return the sum of two size vectors."""
     return (left[0] + right[0], left[1] + right[1], left[2] + right[2])
@@ -169,36 +178,50 @@
     max_queued_tasks: int = 30_000
     # Decisions per call of `place`, so that a call stays in milliseconds.
     max_starts: int = 64
-    # Queued jobs per team that are tried behind a job that does not fit.
+    # Waiting jobs that are tried per call without success; the next call
+    # goes on with the others.
+    max_tries: int = 128
+    # Waiting jobs per queue that are tried behind a job that does not fit.
     scan_depth: int = 32
     # Feasible workers that are compared per decision.
     candidates: int = 12
+    # Score for packing: "best" (smallest dominant rest), "dot" (alignment
+    # of request and room) or "first" (by name).
+    score: str = "best"
     # Seconds that a job that does not fit waits for a reservation.  Short
     # tasks usually end within this time.
     reserve_after_s: float = 10.0
-    # Seconds for which room is held for one job; the next one follows.
-    reservation_s: float = 120.0
+    # Longest time in seconds for which room is held for one job; the next
+    # one follows, so that no job can block the pool.
+    reservation_s: float = 600.0
+    # Seconds for which a reservation is kept after the room was expected.
+    reservation_slack_s: float = 60.0
     # Seconds for which a job whose reservation ended gets no new one, so
     # that others have their turn.
     reservation_pause_s: float = 60.0
+    # Factor on the expected run time of a task that is placed on held
+    # room; declared times are often too short.
+    backfill_factor: float = 1.5
     # Seconds between the stages of a preemption: checkpoint, throttle,
     # stop.  Three stages have to end within the 4.2 s for urgent work.
-    preempt_stage_s: float = 1.0
+    preempt_stage_s: float = 0.8
     # Seconds after which room held for a preemption is given up.
     preempt_limit_s: float = 15.0
-    # Preemptions begun in one call of `place`.
+    # Tasks for which room is made in one call of `place`.
     max_preemptions: int = 8
+    # Seconds of work that stopping one task of a service counts as.
+    service_loss_s: float = 3600.0
     # Cores and memory (MB) kept free per unused accelerator; tasks without
     # accelerators do not get them.
     accelerator_cores: float = 2.0
     accelerator_memory_mb: float = 4096.0
-    # Families of jobs that fail on a worker without a success between them
-    # before it is quarantined.
-    quarantine_families: int = 2
-    # Seconds of the first pause, and the longest one.
+    # Seconds of the first pause of a quarantined worker, and the longest.
     quarantine_s: float = 30.0
     quarantine_limit_s: float = 3600.0
-    # Families whose usage is remembered.
+    # Part of the workers that may be quarantined at once; if more fail,
+    # the cause is hardly in the workers.
+    quarantine_share: float = 0.2
+    # Families whose usage is remembered, about 300 bytes each.
     max_families: int = 1024
 
     def share(self, priority):
--- a/src/citrondeal/placement/_pool.py
+++ b/src/citrondeal/placement/_pool.py
@@ -4,92 +4,51 @@
 import itertools
 
 from citrondeal import errors
+from citrondeal.placement import _families
+from citrondeal.placement import _health
+from citrondeal.placement import _holds
+from citrondeal.placement import _index
 from citrondeal.placement import _model
 
-_ZERO = (0, 0, 0)
-
-
-class _Allotment:
-    """Room that one task occupies on a worker."""
-
-    __slots__ = ("work", "size", "since", "seq")
-
-    def __init__(self, work, size, since):
-        self.work = work
-        self.size = size
-        self.since = since
-
-
-class _Worker:
-    """One worker with what is allotted and held on it."""
-
-    __slots__ = (
-        "name",
-        "rack",
-        "capacity",
-        "open",
-        "free",
-        "held",
-        "allotted",
-        "jobs",
-        "families",
-        "pause_s",
-        "paused_until",
-        "probe",
-        "usage",
-    )
-
-    def __init__(self, name):
-        self.name = name
-        self.rack = ""
-        self.capacity = _ZERO
-        self.open = False
-        self.free = _ZERO
-        self.held = _ZERO
-        self.allotted = {}
-        self.jobs = {}
-        self.families = set()
-        self.pause_s = 0.0
-        self.paused_until = None
-        self.probe = None
-        self.usage = 0.0
+# Sizes remembered per version as not fitting anywhere.
+_MAX_MISFITS = 8
+# Entries of each list in the state dump.
+_DUMP_LIMIT = 50
 
 
 class _Item:
     """Waiting tasks of one job."""
 
     __slots__ = (
-        "work",
-        "indices",
-        "since",
-        "failed_at",
+        "avoid",
         "hold",
+        "indices",
         "not_before",
-        "avoid",
+        "since",
+        "tried",
+        "work",
     )
 
     def __init__(self, work, now):
         self.work = work
         self.indices = collections.deque()
         self.since = now
-        self.failed_at = -1
+        # Version of the pool at which the job did not fit.
+        self.tried = -1
         self.hold = None
+        # No reservation before this time.
         self.not_before = now
         self.avoid = ()
 
 
-class _Hold:
-    """Room that is held on some workers for one job."""
+class _Queue:
+    """Waiting jobs of one team and priority, in order of arrival."""
 
-    __slots__ = ("job", "amounts", "until", "victims", "stage", "stage_at")
+    __slots__ = ("items", "tried")
 
-    def __init__(self, job, amounts, until):
-        self.job = job
-        self.amounts = amounts
-        self.until = until
-        self.victims = {}
-        self.stage = 0
-        self.stage_at = 0.0
+    def __init__(self):
+        self.items = {}
+        self.tried = -1
 
 
 class Pool:
@@ -97,26 +56,36 @@
 
     Parameters
     ----------
-    config : Config
+    config : Config, optional
         Settings.
     """
 
     def __init__(self, config=None):
         self._config = config or _model.Config()
         self._workers = {}
+        self._index = _index.Index()
+        self._families = _families.Families(self._config.max_families)
         self._items = {}
-        # Waiting jobs by priority and team, each in order of arrival.
         self._queues = {name: {} for name in _model.PRIORITIES}
         self._queued = 0
         self._quotas = {}
         self._team_used = {}
-        self._class_used = dict.fromkeys(_model.PRIORITIES, _ZERO)
-        self._total = _ZERO
+        self._team_load = {}
+        self._class_used = dict.fromkeys(_model.PRIORITIES, _index.ZERO)
+        self._total = _index.ZERO
+        # Tasks per rack of each service, and allotted tasks per gang.
+        self._racks = {}
+        self._gangs = {}
         # Incremented whenever room may have become free; a job that did not
         # fit is not tried again at the same version.
         self._version = 0
+        self._misfits = []
+        self._misfits_version = 0
+        self._quarantined = {}
+        self._trials = {}
         self._reservation = None
         self._holds = {}
+        self._counts = collections.Counter()
 
     @classmethod
     def from_config(cls, config):
@@ -148,29 +117,39 @@
         """
         worker = self._workers.get(name)
         if worker is None:
-            worker = self._workers[name] = _Worker(name)
-        if worker.capacity != capacity:
-            self._total = _model.plus(
-                self._total, _model.minus(capacity, worker.capacity)
-            )
-            worker.free = _model.plus(
-                worker.free, _model.minus(capacity, worker.capacity)
-            )
-            worker.capacity = capacity
-            self._version += 1
-        worker.rack = rack
-        if worker.open != is_open:
-            worker.open = is_open
-            self._version += 1
+            worker = self._workers[name] = _index.Worker(name)
+        elif (worker.capacity, worker.rack, worker.open) == (
+            capacity,
+            rack,
+            is_open,
+        ):
+            return
+        change = _model.minus(capacity, worker.capacity)
+        self._total = _model.plus(self._total, change)
+        worker.free = _model.plus(worker.free, change)
+        worker.capacity = capacity
+        if worker.rack != rack:
+            for job, count in worker.jobs.items():
+                self._count_rack(job, worker.rack, -count)
+                self._count_rack(job, rack, count)
+            worker.rack = rack
+        worker.open = is_open
+        self._version += 1
+        self._update(worker)
 
     def remove_worker(self, name):
         """Forget a worker and every allotment on it."""
-        worker = self._workers.pop(name, None)
+        worker = self._workers.get(name)
         if worker is None:
             return
+        for key in list(worker.allotted):
+            self.release(name, key)
+        worker.open = False
+        self._update(worker)
+        del self._workers[name]
+        self._quarantined.pop(name, None)
+        self._trials.pop(name, None)
         self._total = _model.minus(self._total, worker.capacity)
-        for allotment in worker.allotted.values():
-            self._count(allotment.work, allotment.size, -1)
         self._version += 1
 
     def clear(self):
@@ -181,62 +160,139 @@
             for key in list(worker.allotted):
                 self.release(name, key)
 
+    def _update(self, worker):
+        """Compute the room of a worker and its position in the index."""
+        worker.room = _model.minus(worker.free, worker.held)
+        self._index.update(worker, _health.may_start(worker))
+
     # Allotments
 
     def allot(self, worker, key, size, work, now):
         """Count room that a task occupies, whether or not it fits.
 
-        Used for tasks that are found on a worker; replaces an allotment
-        with the same key.
+        Replaces an allotment with the same key.
+
+        Parameters
+        ----------
+        worker : str
+            Id of a known worker.
+        key : hashable
+            Names the allotment on this worker.
+        size : tuple of int
+            See `size_of`.
+        work : Work or None
+            None for a task of an unknown job.
+        now : float
+            Monotonic seconds.
         """
         entry = self._workers[worker]
-        self.release(worker, key)
-        entry.allotted[key] = _Allotment(work, size, now)
+        previous = entry.allotted.get(key)
+        if previous is not None:
+            now = previous.since
+            self.release(worker, key)
+        allotment = _index.Allotment(work, size, now)
+        entry.allotted[key] = allotment
         entry.free = _model.minus(entry.free, size)
         if work is not None:
-            entry.jobs[work.job] = entry.jobs.get(work.job, 0) + 1
-        self._count(work, size, 1)
+            self._count(work, size, 1)
+            if work.kind == "service":
+                entry.jobs[work.job] = entry.jobs.get(work.job, 0) + 1
+                self._count_rack(work.job, entry.rack, 1)
+            elif work.kind == "gang":
+                self._gangs[work.job] = self._gangs.get(work.job, 0) + 1
+        self._update(entry)
+        return allotment
 
     def release(self, worker, key):
         """Free the room of an allotment; unknown ones are ignored."""
         entry = self._workers.get(worker)
-        if entry is None:
-            return
-        allotment = entry.allotted.pop(key, None)
+        allotment = entry.allotted.pop(key, None) if entry else None
         if allotment is None:
             return
         entry.free = _model.plus(entry.free, allotment.size)
+        entry.excess_mb -= allotment.usage
         work = allotment.work
         if work is not None:
-            left = entry.jobs[work.job] - 1
-            if left:
-                entry.jobs[work.job] = left
-            else:
-                del entry.jobs[work.job]
-        self._count(work, allotment.size, -1)
+            self._count(work, allotment.size, -1)
+            if work.kind == "service":
+                _decrement(entry.jobs, work.job)
+                self._count_rack(work.job, entry.rack, -1)
+            elif work.kind == "gang":
+                _decrement(self._gangs, work.job)
+        if entry.trial == key:
+            entry.trial = None
+            self._trials.pop(worker, None)
         self._version += 1
+        self._update(entry)
 
     def _count(self, work, size, sign):
-        if work is None:
+        change = size if sign > 0 else tuple(-part for part in size)
+        team = work.team
+        used = _model.plus(self._team_used.get(team, _index.ZERO), change)
+        if used == _index.ZERO:
+            self._team_used.pop(team, None)
+            self._team_load.pop(team, None)
+        else:
+            self._team_used[team] = used
+            quota = self._quotas.get(team)
+            weight = quota.weight if quota else 1.0
+            load = _model.dominant(used, self._total) / weight
+            self._team_load[team] = load
+        total = self._class_used[work.priority]
+        self._class_used[work.priority] = _model.plus(total, change)
+
+    def _count_rack(self, job, rack, change):
+        racks = self._racks.setdefault(job, {})
+        racks[rack] = racks.get(rack, 0) + change
+        if not racks[rack]:
+            del racks[rack]
+            if not racks:
+                del self._racks[job]
+
+    def report_usage(self, worker, key, usage, now):
+        """Take the reported usage of a task.
+
+        Parameters
+        ----------
+        worker : str
+            Id of the worker.
+        key : hashable
+            Names the allotment.
+        usage : dict
+            ``cores``, ``memory_mb`` and ``lag_s``; a report from before
+            the start of the task is ignored.
+        now : float
+            Monotonic seconds.
+        """
+        entry = self._workers.get(worker)
+        allotment = entry.allotted.get(key) if entry else None
+        if allotment is None or allotment.work is None:
+            return
+        if now - usage.get("lag_s", 0.0) <= allotment.since:
             return
-        change = tuple(sign * part for part in size)
-        team = self._team_used.get(work.team, _ZERO)
-        self._team_used[work.team] = _model.plus(team, change)
-        used = self._class_used[work.priority]
-        self._class_used[work.priority] = _model.plus(used, change)
+        family = self._families.get(allotment.work.family)
+        _families.take_usage(family, allotment.size, usage)
+        excess = max(0, int(usage["memory_mb"]) - allotment.size[1])
+        entry.excess_mb += excess - allotment.usage
+        allotment.usage = excess
 
     # Teams
 
     def set_quotas(self, quotas):
         """Replace the quotas, a dict of team name to `Quota`."""
         self._quotas = dict(quotas)
+        for team, used in self._team_used.items():
+            quota = self._quotas.get(team)
+            weight = quota.weight if quota else 1.0
+            load = _model.dominant(used, self._total) / weight
+            self._team_load[team] = load
         self._version += 1
 
     def _within_quota(self, team, size):
         quota = self._quotas.get(team)
         if quota is None:
             return True
-        used = self._team_used.get(team, _ZERO)
+        used = self._team_used.get(team, _index.ZERO)
         return _model.fits(_model.plus(used, size), quota.limit())
 
     # Queue
@@ -254,6 +310,8 @@
         Returns
         -------
         errors.Failure or None
+            ``overloaded`` or ``never_fits``.  While no worker is known,
+            nothing is refused for its size.
         """
         if self._queued + tasks > self._config.max_queued_tasks:
             return errors.Failure(
@@ -261,42 +319,54 @@
                 f"{self._queued} tasks are waiting",
                 retry_after_s=30.0,
             )
-        if self._workers and not any(
-            _model.fits(work.size, worker.capacity)
-            for worker in self._workers.values()
-        ):
-            return errors.Failure(
-                errors.Kind.NEVER_FITS, "a task is larger than every worker"
-            )
-        count = tasks if work.kind == "gang" else 1
-        need = tuple(count * part for part in work.size)
+        together = tasks if work.kind == "gang" else 1
         quota = self._quotas.get(work.team)
+        need = tuple(together * part for part in work.size)
         if quota is not None and not _model.fits(need, quota.limit()):
             return errors.Failure(
                 errors.Kind.NEVER_FITS,
                 f"larger than the quota of team {work.team}",
             )
-        if work.kind == "gang" and not _model.fits(need, self._total):
-            if self._workers:
-                return errors.Failure(
-                    errors.Kind.NEVER_FITS, "the gang is larger than the pool"
-                )
-        return None
+        slots = 0
+        for worker in self._workers.values():
+            left = together - slots
+            slots += _model.copies(work.size, worker.capacity, left)
+            if slots >= together:
+                return None
+        if not self._workers:
+            return None
+        reason = "a task is larger than every worker"
+        if slots:
+            reason = "the gang is larger than all workers together"
+        return errors.Failure(errors.Kind.NEVER_FITS, reason)
 
     def offer(self, work, indices, now, avoid=()):
         """Add tasks of a job to the queue.
 
-        The tasks of a gang are offered in one call and are placed all
-        together.  Workers in `avoid` are not used for the job.
+        Parameters
+        ----------
+        work : Work
+            The job.
+        indices : list of int
+            Tasks to start.  Those of a gang are offered in one call and
+            are placed all together.
+        now : float
+            Monotonic seconds.
+        avoid : iterable of str
+            Workers that are used only if no other one is feasible.
         """
         item = self._items.get(work.job)
         if item is None:
             item = self._items[work.job] = _Item(work, now)
-            queue = self._queues[work.priority].setdefault(work.team, {})
-            queue[work.job] = item
+            queues = self._queues[work.priority]
+            queue = queues.get(work.team)
+            if queue is None:
+                queue = queues[work.team] = _Queue()
+            queue.items[work.job] = item
         item.indices.extend(indices)
         item.avoid = tuple(avoid)
-        item.failed_at = -1
+        item.tried = -1
+        self._queues[work.priority][work.team].tried = -1
         self._queued += len(indices)
 
     def withdraw(self, job):
@@ -310,11 +380,10 @@
         work = item.work
         del self._items[work.job]
         queue = self._queues[work.priority][work.team]
-        del queue[work.job]
-        if not queue:
+        del queue.items[work.job]
+        if not queue.items:
             del self._queues[work.priority][work.team]
-        if item.hold is not None:
-            self._unhold(item.hold)
+        self._unhold(item)
 
     # Decisions
 
@@ -330,13 +399,59 @@
         -------
         list of Start, Preempt and Reserve
             Each `Start` is already allotted under the key ``(job, index)``.
+            At most `Config.max_starts` tasks start per call, except that a
+            gang is never divided; call again while there are starts.
         """
+        config = self._config
         actions = []
-        while len(actions) < self._config.max_starts:
-            if not self._place_one(now, actions):
+        self._end_trials(now)
+        self._advance_holds(now, actions)
+        tries = config.max_tries
+        starved = None
+        preemptions = config.max_preemptions
+        starts = 0
+        while starts < config.max_starts and tries > 0:
+            item = self._next()
+            if item is None:
                 break
+            count = self._try(item, now, actions)
+            if count:
+                starts += count
+                continue
+            tries -= 1
+            item.tried = self._version
+            if item.work.priority == "urgent" and preemptions > 0:
+                preemptions -= self._preempt(item, preemptions, now, actions)
+            if starved is None and self._is_starved(item, now):
+                starved = item
+        if starved is not None and self._reservation is None:
+            self._reserve(starved, now, actions)
         return actions
 
+    def _next(self):
+        """Return the waiting job that is to be tried next, or None."""
+        version = self._version
+        for name in self._class_order():
+            queues = self._queues[name]
+            while True:
+                best = None
+                best_load = None
+                for team, queue in queues.items():
+                    if queue.tried == version:
+                        continue
+                    load = (self._team_load.get(team, 0.0), team)
+                    if best is None or load < best_load:
+                        best = queue
+                        best_load = load
+                if best is None:
+                    break
+                depth = self._config.scan_depth
+                for item in itertools.islice(best.items.values(), depth):
+                    if item.tried != version:
+                        return item
+                best.tried = version
+        return None
+
     def _class_order(self):
         """Return the priorities, those below their share first."""
         below = []
@@ -350,123 +465,458 @@
                     rest.append(name)
         return below + rest
 
-    def _team_order(self, queues):
-        def load(team):
-            used = self._team_used.get(team, _ZERO)
-            quota = self._quotas.get(team)
-            weight = quota.weight if quota else 1.0
-            return _model.dominant(used, self._total) / weight
-
-        return sorted(queues, key=lambda team: (load(team), team))
-
-    def _place_one(self, now, actions):
-        for name in self._class_order():
-            queues = self._queues[name]
-            for team in self._team_order(queues):
-                items = itertools.islice(
-                    queues[team].values(), self._config.scan_depth
-                )
-                for item in list(items):
-                    if item.failed_at == self._version:
-                        continue
-                    if self._try(item, now, actions):
-                        return True
-                    item.failed_at = self._version
-        return False
-
     def _try(self, item, now, actions):
+        """Start one task, or a gang; returns the number of starts."""
         work = item.work
         if work.kind == "gang":
             return self._try_gang(item, now, actions)
         if not self._within_quota(work.team, work.size):
-            return False
-        name = self._find(work, item.avoid)
-        if name is None:
-            return False
-        index = item.indices.popleft()
+            return 0
+        worker = self._find(item, now)
+        backfill = False
+        if worker is None:
+            worker = self._find_backfill(item, now)
+            if worker is None:
+                return 0
+            backfill = True
+        index = item.indices[0]
+        allotment = self._start(item, worker, index, now, actions)
+        allotment.backfill = backfill
+        item.indices.popleft()
         self._queued -= 1
         if not item.indices:
             self._drop(item)
-        self.allot(name, (work.job, index), work.size, work, now)
-        actions.append(_model.Start(work.job, index, name))
-        return True
+        return 1
+
+    def _start(self, item, worker, index, now, actions):
+        work = item.work
+        self._take_held(item, worker)
+        trial = worker.suspect or worker.paused_until is not None
+        if trial and work.kind != "gang":
+            worker.trial = (work.job, index)
+            worker.trial_at = now
+            self._trials[worker.name] = worker
+        actions.append(_model.Start(work.job, index, worker.name))
+        return self.allot(worker.name, (work.job, index), work.size, work, now)
 
     def _try_gang(self, item, now, actions):
         work = item.work
         count = len(item.indices)
         need = tuple(count * part for part in work.size)
         if not self._within_quota(work.team, need):
-            return False
-        chosen = []
-        for index in item.indices:
-            name = self._find(work, item.avoid)
-            if name is None:
-                for worker, placed in chosen:
-                    self.release(worker, (work.job, placed))
-                return False
-            self.allot(name, (work.job, index), work.size, work, now)
-            chosen.append((name, index))
-        self._queued -= count
-        self._drop(item)
-        for worker, index in chosen:
-            actions.append(_model.Start(work.job, index, worker))
-        return True
-
-    def _find(self, work, avoid):
+            return 0
+        hold = item.hold
+        if hold is not None:
+            # The room that is held counts as room while the gang is tried.
+            self._set_held(hold, -1)
+        slots = _index.total_copies(
+            self._index, work.size, (), count, self._config
+        )
+        started = 0
+        if slots >= count:
+            if hold is not None:
+                hold.amounts = {}
+                self._unhold(item)
+            for index in item.indices:
+                worker = self._search(work, item.avoid)
+                if worker is None:
+                    worker = self._search(work, ())
+                self._start(item, worker, index, now, actions)
+            started = count
+            self._queued -= count
+            self._drop(item)
+        elif hold is not None:
+            self._set_held(hold, 1)
+        return started
+
+    def _find(self, item, now):
+        """Return a worker for one task of a job, or None."""
+        work = item.work
+        if item.hold is not None:
+            for name in item.hold.amounts:
+                worker = self._workers.get(name)
+                if worker is None or not _health.may_start(worker):
+                    continue
+                room = _model.plus(worker.room, item.hold.amounts[name])
+                if _model.fits(work.size, room):
+                    return worker
+        probe = self._find_probe(work, now)
+        if probe is not None:
+            return probe
         size = work.size
-        best = None
-        racks = {}
+        if self._misfits_version != self._version:
+            self._misfits = []
+            self._misfits_version = self._version
+        for misfit in self._misfits:
+            if _model.fits(misfit, size):
+                return None
+        worker = self._search(work, item.avoid)
+        if worker is None and item.avoid:
+            worker = self._search(work, ())
+        if worker is None and len(self._misfits) < _MAX_MISFITS:
+            self._misfits.append(size)
+        return worker
+
+    def _search(self, work, avoid):
         if work.kind == "service":
-            for worker in self._workers.values():
-                count = worker.jobs.get(work.job, 0)
-                if count:
-                    racks[worker.rack] = racks.get(worker.rack, 0) + count
-        for worker in self._workers.values():
-            if not worker.open or worker.name in avoid:
-                continue
-            room = _model.minus(worker.free, worker.held)
-            if not _model.fits(size, room):
+            return _index.spread(
+                self._index,
+                work.size,
+                work.job,
+                avoid,
+                self._racks.get(work.job, {}),
+                self._config,
+            )
+        return _index.packed(self._index, work.size, avoid, self._config)
+
+    def _find_probe(self, work, now):
+        """Return a quarantined worker that is due for one task."""
+        if work.once or work.kind != "batch" or work.priority == "urgent":
+            return None
+        for worker in self._quarantined.values():
+            if _health.may_probe(worker, now):
+                if _model.fits(work.size, worker.room):
+                    return worker
+        return None
+
+    def _find_backfill(self, item, now):
+        """Return a worker with held room that is not needed in time."""
+        hold = self._reservation
+        work = item.work
+        if hold is None or work.kind != "batch" or work.once:
+            return None
+        if item.hold is hold:
+            return None
+        run = _families.run_time(self._families.get(work.family), work)
+        if now + run * self._config.backfill_factor > hold.shadow:
+            return None
+        for name, amount in hold.amounts.items():
+            worker = self._workers.get(name)
+            if worker is None or not _health.may_start(worker):
                 continue
-            left = _model.dominant(_model.minus(room, size), worker.capacity)
-            spare = 1 if room[2] and not size[2] else 0
-            if work.kind == "service":
-                score = (
-                    spare,
-                    racks.get(worker.rack, 0),
-                    worker.jobs.get(work.job, 0),
-                    -left,
-                    worker.name,
-                )
-            else:
-                score = (spare, left, worker.name)
-            if best is None or score < best:
-                best = score
-        return None if best is None else best[-1]
-
-    def _unhold(self, hold):
+            if _model.fits(work.size, _model.plus(worker.room, amount)):
+                return worker
+        return None
+
+    # Held room
+
+    def _set_held(self, hold, sign):
+        """Add or remove the room of a hold on its workers."""
         for name, amount in hold.amounts.items():
             worker = self._workers.get(name)
             if worker is not None:
-                worker.held = _model.minus(worker.held, amount)
+                change = amount if sign > 0 else _negative(amount)
+                worker.held = _model.plus(worker.held, change)
+                self._update(worker)
+
+    def _take_held(self, item, worker):
+        """Give a task the room that is held for its job on a worker."""
+        hold = item.hold
+        if hold is None or worker.name not in hold.amounts:
+            return
+        rest = _model.minus(hold.amounts[worker.name], item.work.size)
+        if rest[0] > 0 or rest[1] > 0 or rest[2] > 0:
+            hold.amounts[worker.name] = rest
+        else:
+            del hold.amounts[worker.name]
+        worker.held = _model.minus(worker.held, item.work.size)
+        self._update(worker)
+        if not hold.amounts:
+            self._unhold(item)
+
+    def _unhold(self, item):
+        hold = item.hold
+        if hold is None:
+            return
+        item.hold = None
+        self._set_held(hold, -1)
+        self._holds.pop(hold.job, None)
+        if self._reservation is hold:
+            self._reservation = None
         self._version += 1
 
+    def _advance_holds(self, now, actions):
+        """End holds that are over and advance preemptions."""
+        for job, hold in list(self._holds.items()):
+            item = self._items[job]
+            workers = [self._workers.get(name) for name in hold.amounts]
+            broken = any(
+                worker is None or not worker.open for worker in workers
+            )
+            if now >= hold.until or broken:
+                self._unhold(item)
+                item.not_before = now + self._config.reservation_pause_s
+                self._counts["holds_given_up"] += 1
+                continue
+            if hold.shadow is not None:
+                if now >= hold.shadow:
+                    self._end_backfill(hold, now, actions)
+                continue
+            stage_s = self._config.preempt_stage_s
+            while (
+                hold.stage < len(_holds.STAGES) - 1
+                and now - hold.stage_at >= stage_s
+            ):
+                hold.stage += 1
+                hold.stage_at += stage_s
+                self._emit_stage(hold, actions)
+
+    def _end_backfill(self, hold, now, actions):
+        """Preempt tasks that overran on room that is needed now."""
+        if now < hold.stage_at:
+            return
+        hold.stage_at = now + self._config.preempt_stage_s
+        how = _holds.STAGES[0 if hold.stage == 0 else -1]
+        hold.stage += 1
+        for name in hold.amounts:
+            worker = self._workers[name]
+            if _model.fits(_index.ZERO, worker.room):
+                continue
+            for key, allotment in worker.allotted.items():
+                if allotment.backfill:
+                    actions.append(_model.Preempt(name, key, how, hold.job))
+
+    def _emit_stage(self, hold, actions):
+        """Emit the preemptions of the current stage."""
+        how = _holds.STAGES[hold.stage]
+        for name, keys in hold.victims.items():
+            worker = self._workers.get(name)
+            if worker is None:
+                continue
+            if how == "throttle":
+                # Throttling frees cores only.
+                room = worker.room
+                if room[0] >= 0 or room[1] < 0 or room[2] < 0:
+                    continue
+            if _model.fits(_index.ZERO, worker.room):
+                continue
+            for key in keys:
+                if key in worker.allotted:
+                    actions.append(_model.Preempt(name, key, how, hold.job))
+
+    def _preempt(self, item, limit, now, actions):
+        """Make room for urgent tasks; returns the number of tasks."""
+        work = item.work
+        hold = item.hold
+        if hold is not None and (hold.shadow is not None or hold.amounts):
+            return 0
+        count = len(item.indices) if work.kind == "gang" else 1
+        count = max(count, min(len(item.indices), limit))
+        plan = self._plan_preemption(item, count, now)
+        if plan is None:
+            return 0
+        hold, planned = plan
+        self._holds[work.job] = hold
+        item.hold = hold
+        self._set_held(hold, 1)
+        self._counts["preemptions"] += sum(map(len, hold.victims.values()))
+        self._emit_stage(hold, actions)
+        return planned
+
+    def _plan_preemption(self, item, count, now):
+        work = item.work
+        taken = {
+            (name, key)
+            for hold in self._holds.values()
+            for name, keys in hold.victims.items()
+            for key in keys
+        }
+        used = dict(self._class_used)
+        rooms = {}
+        until = now + self._config.preempt_limit_s
+        hold = _holds.Hold(work.job, until)
+        hold.stage_at = now
+        planned = 0
+        quota_size = _index.ZERO
+
+        def may_take(allotment):
+            return self._may_take(allotment, used)
+
+        def loss(allotment):
+            return self._loss(allotment, now)
+
+        for _ in range(count):
+            quota_size = _model.plus(quota_size, work.size)
+            if not self._within_quota(work.team, quota_size):
+                break
+            found = _holds.plan_preemption(
+                self._workers.values(),
+                taken,
+                rooms,
+                work,
+                item.avoid,
+                may_take,
+                loss,
+            )
+            if found is None:
+                break
+            worker, keys, room = found
+            rooms[worker.name] = _model.minus(room, work.size)
+            amount = hold.amounts.get(worker.name, _index.ZERO)
+            hold.amounts[worker.name] = _model.plus(amount, work.size)
+            for key in keys:
+                taken.add((worker.name, key))
+                victim = worker.allotted[key]
+                priority = victim.work.priority
+                used[priority] = _model.minus(used[priority], victim.size)
+            hold.victims.setdefault(worker.name, []).extend(keys)
+            planned += 1
+        if not planned or (work.kind == "gang" and planned < count):
+            return None
+        return hold, planned
+
+    def _may_take(self, allotment, used):
+        """Return whether an allotment may give way to urgent work."""
+        work = allotment.work
+        if work is None or work.once or work.priority == "urgent":
+            return False
+        rest = _model.minus(used[work.priority], allotment.size)
+        share = self._config.share(work.priority)
+        return _model.dominant(rest, self._total) >= share
+
+    def _loss(self, allotment, now):
+        """Return the work lost with an allotment, in weighted seconds."""
+        work = allotment.work
+        if work.kind == "service":
+            seconds = self._config.service_loss_s
+        else:
+            seconds = now - allotment.since + 1.0
+        amount = seconds * _model.dominant(allotment.size, self._total)
+        if work.kind == "gang":
+            # The whole gang stops with one of its tasks.
+            amount *= self._gangs.get(work.job, 1)
+        return amount * (10.0 if work.priority == "normal" else 1.0)
+
+    def _is_starved(self, item, now):
+        if item.hold is not None or self._reservation is not None:
+            return False
+        if now < item.not_before:
+            return False
+        return now - item.since >= self._config.reserve_after_s
+
+    def _reserve(self, item, now, actions):
+        """Hold room for a job that waits for too long."""
+        work = item.work
+        count = len(item.indices) if work.kind == "gang" else 1
+        need = tuple(count * part for part in work.size)
+        plan = None
+        if self._within_quota(work.team, need):
+            plan = _holds.plan_reservation(
+                self._workers.values(),
+                self._families,
+                work,
+                count,
+                item.avoid,
+                now,
+            )
+        if plan is None or plan[1] > now + self._config.reservation_s:
+            item.not_before = now + self._config.reservation_pause_s
+            return
+        amounts, shadow = plan
+        until = min(
+            shadow + self._config.reservation_slack_s,
+            now + self._config.reservation_s,
+        )
+        hold = _holds.Hold(work.job, until, shadow)
+        hold.amounts = amounts
+        item.hold = hold
+        self._holds[work.job] = hold
+        self._reservation = hold
+        self._set_held(hold, 1)
+        self._counts["reservations"] += 1
+        actions.append(_model.Reserve(work.job, tuple(amounts), until))
+
     # Outcomes
 
-    def record_outcome(self, worker, work, succeeded, now):
-        """Take note of how a task on a worker ended."""
+    def record_outcome(self, worker, key, succeeded, now):
+        """Take note of how a task ended; call it before `release`.
 
-    def report_usage(self, worker, key, usage, now):
-        """Take the reported usage of a task."""
+        Parameters
+        ----------
+        worker : str
+            Id of the worker.
+        key : hashable
+            Names the allotment.
+        succeeded : bool
+            False if the task failed.
+        now : float
+            Monotonic seconds.
+        """
+        entry = self._workers.get(worker)
+        allotment = entry.allotted.get(key) if entry else None
+        if allotment is None or allotment.work is None:
+            return
+        work = allotment.work
+        family = self._families.get(work.family)
+        _families.take_end(
+            family, work, worker, succeeded, now - allotment.since
+        )
+        if succeeded:
+            self._clear_suspicion(entry)
+            return
+        limit = max(1, len(self._workers) * self._config.quarantine_share)
+        quarantined = _health.take_failure(
+            entry,
+            work.family,
+            self._families,
+            self._config,
+            len(self._quarantined) < limit,
+            now,
+        )
+        if quarantined and worker not in self._quarantined:
+            self._quarantined[worker] = entry
+            self._counts["quarantines"] += 1
+        self._update(entry)
+
+    def _clear_suspicion(self, worker):
+        _health.take_success(worker)
+        self._quarantined.pop(worker.name, None)
+        worker.trial = None
+        self._trials.pop(worker.name, None)
+        self._version += 1
+        self._update(worker)
+
+    def _end_trials(self, now):
+        for worker in list(self._trials.values()):
+            if now - worker.trial_at >= _health.TRIAL_OK:
+                self._clear_suspicion(worker)
+        for worker in self._quarantined.values():
+            if _health.may_probe(worker, now):
+                # Jobs that did not fit may be used as a probe.
+                self._version += 1
+                break
 
     def is_quarantined(self, worker):
         """Return whether the worker is quarantined."""
-        return False
+        return worker in self._quarantined
 
     def dump(self):
         """Return the state for the state dump, bounded in size."""
+        names = itertools.islice(self._quarantined, _DUMP_LIMIT)
+        loads = sorted(self._team_load.items(), key=lambda e: -e[1])
         return {
             "queued": self._queued,
             "workers": len(self._workers),
             "total": list(self._total),
             "used": {k: list(v) for k, v in self._class_used.items()},
+            "team_loads": dict(loads[:_DUMP_LIMIT]),
+            "quarantined": list(names),
+            "holds": [
+                {"job": hold.job, "until": hold.until, "stage": hold.stage}
+                for hold in itertools.islice(self._holds.values(), _DUMP_LIMIT)
+            ],
+            "over_request": self._families.flagged(_DUMP_LIMIT),
+            "counts": dict(self._counts),
         }
+
+
+def _negative(size):
+    return (-size[0], -size[1], -size[2])
+
+
+def _decrement(table, key):
+    left = table[key] - 1
+    if left:
+        table[key] = left
+    else:
+        del table[key]
