--- a/src/citrondeal/placement/_pool.py
+++ b/src/citrondeal/placement/_pool.py
@@ -411,45 +411,57 @@
         preemptions = config.max_preemptions
         starts = 0
         while starts < config.max_starts and tries > 0:
-            item = self._next()
-            if item is None:
+            queue = self._next_queue()
+            if queue is None:
                 break
-            count = self._try(item, now, actions)
-            if count:
-                starts += count
-                continue
-            tries -= 1
-            item.tried = self._version
-            if item.work.priority == "urgent" and preemptions > 0:
-                preemptions -= self._preempt(item, preemptions, now, actions)
-            if starved is None and self._is_starved(item, now):
-                starved = item
+            for item in itertools.islice(
+                queue.items.values(), config.scan_depth
+            ):
+                if item.tried == self._version:
+                    continue
+                count = self._try(item, now, actions)
+                if count:
+                    # The order of the queues may have changed.
+                    starts += count
+                    break
+                item.tried = self._version
+                tries -= 1
+                if preemptions > 0 and item.work.priority == "urgent":
+                    preemptions -= self._preempt(
+                        item, preemptions, now, actions
+                    )
+                if starved is None and self._is_starved(item, now):
+                    starved = item
+                if tries <= 0:
+                    break
+            else:
+                queue.tried = self._version
         if starved is not None and self._reservation is None:
             self._reserve(starved, now, actions)
         return actions
 
-    def _next(self):
-        """Return the waiting job that is to be tried next, or None."""
+    def _next_queue(self):
+        """Return the queue whose turn it is, or None."""
         version = self._version
+        loads = self._team_load
         for name in self._class_order():
-            queues = self._queues[name]
-            while True:
-                best = None
-                best_load = None
-                for team, queue in queues.items():
-                    if queue.tried == version:
-                        continue
-                    load = (self._team_load.get(team, 0.0), team)
-                    if best is None or load < best_load:
-                        best = queue
-                        best_load = load
-                if best is None:
-                    break
-                depth = self._config.scan_depth
-                for item in itertools.islice(best.items.values(), depth):
-                    if item.tried != version:
-                        return item
-                best.tried = version
+            best = None
+            best_load = None
+            best_team = None
+            for team, queue in self._queues[name].items():
+                if queue.tried == version:
+                    continue
+                load = loads.get(team, 0.0)
+                if (
+                    best is None
+                    or load < best_load
+                    or (load == best_load and team < best_team)
+                ):
+                    best = queue
+                    best_load = load
+                    best_team = team
+            if best is not None:
+                return best
         return None
 
     def _class_order(self):
--- /dev/null
+++ b/src/citrondeal/placement/tests/differential.py
@@ -0,0 +1,129 @@
+"""Comparison of the pool with the naive one on random events."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from citrondeal import placement
+from citrondeal.placement.tests import naive
+
+CONFIG = placement.Config(
+    reserve_after_s=1e9,
+    max_preemptions=0,
+    candidates=1000,
+    accelerator_cores=1.0,
+    accelerator_memory_mb=10.0,
+)
+SIZES = [(1, 10, 0), (2, 5, 0), (3, 40, 0), (1, 5, 1), (4, 60, 2)]
+QUOTAS = {
+    "a": placement.Quota(cores=12, weight=2.0),
+    "b": placement.Quota(memory_mb=120),
+}
+EVENTS = st.one_of(
+    st.tuples(
+        st.just("offer"),
+        st.sampled_from(SIZES),
+        st.sampled_from(placement.PRIORITIES),
+        st.sampled_from("abc"),
+        st.integers(1, 6),
+    ),
+    st.tuples(st.just("end"), st.integers(0, 1000)),
+    st.tuples(st.just("withdraw"), st.integers(0, 1000)),
+    st.tuples(st.just("open"), st.integers(0, 5), st.booleans()),
+)
+
+
+class Pair:
+    """The pool and the naive one, given the same events."""
+
+    def __init__(self, pool_class=placement.Pool):
+        self.pool = pool_class(CONFIG)
+        self.naive = naive.Pool(CONFIG)
+        self.jobs = 0
+        for number in range(6):
+            accelerators = 2 if number < 2 else 0
+            capacity = placement.capacity_of(4 + number, 100, accelerators)
+            self.set_worker(number, capacity, True)
+        self.pool.set_quotas(QUOTAS)
+        self.naive.set_quotas(QUOTAS)
+
+    def set_worker(self, number, capacity, is_open):
+        for pool in (self.pool, self.naive):
+            pool.set_worker(
+                f"w{number}", capacity, f"r{number % 2}", is_open, 0.0
+            )
+
+    def apply(self, event):
+        kind = event[0]
+        if kind == "offer":
+            _, size, priority, team, tasks = event
+            self.jobs += 1
+            work = placement.Work(
+                job=f"j{self.jobs}",
+                team=team,
+                priority=priority,
+                size=placement.size_of(*size),
+            )
+            for pool in (self.pool, self.naive):
+                pool.offer(work, list(range(tasks)), 0.0)
+        elif kind == "end":
+            keys = list(self.naive.running)
+            if keys:
+                worker, key = keys[event[1] % len(keys)]
+                self.pool.release(worker, key)
+                self.naive.release(worker, key)
+        elif kind == "withdraw":
+            if self.naive.waiting:
+                entries = self.naive.waiting
+                job = entries[event[1] % len(entries)][0].job
+                self.pool.withdraw(job)
+                self.naive.withdraw(job)
+        else:
+            capacity = self.naive.workers[f"w{event[1]}"]
+            self.set_worker(event[1], capacity, event[2])
+        self.compare()
+
+    def compare(self):
+        """Check every decision of the pool against the naive one."""
+        for action in self.pool.place(0.0):
+            entries = self.naive.feasible()
+            assert entries, f"{action} does not fit"
+            work = entries[0][0]
+            assert action.job == work.job, f"{action}, not {work.job}"
+            rooms = self.naive.rooms(work)
+            assert action.worker in rooms, f"{action} does not fit there"
+            best = min(self.naive.score(work, n, rooms) for n in rooms)
+            plain = [n for n in rooms if not self.naive.workers[n][2]]
+            if plain and not work.size[2]:
+                assert action.worker in plain, f"{action} is wasteful"
+                best = min(self.naive.score(work, n, rooms) for n in plain)
+            score = self.naive.score(work, action.worker, rooms)
+            assert abs(score - best) < 1e-9, f"{action}: {score} > {best}"
+            started = self.naive.start(entries[0], action.worker)
+            assert started == action
+        left = self.naive.feasible()
+        assert not left, f"{left[0][0].job} fits but was not started"
+        queued = sum(len(indices) for _, indices in self.naive.waiting)
+        assert queued == self.pool.queued
+
+
+def run(seed, max_examples, pool_class=placement.Pool):
+    """Compare on random sequences; raises AssertionError on a difference."""
+
+    @hypothesis.seed(seed)
+    @hypothesis.settings(
+        max_examples=max_examples,
+        database=None,
+        deadline=None,
+        derandomize=True,
+        print_blob=False,
+        report_multiple_bugs=False,
+        phases=[hypothesis.Phase.generate],
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(st.lists(EVENTS, min_size=10, max_size=25))
+    def compare(events):
+        pair = Pair(pool_class)
+        for event in events:
+            pair.apply(event)
+
+    compare()
