Count found tasks of unknown jobs as the place of their task

Cause: an id that is submitted again while a task of an earlier job with this id still runs could put the same task in two places.

--- a/src/citrondeal/jobs/_book.py
+++ b/src/citrondeal/jobs/_book.py
@@ -38,7 +38,7 @@
         hold.
     """
 
-    max_history: int = 4096
+    max_history: int = 2048
     max_restarts: int = 3
     hold_workers: int = 3
 
@@ -410,6 +410,9 @@
 
     def _end(self, job):
         self._open.pop(job.id, None)
+        # Nothing of the job will be started, so that a snapshot of the
+        # history stays small.
+        job.command = ""
         self._history[job.id] = job
         while len(self._history) > self._config.max_history:
             self._history.popitem(last=False)
--- a/src/citrondeal/jobs/_owner.py
+++ b/src/citrondeal/jobs/_owner.py
@@ -104,13 +104,13 @@
 
     __slots__ = (
         "boot",
-        "index",
         "job",
         "key",
         "lease_end",
         "phase",
         "renewed_at",
         "size",
+        "spot",
         "stop",
         "stop_at",
         "task",
@@ -119,10 +119,11 @@
         "worker",
     )
 
-    def __init__(self, task, job, index, worker, key, size, phase):
+    def __init__(self, task, job, spot, worker, key, size, phase):
         self.task = task
         self.job = job
-        self.index = index
+        # (job id, index); None for a second place of the same task.
+        self.spot = spot
         self.worker = worker
         self.key = key
         self.size = size
@@ -560,15 +561,16 @@
         )
         worker.places[task] = place
         self._allot(worker, place, now)
-        if job is not None:
-            spot = (job.id, parts[1])
-            if self._at.get(spot) or spot in self._finishing:
-                place.stop = "stop"
-            else:
-                place.index = parts[1]
-                self._at[spot] = place
-                if not self._released:
-                    self._found_early.add(spot)
+        spot = parts[:2] if parts else None
+        if spot in self._at or spot in self._finishing:
+            place.stop = "stop"
+        elif spot is not None:
+            # A task of an unknown job counts too, since a job with this id
+            # may be submitted while the task still runs.
+            place.spot = spot
+            self._at[spot] = place
+            if job is not None and not self._released:
+                self._found_early.add(spot)
         return place
 
     def _allot(self, worker, place, now):
@@ -580,31 +582,33 @@
         job = place.job
         if job is None:
             return not self._caught_up
-        if place.index is None:
+        if place.spot is None:
             return False
-        return not job.ended and job.is_open(place.index)
+        return not job.ended and job.is_open(place.spot[1])
 
     def _remove(self, worker, place):
         del worker.places[place.task]
         self._pool.release(worker.info.name, place.key)
         self._intent_due.pop(place.task, None)
-        if place.index is not None:
-            self._at.pop((place.job.id, place.index), None)
+        if place.spot is not None:
+            self._at.pop(place.spot, None)
         self._forget(worker)
 
     def _gone(self, worker, place, may_have_run, now, pause_s=0.0):
         """Handle a task that certainly does not run any more."""
         self._remove(worker, place)
-        if place.index is None:
+        if place.spot is None:
+            return
+        index = place.spot[1]
+        if place.job is None:
+            self._offer(self._book.get(place.spot[0]), now)
             return
         if place.job.once and may_have_run:
-            self._record(
-                place.job, place.index, place.task, "unknown", "", now
-            )
+            self._record(place.job, index, place.task, "unknown", "", now)
             return
         if not may_have_run:
             pause_s = max(pause_s, self._config.refused_pause_s)
-        self._vacated(place.job, place.index, now, pause_s)
+        self._vacated(place.job, index, now, pause_s)
 
     def _listed_end(self, worker, place, listing, now):
         task = listing["task"]
@@ -637,7 +641,7 @@
             self._record(job, index, task, "unknown", name, now)
         else:
             worker.acks.add(task)
-        if place is not None and place.index is not None:
+        if place is not None and place.spot is not None:
             pause = 0.0
             if state == "failed":
                 pause = self._restart_pause(job, index)
@@ -859,7 +863,7 @@
             for place in list(worker.places.values()):
                 if place.phase in (INTENT, READY):
                     self._gone(worker, place, False, now)
-                elif place.stop is None and place.index is not None:
+                elif place.stop is None and place.spot and place.job:
                     if moving is None:
                         moving = self._moving()
                     self._move_one(place, moving, now)
@@ -904,9 +908,7 @@
             self._attempt += 1
             attempt = f"{self._epoch}.{self._attempt}"
         task = _book.task_id(job.id, action.index, attempt)
-        place = _Place(
-            task, job, action.index, worker, spot, job.work.size, READY
-        )
+        place = _Place(task, job, spot, worker, spot, job.work.size, READY)
         if job.once and spot not in self._own_intents:
             place.phase = INTENT
             self._intent_due[task] = (now, place)
