--- a/src/citrondeal/jobs/_owner.py
+++ b/src/citrondeal/jobs/_owner.py
@@ -33,6 +33,9 @@
     min_lease_s : float
         No start is sent with less of our own validity left; the first
         renewal has to follow within this time.
+    clock_age_s : float
+        No start is sent on an older reading of the worker's clock, since
+        the difference in rate adds up.
     append_retry_s : float
         A record that is not read back is appended again after this time.
     batch_tasks : int
@@ -45,12 +48,16 @@
         Time for a checkpoint on a leaving worker before it is stopped.
     move_share : float
         Part of a service's tasks that may be on the move at once.
+    place_rounds : int
+        Calls of `placement.Pool.place` per tick (64 starts, a few
+        milliseconds each), so that a tick does not delay the event loop.
     """
 
     task_ttl_s: float = 30.0
     lease_margin_s: float = 0.5
     renew_after_s: float = 5.0
     min_lease_s: float = 1.0
+    clock_age_s: float = 5.0
     append_retry_s: float = 3.0
     batch_tasks: int = 200
     restart_pause_s: float = 1.0
@@ -58,6 +65,7 @@
     refused_pause_s: float = 1.0
     checkpoint_limit_s: float = 10.0
     move_share: float = 0.25
+    place_rounds: int = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,13 +104,13 @@
 
     __slots__ = (
         "boot",
-        "index",
         "job",
         "key",
         "lease_end",
         "phase",
         "renewed_at",
         "size",
+        "spot",
         "stop",
         "stop_at",
         "task",
@@ -111,10 +119,11 @@
         "worker",
     )
 
-    def __init__(self, task, job, index, worker, key, size, phase):
+    def __init__(self, task, job, spot, worker, key, size, phase):
         self.task = task
         self.job = job
-        self.index = index
+        # (job id, index); None for a second place of the same task.
+        self.spot = spot
         self.worker = worker
         self.key = key
         self.size = size
@@ -209,6 +218,8 @@
         self._finishing = {}
         self._failing = {}
         self._ended_on = {}
+        # Indices of the tasks that wait in the pool's queue, by job.
+        self._waiting = {}
         self._own_intents = set()
         self._intent_due = {}
         self._later = []
@@ -296,7 +307,7 @@
             if self._caught_up:
                 self._offer(self._book.get(change.job), now)
         elif change.kind == "cancel":
-            self._pool.withdraw(change.job)
+            self._withdraw(change.job)
         elif change.kind == "intent":
             self._on_intent(change.tasks[0], now)
         elif change.kind == "finished":
@@ -414,7 +425,11 @@
                     self._remove(worker, place)
                 elif place.phase == READY and worker.answering:
                     left = valid_until - now
-                    if left >= self._config.min_lease_s:
+                    age = now - worker.clock_at
+                    if (
+                        left >= self._config.min_lease_s
+                        and age <= self._config.clock_age_s
+                    ):
                         starts.append(self._start(worker, place, valid_until))
                         sent.append(place)
                 continue
@@ -574,15 +589,16 @@
         )
         worker.places[task] = place
         self._allot(worker, place, now)
-        if job is not None:
-            spot = (job.id, parts[1])
-            if self._at.get(spot) or spot in self._finishing:
-                place.stop = "stop"
-            else:
-                place.index = parts[1]
-                self._at[spot] = place
-                if not self._released:
-                    self._found_early.add(spot)
+        spot = parts[:2] if parts else None
+        if spot in self._at or spot in self._finishing:
+            place.stop = "stop"
+        elif spot is not None:
+            # A task of an unknown job counts too, since a job with this id
+            # may be submitted while the task still runs.
+            place.spot = spot
+            self._at[spot] = place
+            if job is not None and not self._released:
+                self._found_early.add(spot)
         return place
 
     def _allot(self, worker, place, now):
@@ -594,31 +610,33 @@
         job = place.job
         if job is None:
             return not self._caught_up
-        if place.index is None:
+        if place.spot is None:
             return False
-        return not job.ended and job.is_open(place.index)
+        return not job.ended and job.is_open(place.spot[1])
 
     def _remove(self, worker, place):
         del worker.places[place.task]
         self._pool.release(worker.info.name, place.key)
         self._intent_due.pop(place.task, None)
-        if place.index is not None:
-            self._at.pop((place.job.id, place.index), None)
+        if place.spot is not None:
+            self._at.pop(place.spot, None)
         self._forget(worker)
 
     def _gone(self, worker, place, may_have_run, now, pause_s=0.0):
         """Handle a task that certainly does not run any more."""
         self._remove(worker, place)
-        if place.index is None:
+        if place.spot is None:
+            return
+        index = place.spot[1]
+        if place.job is None:
+            self._offer(self._book.get(place.spot[0]), now)
             return
         if place.job.once and may_have_run:
-            self._record(
-                place.job, place.index, place.task, "unknown", "", now
-            )
+            self._record(place.job, index, place.task, "unknown", "", now)
             return
         if not may_have_run:
             pause_s = max(pause_s, self._config.refused_pause_s)
-        self._vacated(place.job, place.index, now, pause_s)
+        self._vacated(place.job, index, now, pause_s)
 
     def _listed_end(self, worker, place, listing, now):
         task = listing["task"]
@@ -634,11 +652,11 @@
             return
         index = parts[1]
         if place is not None:
-            self._remove(worker, place)
             if state in ("finished", "failed"):
                 self._pool.record_outcome(
-                    name, job.work, state == "finished", now
+                    name, place.key, state == "finished", now
                 )
+            self._remove(worker, place)
         if self._book.counted(job, index, parts[2]):
             worker.acks.add(task)
         elif task in self._records:
@@ -651,7 +669,7 @@
             self._record(job, index, task, "unknown", name, now)
         else:
             worker.acks.add(task)
-        if place is not None and place.index is not None:
+        if place is not None and place.spot is not None:
             pause = 0.0
             if state == "failed":
                 pause = self._restart_pause(job, index)
@@ -698,10 +716,23 @@
             if worker is not None:
                 worker.acks.add(task)
             if job is None or job.ended or job.hold:
-                self._pool.withdraw(parts[0])
+                self._withdraw(parts[0])
 
     # Queueing
 
+    def _enqueue(self, job, indices, now):
+        """Queue tasks that do not wait already."""
+        waiting = self._waiting.setdefault(job.id, set())
+        fresh = [index for index in indices if index not in waiting]
+        if fresh:
+            waiting.update(fresh)
+            self._pool.offer(job.work, fresh, now, job.failed_on)
+
+    def _withdraw(self, job_id):
+        """Take a job out of the queue, independent of its length."""
+        self._pool.withdraw(job_id)
+        self._waiting.pop(job_id, None)
+
     def _vacated(self, job, index, now, pause_s):
         """Queue a task again after its place has become free."""
         if job.ended or not job.is_open(index):
@@ -713,7 +744,7 @@
             entry = (now + pause_s, next(self._sequence), job, index)
             heapq.heappush(self._later, entry)
         elif self._may_offer(job, index):
-            self._pool.offer(job.work, [index], now, job.failed_on)
+            self._enqueue(job, [index], now)
 
     def _break_gang(self, job, now, pause_s):
         """Stop the rest of a gang; it is queued once nothing of it runs."""
@@ -767,8 +798,7 @@
             if indices != open_tasks:
                 return
         if indices:
-            self._pool.withdraw(job.id)
-            self._pool.offer(job.work, indices, now, job.failed_on)
+            self._enqueue(job, indices, now)
 
     def _release(self, now):
         """Restart what was not found; every earlier lease has ended."""
@@ -822,13 +852,18 @@
             if index is None:
                 self._offer(job, now)
             elif job.is_open(index) and self._may_offer(job, index):
-                self._pool.offer(job.work, [index], now, job.failed_on)
+                self._enqueue(job, [index], now)
         self._move(now)
-        for action in self._pool.place(now):
-            if isinstance(action, placement.Start):
-                self._on_start(action, now)
-            elif isinstance(action, placement.Preempt):
-                self._on_preempt(action, now)
+        for _ in range(self._config.place_rounds):
+            started = False
+            for action in self._pool.place(now):
+                if isinstance(action, placement.Start):
+                    started = True
+                    self._on_start(action, now)
+                elif isinstance(action, placement.Preempt):
+                    self._on_preempt(action, now)
+            if not started:
+                break
         return self._appends(now)
 
     def _give_up(self, now):
@@ -856,7 +891,7 @@
             for place in list(worker.places.values()):
                 if place.phase in (INTENT, READY):
                     self._gone(worker, place, False, now)
-                elif place.stop is None and place.index is not None:
+                elif place.stop is None and place.spot and place.job:
                     if moving is None:
                         moving = self._moving()
                     self._move_one(place, moving, now)
@@ -887,6 +922,11 @@
         job = self._book.get(action.job)
         spot = (action.job, action.index)
         worker = self._workers[action.worker]
+        waiting = self._waiting.get(action.job)
+        if waiting is not None:
+            waiting.discard(action.index)
+            if not waiting:
+                del self._waiting[action.job]
         if job is None or job.ended or not self._may_offer(job, action.index):
             self._pool.release(action.worker, spot)
             return
@@ -896,9 +936,7 @@
             self._attempt += 1
             attempt = f"{self._epoch}.{self._attempt}"
         task = _book.task_id(job.id, action.index, attempt)
-        place = _Place(
-            task, job, action.index, worker, spot, job.work.size, READY
-        )
+        place = _Place(task, job, spot, worker, spot, job.work.size, READY)
         if job.once and spot not in self._own_intents:
             place.phase = INTENT
             self._intent_due[task] = (now, place)
