Search for two holders with composite faults and broken rules

Cause: single random faults rarely reach a claim in flight while its resource is still held by promises.

Ruled out: narrowing the list of early claimants after an unconfirmed claim; a promise that only extends unbroken validity makes it unnecessary.

Conclusion: promises that restore validity need a directed history.

--- a/src/citrondeal/ownership/_fold.py
+++ b/src/citrondeal/ownership/_fold.py
@@ -105,7 +105,7 @@
                 beat.incarnation,
                 True,
                 offset,
-                self._heirs_after_claim(before, _heirs(beat)),
+                _heirs(beat),
             )
             outcome.claimed[resource] = before
         return outcome
@@ -227,18 +227,6 @@
             return epoch == 1 and seen == -1
         return epoch == lease.epoch + 1 and seen == lease.offset
 
-    def _heirs_after_claim(self, before, heirs):
-        # The earlier holder may still be valid by promises while the claim
-        # is not yet usable.  Only processes that it asks as well may claim
-        # early until the claimant's first renewal shows that it is over.
-        if before is None or not before.held:
-            return heirs
-        return {
-            name: address
-            for name, address in heirs.items()
-            if before.heirs.get(name) == address
-        }
-
 
 def _heirs(beat):
     return {**beat.members, beat.process: beat.address}
--- a/src/citrondeal/ownership/_group.py
+++ b/src/citrondeal/ownership/_group.py
@@ -214,7 +214,8 @@
             return []
         address, epochs = ask
         # A promise extends validity, but never restores it: after a lapse
-        # another process may have claimed without this one's knowledge.
+        # the peer's claim may be on its way to the log, or may have been
+        # read by others who then claim without being asked.
         kept = self._extendable(epochs, now)
         last = self._grants.get((peer, address))
         if last is None or last[0] < sent_at:
@@ -497,9 +498,9 @@
             previous = self._read_at[resource] - before.age_s / drift
         usable = self._usable_from(now)
         if previous is not None:
+            usable = max(usable, previous)
             if before is not None and before.held:
                 previous = max(previous, self._promised_until)
-            usable = max(usable, previous)
         self._mine.add(resource)
         self._previous[resource] = previous
         self._usable_at[resource] = usable
@@ -575,9 +576,6 @@
                 name: self._fold.leases[name].epoch
                 for name in sorted(self._mine)
                 if name not in self._releasing
-                # The first renewal tells others that the promises given
-                # before the claim are over.
-                and now >= self._usable_at[name]
             },
             claims=claims,
             releases=releases,
@@ -693,7 +691,7 @@
     def _due_releases(self, now):
         releases = {}
         for resource, epoch in self._releasing.items():
-            # Before the claim is usable an earlier holder may be valid.
+            # A claim that is not usable yet must not free the resource.
             if now < self._usable_at[resource]:
                 continue
             previous = self._previous.get(resource)
--- /dev/null
+++ b/src/citrondeal/ownership/tests/mutations.py
@@ -0,0 +1,149 @@
+"""Groups with one rule broken, to show that the state machine can fail."""
+
+from citrondeal import ownership
+
+
+class _AnyClaimFold(ownership.Fold):
+    def _is_claimable(self, resource, epoch, seen):
+        lease = self.leases.get(resource)
+        return lease is None or epoch == lease.epoch + 1
+
+
+class _LastClaimFold(ownership.Fold):
+    def _is_claimable(self, resource, epoch, seen):
+        return True
+
+
+class _NoSequenceFold(ownership.Fold):
+    def _is_new(self, offset, beat):
+        super()._is_new(offset, beat)
+        return True
+
+
+def _with_fold(fold_class):
+    class Mutated(ownership.Group):
+        def __init__(self, zone, role, *args):
+            super().__init__(zone, role, *args)
+            self._fold = fold_class(role)
+
+    return Mutated
+
+
+class _ReadTime(ownership.Group):
+    def _lease_start(self, seq, now):
+        return now
+
+
+class _PromiseIgnored(ownership.Group):
+    def _is_promise_running(self, now):
+        return False
+
+    def _usable_from(self, now):
+        return now
+
+
+class _PromiseRestores(ownership.Group):
+    def _extendable(self, epochs, now):
+        return epochs
+
+    def _due_asks(self, now):
+        reported = self._reported
+        self._reported = {
+            name: self._fold.leases[name].epoch
+            for name in self._lease_from
+            if name in self._mine
+        }
+        actions = super()._due_asks(now)
+        self._reported = reported
+        return actions
+
+
+class _UsedEarly(_PromiseRestores):
+    def _usable_from(self, now):
+        return now
+
+
+class _NotListed(ownership.Group):
+    def _is_heir(self, lease):
+        return True
+
+
+class _NameOnly(ownership.Group):
+    def _is_heir(self, lease):
+        return self._process in lease.heirs
+
+
+class _ReadBackList(ownership.Group):
+    def _update_listed(self):
+        self._listed = set()
+
+
+class _NoDrift(ownership.Group):
+    def __init__(self, *args):
+        super().__init__(*args)
+        fields = {"drift": 1.0, "lease_margin_s": 0.0}
+        self._config = _replace(self._config, **fields)
+
+
+class _NoWait(ownership.Group):
+    def _wait(self, ttl_s):
+        return 0.0
+
+    def _end_of_previous(self, resource, before):
+        return self._read_at[resource]
+
+
+class _NoOutageLimit(ownership.Group):
+    def valid_until(self, resource, now):
+        config = self._config
+        self._config = _replace(config, outage_limit_s=1e6)
+        until = super().valid_until(resource, now)
+        self._config = config
+        return until
+
+
+class _ValidWhileReleasing(ownership.Group):
+    def valid_until(self, resource, now):
+        releasing, self._releasing = self._releasing, {}
+        until = super().valid_until(resource, now)
+        self._releasing = releasing
+        return until
+
+
+class _NoAge(ownership.Group):
+    def _due_releases(self, now):
+        releases = super()._due_releases(now)
+        return {name: [item[0], None] for name, item in releases.items()}
+
+
+class _Deaf(ownership.Group):
+    def _due_claims(self, now):
+        return {}
+
+
+def _replace(config, **fields):
+    values = {name: getattr(config, name) for name in config.__slots__}
+    changed = object.__new__(ownership.Config)
+    for name, value in {**values, **fields}.items():
+        object.__setattr__(changed, name, value)
+    return changed
+
+
+MUTATIONS = {
+    "validity from read time": _ReadTime,
+    "claim without compare-and-set": _with_fold(_AnyClaimFold),
+    "last claim wins": _with_fold(_LastClaimFold),
+    "sequence numbers ignored": _with_fold(_NoSequenceFold),
+    "promise ignored": _PromiseIgnored,
+    "promise restores validity": _PromiseRestores,
+    "claim used while a promise is running": _UsedEarly,
+    "unlisted process claims early": _NotListed,
+    "listed by name at another address": _NameOnly,
+    "only the list read back is asked": _ReadBackList,
+    "clock drift ignored": _NoDrift,
+    "claim without wait": _NoWait,
+    "promises without limit": _NoOutageLimit,
+    "valid while releasing": _ValidWhileReleasing,
+    "age missing in release": _NoAge,
+    "no claims": _Deaf,
+}
--- a/src/citrondeal/ownership/tests/world.py
+++ b/src/citrondeal/ownership/tests/world.py
@@ -17,10 +17,11 @@
 class Log:
     """Append-only list of records with retention."""
 
-    def __init__(self):
+    def __init__(self, on_append):
         self.first = 0
         self.records = []
         self.down = False
+        self.on_append = on_append
 
     @property
     def next(self):
@@ -28,6 +29,7 @@
 
     def append(self, record):
         self.records.append(record)
+        self.on_append(self.next - 1, record)
 
     def read(self, start, limit=50):
         at = max(0, start - self.first)
@@ -35,6 +37,13 @@
         at += self.first
         return [(at + i, record) for i, record in enumerate(found)]
 
+    def last_of(self, incarnation):
+        for record in reversed(self.records):
+            if type(record) is dict:
+                if record.get("incarnation") == incarnation:
+                    return record
+        return {}
+
     def retain(self, count):
         cut = max(0, len(self.records) - count)
         self.first += cut
@@ -57,6 +66,7 @@
     reads: bool = True
     appends: bool = True
     parks: bool = False
+    batch: int = 50
     delay_s: float = 0.0
     actions: list = dataclasses.field(default_factory=list)
 
@@ -69,7 +79,8 @@
 
     def __init__(self, count, group_class=ownership.Group, config=CONFIG):
         self.t = 0.0
-        self.log = Log()
+        self.log = Log(self._note_release)
+        self.fold = ownership.Fold("gateway")
         self.config = config
         self.group_class = group_class
         self.processes = []
@@ -131,10 +142,7 @@
 
     def release(self, process, resource):
         now = process.clock(self.t)
-        held = process.group.valid_until(resource, now) is not None
         process.actions += process.group.release(resource, now)
-        if held:
-            self.valid_at[resource].pop(process.incarnation, None)
         self._carry_out(process)
 
     def land(self, index, times=1):
@@ -170,12 +178,13 @@
         group, follower = process.group, process.follower
         now = process.clock(self.t)
         if process.reads and not self.log.down:
-            for _ in range(100):
-                records = self.log.read(follower.position)
+            for _ in range(100 if process.batch > 1 else 1):
+                records = self.log.read(follower.position, process.batch)
                 follower.on_batch(self.log.first, self.log.next, records, now)
                 if follower.at_tail:
                     break
-            process.actions += group.on_tail(now, follower.complete)
+            if follower.at_tail:
+                process.actions += group.on_tail(now, follower.complete)
         else:
             follower.on_failed(now)
             process.actions += group.on_read_failed(now)
@@ -254,6 +263,12 @@
             if at > self.t or not arrive():
                 self.messages.append(message)
 
+    def _note_release(self, offset, record):
+        outcome = self.fold.apply(offset, record)
+        for resource in outcome.released if outcome else ():
+            ended = self.valid_at[resource]
+            ended.pop(outcome.beat.incarnation, None)
+
     # Checks.
 
     def holders(self, resource):
@@ -291,6 +306,7 @@
             process.paused = process.parks = False
             process.reads = process.appends = True
             process.delay_s = 0.0
+            process.batch = 50
         missing = set(RESOURCES)
         end = self.t + SETTLE_S
         while self.t < end:
