--- /dev/null
+++ b/src/citrondeal/ownership/tests/naive.py
@@ -0,0 +1,103 @@
+"""Plain fold of heartbeat records, by looking at the whole history."""
+
+import random
+
+MALFORMED = (
+    None,
+    "x",
+    {},
+    {"kind": "heartbeat"},
+    {"kind": "other", "role": "gateway"},
+)
+
+
+def fold(history):
+    """Return resource -> state for a list of ``(record, is_valid)``.
+
+    The state is a tuple of epoch, holder, incarnation, held, offset, heirs
+    and age, as in a lease of the real fold.
+    """
+    state = {}
+    for offset, (record, is_valid) in enumerate(history):
+        if not is_valid or record["role"] != "gateway":
+            continue
+        me = (record["process"], record["incarnation"])
+        earlier = [
+            old["seq"]
+            for old, ok in history[:offset]
+            if ok
+            and old["role"] == "gateway"
+            and (old["process"], old["incarnation"]) == me
+        ]
+        if any(seq >= record["seq"] for seq in earlier):
+            continue
+        heirs = {**record["members"], record["process"]: record["address"]}
+        whose = me
+        if record["relay_of"] is not None:
+            whose = (record["relay_of"], record["relay_incarnation"])
+        for name, epoch in record["holds"].items():
+            old = state.get(name)
+            if old and old[:4] == (epoch, *whose, True):
+                kept = old[5] if record["relay_of"] is not None else heirs
+                state[name] = (*old[:4], offset, kept, old[6])
+        if record["relay_of"] is not None:
+            continue
+        for name, (epoch, age) in record["releases"].items():
+            if state.get(name, ())[:4] == (epoch, *me, True):
+                state[name] = (epoch, *me, False, offset, {}, age)
+        for name, (epoch, seen) in record["claims"].items():
+            old = state.get(name, (0, "", "", False, -1))
+            if (old[0] + 1, old[4]) == (epoch, seen):
+                state[name] = (epoch, *me, True, offset, heirs, None)
+    return state
+
+
+def history(seed, length=60):
+    """Return a random history with valid, late and malformed records."""
+    rng = random.Random(seed)
+    found = []
+    for _ in range(length):
+        kind = rng.random()
+        if kind < 0.08:
+            found.append((rng.choice(MALFORMED), False))
+        elif kind < 0.16 and found:
+            found.append(rng.choice(found))
+        else:
+            found.append((_record(rng, found), True))
+    return found
+
+
+def _record(rng, found):
+    name, incarnation = rng.choice("abc"), rng.choice("12")
+    state = fold(found)
+    record = {
+        "kind": "heartbeat",
+        "process": name,
+        "incarnation": incarnation,
+        "address": f"{name}:{incarnation}",
+        "role": rng.choice(["gateway"] * 5 + ["scheduler"]),
+        "seq": len(found) + rng.choice([0, 0, 0, -3, 2]) + 3,
+        "members": {k: f"{k}:1" for k in "abc" if rng.random() < 0.6},
+        "holds": {},
+        "claims": {},
+        "releases": {},
+        "relay_of": None,
+        "relay_incarnation": None,
+    }
+    if rng.random() < 0.15:
+        record["relay_of"] = rng.choice("abc")
+        record["relay_incarnation"] = rng.choice("12")
+    for resource in ("r0", "r1", "r2"):
+        old = state.get(resource, (0, "", "", False, -1))
+        off = rng.choice([0, 0, 0, 1, -1])
+        epoch = max(0, old[0] + off)
+        choice = rng.random()
+        if choice < 0.35:
+            record["holds"][resource] = epoch
+        elif choice < 0.5:
+            age = rng.choice([None, 2.5])
+            record["releases"][resource] = [epoch, age]
+        elif choice < 0.8:
+            seen = old[4] if rng.random() < 0.8 else max(-1, old[4] - 1)
+            record["claims"][resource] = [epoch + 1, seen]
+    return record
--- /dev/null
+++ b/src/citrondeal/ownership/tests/ownership.feature
@@ -0,0 +1,70 @@
+Feature: ownership
+
+  # Guards against two valid holders of a resource at one moment, a bound of
+  # the previous holder's validity that is too early, and resources that
+  # stay without a holder after all faults are over.
+  Scenario: ownership random faults never give two holders
+    Then ownership the state machine passes 70 histories
+
+  # Each broken rule must be found, or the scenario above proves nothing.
+  Scenario Outline: ownership the test finds the mutation <name>
+    Then ownership the state machine finds the mutation "<name>" with seed <seed>
+
+    Examples:
+      | name                                  | seed |
+      | validity from read time               | 12   |
+      | claim without compare-and-set         | 5    |
+      | last claim wins                       | 12   |
+      | sequence numbers ignored              | 1    |
+      | promise ignored                       | 5    |
+      | claim used while a promise is running | 5    |
+      | unlisted process claims early         | 8    |
+      | listed by name at another address     | 11   |
+      | only the list read back is asked      | 1    |
+      | clock drift ignored                   | 8    |
+      | claim without wait                    | 1    |
+      | promises without limit                | 8    |
+      | valid while releasing                 | 3    |
+      | age missing in release                | 3    |
+      | no claims                             | 1    |
+
+  # A promise given after a lapse must not restore validity: the claim of
+  # the promiser's earlier incarnation may still be on its way.
+  Scenario: ownership the test finds the mutation promise restores validity
+    Then ownership a late claim of a restarted process gives no second holder
+    And ownership the mutation "promise restores validity" gives a second one
+
+  # Guards against replicas that disagree about the log.
+  Scenario: ownership the fold equals a plain fold
+    Then ownership the fold of 150 random histories equals the plain fold
+    And ownership folds of 50 histories from snapshots equal the whole
+    And ownership the comparison finds a fold without compare-and-set
+
+  # Guards against an exception or a silent skip for foreign content.
+  Scenario: ownership malformed records are skipped and counted
+    Then ownership malformed records are skipped and counted
+    And ownership malformed snapshots are refused without a change
+
+  # Guards against a wait for in-flight work after a release, and a missing
+  # wait after a crash.
+  Scenario: ownership the end of the previous holder is bounded
+    Then ownership the bound is None for a first holder and after a release
+    And ownership the bound after a crash covers the lease of the holder
+
+  # Guards against takeovers that are slower than the page allows.
+  Scenario: ownership takeover times
+    Then ownership resources of a killed holder are held again in 6.5 s
+    And ownership a group that restarts at once has holders in 6.5 s
+
+  # Guards against a lost lease when only the holder's path to the log fails.
+  Scenario: ownership a holder without the log keeps its lease by promises
+    Then ownership a cut holder stays the only holder for 15 s
+
+  # Guards against resources that never move to a new member, or move before
+  # it has been stable.
+  Scenario: ownership resources move to a better-placed member
+    Then ownership a joined process gets its share after the stable time
+
+  # A restarted process forgets its promises; its wait must outlast them.
+  Scenario: ownership settings that break the wait are refused
+    Then ownership a promise longer than the wait is refused
--- /dev/null
+++ b/src/citrondeal/ownership/tests/steps.py
@@ -0,0 +1,273 @@
+"""Steps for leases through the log."""
+
+import json
+
+from behave import then
+
+from citrondeal import ownership
+from citrondeal.ownership.tests import histories
+from citrondeal.ownership.tests import machine
+from citrondeal.ownership.tests import mutations
+from citrondeal.ownership.tests import naive
+
+
+def _fails(function, *args):
+    try:
+        function(*args)
+    except AssertionError:
+        return True
+    return False
+
+
+@then("ownership the state machine passes {count:d} histories")
+def machine_passes(context, count):
+    machine.run(machine.Machine, count)
+
+
+@then(
+    'ownership the state machine finds the mutation "{name}" with seed '
+    "{seed:d}"
+)
+def machine_finds(context, name, seed):
+    class Mutated(machine.Machine):
+        group_class = mutations.MUTATIONS[name]
+        # Safety alone must find all mutations but the one of liveness.
+        checks_liveness = name == "no claims"
+
+    assert _fails(machine.run, Mutated, 40, 30, seed), name
+
+
+@then("ownership a late claim of a restarted process gives no second holder")
+def late_claim(context):
+    histories.late_claim_of_restarted_process()
+
+
+@then('ownership the mutation "{name}" gives a second one')
+def late_claim_mutated(context, name):
+    group_class = mutations.MUTATIONS[name]
+    assert _fails(histories.late_claim_of_restarted_process, group_class)
+
+
+def _leases(fold):
+    return {
+        name: (
+            lease.epoch,
+            lease.holder,
+            lease.incarnation,
+            lease.held,
+            lease.offset,
+            lease.heirs,
+            lease.age_s,
+        )
+        for name, lease in fold.leases.items()
+    }
+
+
+def _folded(history, fold=None, start=0):
+    fold = fold or ownership.Fold("gateway")
+    for offset in range(start, len(history)):
+        fold.apply(offset, history[offset][0])
+    return fold
+
+
+@then("ownership the fold of {count:d} random histories equals the plain fold")
+def fold_equals_naive(context, count):
+    claimed = 0
+    for seed in range(count):
+        history = naive.history(seed)
+        fold = _folded(history)
+        assert _leases(fold) == naive.fold(history), seed
+        assert fold.malformed == sum(not ok for _, ok in history), seed
+        claimed += sum(lease.epoch for lease in fold.leases.values())
+    assert claimed > 5 * count
+
+
+@then("ownership folds of {count:d} histories from snapshots equal the whole")
+def fold_from_snapshot(context, count):
+    for seed in range(count):
+        history = naive.history(seed)
+        cut = seed % len(history)
+        state = _folded(history[:cut]).state()
+        copy = ownership.Fold("gateway")
+        copy.load(json.loads(json.dumps(state)))
+        assert _folded(history, copy, cut).state() == (
+            _folded(history).state()
+        ), seed
+
+
+@then("ownership the comparison finds a fold without compare-and-set")
+def comparison_finds(context):
+    group_class = mutations.MUTATIONS["claim without compare-and-set"]
+    differ = 0
+    for seed in range(20):
+        history = naive.history(seed)
+        fold = group_class("z", "gateway", "a", "1", "a:1", None)._fold
+        differ += _leases(_folded(history, fold)) != naive.fold(history)
+    assert differ
+
+
+def _group(name="a"):
+    return ownership.Group("z", "gateway", name, f"{name}1", f"{name}:1")
+
+
+_BEAT = {
+    "kind": "heartbeat",
+    "process": "b",
+    "incarnation": "b1",
+    "address": "b:1",
+    "role": "gateway",
+    "seq": 1,
+    "members": {},
+    "holds": {},
+    "claims": {},
+    "releases": {},
+    "relay_of": None,
+    "relay_incarnation": None,
+}
+_BAD = {
+    "process": ["", None, 3],
+    "incarnation": [None, []],
+    "address": ["", 1],
+    "role": [None],
+    "seq": [None, -1, True, 1.0, "1"],
+    "members": [None, [], {"a": 1}],
+    "holds": [None, {"r": None}, {"r": -1}, {"r": True}],
+    "claims": [None, {"r": [1]}, {"r": [1, -2]}, {"r": "ab"}],
+    "releases": [[], {"r": [1, -1]}, {"r": [1, float("nan")]}, {"r": 1}],
+    "relay_of": [1, "b"],
+}
+
+
+@then("ownership malformed records are skipped and counted")
+def malformed_records(context):
+    group = _group()
+    group.on_tail(0.0, True)
+    offset = 0
+    for key, values in _BAD.items():
+        for value in values:
+            actions = group.on_record(offset, {**_BEAT, key: value}, 1.0)
+            offset += 1
+            assert actions == [], (key, value)
+            assert group.malformed == offset, (key, value)
+    group.on_record(offset, _BEAT, 1.0)
+    group.on_tail(1.0, True)
+    assert group.malformed == offset
+    assert group.members(1.0) == ["a", "b"]
+
+
+@then("ownership malformed snapshots are refused without a change")
+def malformed_snapshots(context):
+    group = _alone(["r"])
+    before = group.snapshot()
+    rows = {"r": [1, "a", "i", True, 3, 9, None]}
+    for state in (
+        [],
+        {},
+        {**before, "leases": rows},
+        {**before, "incarnations": [[1]]},
+        {**before, "position": "x"},
+    ):
+        done, actions = group.load(state, 3.0)
+        assert not done and actions == []
+        assert group.snapshot() == before
+
+
+def _records(actions):
+    kind = ownership.AppendRecord
+    return [a.record for a in actions if isinstance(a, kind)]
+
+
+class _Log:
+    """Shares the records of several groups at once; all are at one time."""
+
+    def __init__(self, *groups):
+        self.groups = list(groups)
+        self.next = 0
+
+    def run(self, start, end):
+        now = start
+        while now < end:
+            for group in self.groups:
+                for record in _records(group.tick(now)):
+                    self.append(record, now)
+            for group in self.groups:
+                group.on_tail(now, True)
+            now += 0.25
+
+    def append(self, record, now):
+        for group in self.groups:
+            group.on_record(self.next, record, now)
+        self.next += 1
+
+
+def _alone(resources):
+    group = _group()
+    group.want(resources, 0.0)
+    _Log(group).run(0.0, 2.0)
+    return group
+
+
+@then("ownership the bound is None for a first holder and after a release")
+def bound_after_release(context):
+    one, other = _group("a"), _group("b")
+    one.want(["r"], 0.0)
+    log = _Log(one, other)
+    log.run(0.0, 3.0)
+    assert one.valid_until("r", 3.0) is not None
+    assert one.previous_until("r") is None
+    one.want([], 3.0)
+    other.want(["r"], 3.0)
+    one.release("r", 3.0)
+    assert one.valid_until("r", 3.0) is None
+    log.run(3.0, 6.0)
+    assert other.valid_until("r", 6.0) is not None
+    assert other.holder_of("r") == ("b", "b1", 2)
+    assert other.previous_until("r") is None
+
+
+@then("ownership the bound after a crash covers the lease of the holder")
+def bound_after_crash(context):
+    one, other = _group("a"), _group("b")
+    one.want(["r"], 0.0)
+    log = _Log(one, other)
+    log.run(0.0, 3.0)
+    end = one.valid_until("r", 3.0)
+    log.groups.remove(one)
+    other.want(["r"], 3.0)
+    log.run(3.0, 10.0)
+    assert other.valid_until("r", 10.0) is not None
+    assert end <= other.previous_until("r") <= end + 1.5
+
+
+@then("ownership resources of a killed holder are held again in {limit:g} s")
+def takeover(context, limit):
+    assert histories.killed_holder() <= limit
+
+
+@then("ownership a group that restarts at once has holders in {limit:g} s")
+def group_restart(context, limit):
+    assert histories.restart_of_the_group() <= limit
+
+
+@then("ownership a cut holder stays the only holder for {seconds:g} s")
+def cut_holder(context, seconds):
+    names, holder = histories.cut_holder(seconds)
+    assert names == {holder}, names
+
+
+@then("ownership a joined process gets its share after the stable time")
+def joined(context):
+    before, after = histories.joined_process()
+    assert before == {"a"}
+    for resource, name in after.items():
+        assert name == ownership.order(resource, "ab")[0], resource
+    assert "b" in after.values()
+
+
+@then("ownership a promise longer than the wait is refused")
+def long_promise(context):
+    try:
+        ownership.Config(promise_ttl_s=5.0)
+    except ValueError:
+        return
+    raise AssertionError("accepted")
