--- a/src/citrondeal/ownership/__init__.py
+++ b/src/citrondeal/ownership/__init__.py
@@ -4,6 +4,7 @@
 from citrondeal.ownership import _fold
 from citrondeal.ownership import _group
 from citrondeal.ownership import _rank
+from citrondeal.ownership import _snapshots
 
 __all__ = [
     "AppendRecord",
@@ -15,6 +16,8 @@
     "Group",
     "Lost",
     "order",
+    "snapshot_reader",
+    "snapshot_record",
 ]
 
 AppendRecord = _actions.AppendRecord
@@ -26,3 +29,5 @@
 Group = _group.Group
 Lost = _actions.Lost
 order = _rank.order
+snapshot_reader = _snapshots.reader
+snapshot_record = _snapshots.record
--- a/src/citrondeal/ownership/tests/machine.py
+++ b/src/citrondeal/ownership/tests/machine.py
@@ -10,7 +10,15 @@
 _PICK = strategies.integers(0, 7)
 _SECONDS = strategies.sampled_from([0.25, 1, 2.5, 5])
 _BOOL = strategies.booleans()
-_MALFORMED = (None, [], 7, {"kind": "heartbeat"}, {"kind": "snapshot"})
+_FOREIGN = (
+    None,
+    [],
+    7,
+    {"kind": "heartbeat"},
+    {"kind": "snapshot"},
+    {"kind": "snapshot", "role": "gateway", "covers": 0, "state": 1},
+    {"kind": "snapshot", "role": "scheduler", "covers": 0, "state": {}},
+)
 
 
 class Machine(stateful.RuleBasedStateMachine):
@@ -193,8 +201,8 @@
         if records:
             self.world.log.append(records[-1 - index % len(records)])
 
-    @stateful.rule(record=strategies.sampled_from(_MALFORMED))
-    def append_malformed(self, record):
+    @stateful.rule(record=strategies.sampled_from(_FOREIGN))
+    def append_foreign(self, record):
         self.world.log.append(record)
 
     @stateful.rule(count=strategies.sampled_from([0, 5, 30]), seconds=_SECONDS)
--- a/src/citrondeal/ownership/tests/world.py
+++ b/src/citrondeal/ownership/tests/world.py
@@ -113,6 +113,7 @@
             ),
             lambda state: self._load(process, state),
             replay.Config(records=30, retry_s=2.0, delay_s=0.1 * number),
+            ownership.snapshot_reader("gateway"),
         )
         self.processes.append(process)
         process.group.want(RESOURCES, process.clock(self.t))
@@ -190,8 +191,9 @@
             process.actions += group.on_read_failed(now)
         covers = follower.snapshot_due(now)
         if covers is not None:
-            record = {"kind": "snapshot", "covers": covers}
-            self._append(process, {**record, "state": group.snapshot()})
+            state = group.snapshot()
+            record = ownership.snapshot_record("gateway", covers, state)
+            self._append(process, record)
         process.actions += group.tick(now)
         self._carry_out(process)
 
