dedup: let a waiting attempt give way to every live claim

Three concurrent attempts could end each other without a fault: a waiting attempt denied claims of lower attempt numbers, claims compared names, and together these formed a cycle.

--- a/src/citrondeal/dedup/_ledger.py
+++ b/src/citrondeal/dedup/_ledger.py
@@ -43,6 +43,7 @@
     __slots__ = (
         "born",
         "claim",
+        "denied",
         "displaced",
         "number",
         "origin",
@@ -64,6 +65,7 @@
         self.settled = 0
         self.claim = 0  # number of the claim of this attempt
         self.over = {}  # ended claims: (process, incarnation) -> number
+        self.denied = False  # a claim was denied since the last intent
         self.round = None
         self.origin = None  # (process, incarnation, number) of the forward
         self.target = None  # (process, incarnation) of our own forward
@@ -332,6 +334,11 @@
         if reply.verdict == _model.Verdict.YOUNG:
             return self._ask_witness(request_id, record, now)
         if reply.verdict == _model.Verdict.BARRED:
+            if record.live.denied:
+                # The permit did not name the claims denied since.
+                record.live.denied = False
+                record.live.tried.pop()
+                return self._ask_witness(request_id, record, now)
             return self._displace(request_id, record, reply.attempt, now)
         return self._yield_to_other(request_id, record, now)
 
@@ -679,6 +686,7 @@
             over = record.live.over
             source = (claim.process, claim.incarnation)
             over[source] = max(over.get(source, 0), claim.number)
+            record.live.denied = True
             return [self._claim_reply(request_id, record, claim, True, now)]
         else:
             actions = self._bar(request_id, record, claim, now)
@@ -971,6 +979,7 @@
             failure = errors.Failure(errors.Kind.UNAVAILABLE, message, 1.0)
             return self._refuse_not_run(request_id, record, failure, now)
         live.tried.append(gateway)
+        live.denied = False
         self._number += 1
         live.number = self._number
         record.state = _State.PREPARING
@@ -985,7 +994,7 @@
         for name, zone in self._gateways.items():
             if name in tried:
                 continue
-            score = xxhash.xxh64_intdigest(f"{request_id}/{name}")
+            score = xxhash.xxh64_intdigest(f"{request_id}/{name}".encode())
             suspect = self._suspects.get(name, now) > now
             key = (suspect, zone != self._zone, score)
             if best_key is None or key < best_key:
@@ -1003,11 +1012,12 @@
         sender = (permit.process, permit.incarnation)
         if record is not None:
             busy = record.live is not None
-            if busy and permit.claim:
-                # The claimant's round has resolved a forward, or denied
-                # a claim, that was in progress here.
-                cleared = (*_ELSEWHERE, _State.CLAIMING)
-                busy = record.state not in cleared
+            if record.state == _State.CLAIMING:
+                # The claim made here is compared with the others below.
+                busy = False
+            elif record.state in _ELSEWHERE and permit.claim:
+                # The claimant's round has resolved the forward.
+                busy = False
             if busy or record.state in (_State.DONE, _State.UNKNOWN):
                 return _model.IntentReply(verdict.SEEN, newest)
         over = {(p, i): n for p, i, n in permit.over}
@@ -1034,10 +1044,9 @@
         return _model.IntentReply(verdict.ACCEPTED, newest)
 
     def _make_way(self, request_id, record, permit, now):
-        """End what an accepted claimant has cleared with its claim."""
-        if not permit.claim:
-            return []
-        record.holders = None
+        """End what the sender of an accepted permit has cleared."""
+        if permit.claim:
+            record.holders = None
         if record.live is None:
             return []
         return self._displace(request_id, record, permit.attempt, now)
@@ -1074,9 +1083,12 @@
         source = (claim.process, claim.incarnation)
         if live.over.get(source, 0) >= claim.number:
             return True
+        # An attempt that waits gives way to any claim, also of an older
+        # attempt. If numbers decided here and names between claims, three
+        # concurrent attempts could end each other.
         if record.state == _State.CLAIMING:
             return self._process < claim.process
-        return claim.attempt < record.attempt
+        return False
 
     def _bar(self, request_id, record, claim, now):
         """Record a claim that is not denied; end an attempt that waits."""
--- /dev/null
+++ b/src/citrondeal/dedup/tests/mutants.py
@@ -0,0 +1,100 @@
+"""Ledgers with one rule removed, to show that the machine needs it."""
+
+from citrondeal import dedup
+from citrondeal.dedup import _ledger
+
+_READY = _ledger._State.READY
+
+
+class NoWitness(dedup.Ledger):
+    """Dispatches without a second gateway that holds the intent."""
+
+    def _ask_witness(self, request_id, record, now):
+        record.state = _READY
+        return [dedup.Ready(request_id)]
+
+
+class RestartedVouches(dedup.Ledger):
+    """Reports a memory without gaps after each restart."""
+
+    def __init__(self, process, incarnation, zone, now, config=None):
+        super().__init__(process, incarnation, zone, now, config)
+        self._complete_since = 0.0
+
+
+class BarIgnoredInQueue(dedup.Ledger):
+    """Bars an id, but lets an attempt that already waits go on."""
+
+    def _displace(self, request_id, record, attempt, now):
+        if record.state in _ledger._WAITING:
+            return []
+        return super()._displace(request_id, record, attempt, now)
+
+
+class NoTieBreak(dedup.Ledger):
+    """Answers "not seen" to a concurrent claim and goes on."""
+
+    def _denies(self, record, claim):
+        if record.state == _ledger._State.CLAIMING:
+            return False
+        return super()._denies(record, claim)
+
+    def _bar(self, request_id, record, claim, now):
+        if record.state != _ledger._State.CLAIMING:
+            return super()._bar(request_id, record, claim, now)
+        source = (claim.process, claim.incarnation)
+        record.live.over[source] = claim.number
+        return []
+
+
+class BothYield(dedup.Ledger):
+    """Lets a concurrent claim win whatever the names are."""
+
+    def _denies(self, record, claim):
+        if record.state == _ledger._State.CLAIMING:
+            return False
+        return super()._denies(record, claim)
+
+
+class NoWatermark(dedup.Ledger):
+    """Forgets ids at the bound and still vouches for them."""
+
+    def _make_room(self, request_id):
+        since = self._complete_since
+        super()._make_room(request_id)
+        self._complete_since = since
+
+
+class NoFence(dedup.Ledger):
+    """Answers a fence and accepts the late forward all the same."""
+
+    def _fence(self, request_id, record, claim, now):
+        return []
+
+
+class OldIntents(dedup.Ledger):
+    """Accepts intents of claimants whatever claimed the id since."""
+
+    def _judge(self, record, permit, now):
+        reply = super()._judge(record, permit, now)
+        if reply.verdict == dedup.Verdict.BARRED and permit.claim:
+            return dedup.IntentReply(dedup.Verdict.ACCEPTED)
+        return reply
+
+
+class UnnumberedRefusal(dedup.Ledger):
+    """Runs an old attempt after a newer one was answered "not run"."""
+
+    def _claim_reply(self, request_id, record, claim, denied, now):
+        record.refused = 0
+        return super()._claim_reply(request_id, record, claim, denied, now)
+
+
+class YoungWitness(dedup.Ledger):
+    """Witnesses ids that may have been barred before its restart."""
+
+    def _judge(self, record, permit, now):
+        reply = super()._judge(record, permit, now)
+        if reply.verdict == dedup.Verdict.YOUNG:
+            return dedup.IntentReply(dedup.Verdict.ACCEPTED)
+        return reply
