dedup: keep a process's own report over its witness's record

After a handover the heir could hold both 'unknown' from the gateway that left and its own forward to it; the weaker one replaced the stronger one in the claim reply and the id ran twice. Also compares the ends of memories strictly: a record touched in the instant up to which ids were forgotten is itself forgotten.

--- a/src/citrondeal/dedup/_ledger.py
+++ b/src/citrondeal/dedup/_ledger.py
@@ -14,6 +14,14 @@
 # kept, and there are as many of them as the queues allow.
 _SCAN_LIMIT = 16
 _DUMP_LIMIT = 50  # ids in the state dump
+# What a process reports of itself outweighs what its witness knows.
+_CERTAINTY = (
+    _model.Seen.WITNESSED,
+    _model.Seen.REFUSED,
+    _model.Seen.RUNNING,
+    _model.Seen.UNKNOWN,
+    _model.Seen.DONE,
+)
 
 
 class _State(enum.IntEnum):
@@ -740,7 +748,7 @@
             seen = self._own_seen(record)
             holders = dict(record.holders or {})
             if record.live is not None and record.state in _ELSEWHERE:
-                holders[record.live.target] = _model.Seen.WITNESSED
+                _learn(holders, record.live.target, _model.Seen.WITNESSED)
             if seen == _model.Seen.RUNNING:
                 seen = _model.Seen.UNKNOWN
             if seen is None and record.state != _State.NONE:
@@ -795,7 +803,7 @@
             record.refused = max(record.refused, row["refused"])
             for process, incarnation, seen in row["holders"]:
                 holders = record.holders = record.holders or {}
-                holders[(process, incarnation)] = _model.Seen(seen)
+                _learn(holders, (process, incarnation), _model.Seen(seen))
             for *key, number, attempt in row["claims"]:
                 claims = record.claims = record.claims or {}
                 kept = claims.get(tuple(key), (0, 0))
@@ -1039,7 +1047,7 @@
         if holders and any(key != sender for key in holders):
             return _model.IntentReply(verdict.SEEN, newest)
         up_for_s = now - self._complete_since
-        if up_for_s < permit.age_s + self._config.skew_s:
+        if up_for_s <= permit.age_s + self._config.skew_s:
             return _model.IntentReply(verdict.YOUNG, newest)
         return _model.IntentReply(verdict.ACCEPTED, newest)
 
@@ -1131,7 +1139,7 @@
         me = (self._process, self._incarnation)
         seen = dict(record.holders or {})
         if record.live is not None and record.state in _ELSEWHERE:
-            seen[record.live.target] = _model.Seen.WITNESSED
+            _learn(seen, record.live.target, _model.Seen.WITNESSED)
         own = self._own_seen(record)
         if denied:
             own = _model.Seen.RUNNING
@@ -1246,7 +1254,7 @@
         else:
             needed = claim_round.started - self._keep_s
         since = {**claim_round.since, self._process: self._complete_since}
-        vouched = {name for name, t in since.items() if t <= needed}
+        vouched = {name for name, t in since.items() if t < needed}
         incarnations = {view.process: view.incarnation for view in views}
         inherited = set()
         for view in views:
@@ -1254,7 +1262,7 @@
             for process, incarnation, up_for_s in view.inherited:
                 # `up_for_s` refers to the time at which the view was made.
                 start = base + view.up_for_s - up_for_s
-                if start <= needed:
+                if start < needed:
                     inherited.add((process, incarnation))
                     if process not in incarnations:
                         vouched.add(process)
@@ -1289,14 +1297,15 @@
         if _model.Seen.RUNNING in seen:
             self._refer(record, _model.Seen.WITNESSED)
             return self._yield_to_other(request_id, record, now)
-        remembers = now - reply.up_for_s <= live.sent_at
+        remembers = now - reply.up_for_s < live.sent_at
         if seen or me != target or not remembers:
             return self._forward_lost(request_id, record, now)
         return self._forward_not_run(request_id, record, None, now)
 
     def _refer(self, record, seen):
         """Remember the receiver of the forward in progress."""
-        record.holders = {**(record.holders or {}), record.live.target: seen}
+        holders = record.holders = record.holders or {}
+        _learn(holders, record.live.target, seen)
 
     def _answer_elsewhere(self, request_id, record, reply, now):
         # The receiver keeps the answer; this gateway refers to it.
@@ -1305,6 +1314,12 @@
         return [_model.Answer(request_id, reply.answer)]
 
 
+def _learn(holders, key, seen):
+    """Add a sighting unless a more certain one of that process is known."""
+    kept = holders.get(key, seen)
+    holders[key] = max(kept, seen, key=_CERTAINTY.index)
+
+
 def _refuse(request_id, kind, message):
     failure = errors.Failure(errors.Kind[kind], message)
     return _model.Refuse(request_id, failure)
