dedup: bar a late first attempt after any newer attempt

A first attempt that arrived after its own resubmission had been refused at the same gateway was treated as another resubmission and ran, although the refusal said that the id had not run.

--- a/src/citrondeal/dedup/_ledger.py
+++ b/src/citrondeal/dedup/_ledger.py
@@ -273,7 +273,7 @@
             record.attempt = live.settled = 1
             record.live = live
             return [_model.Proceed(request_id)]
-        if first and self._is_only_barred(record):
+        if first and _newest_attempt(record) > 1:
             message = "A newer attempt of the id has taken over."
             return [_refuse(request_id, "BARRED", message)]
         number = max(attempt or 2, 2)
@@ -870,12 +870,6 @@
         del self._records[request_id]
         self._answers.discard(request_id)
 
-    def _is_only_barred(self, record):
-        """Return whether claims are all that is known of an id."""
-        if record.state != _State.NONE or record.holders:
-            return False
-        return any(len(key) == 2 for key in record.claims or ())
-
     def _touch(self, request_id, record, now):
         record.touched = now
         self._records.move_to_end(request_id)
@@ -1314,6 +1308,12 @@
         return [_model.Answer(request_id, reply.answer)]
 
 
+def _newest_attempt(record):
+    """Return the highest attempt that was handled or has claimed here."""
+    claims = (record.claims or {}).values()
+    return max([record.attempt, *(attempt for _, attempt in claims)])
+
+
 def _learn(holders, key, seen):
     """Add a sighting unless a more certain one of that process is known."""
     kept = holders.get(key, seen)
