--- a/src/citrondeal/dedup/_ledger.py
+++ b/src/citrondeal/dedup/_ledger.py
@@ -14,6 +14,14 @@
 # kept, and there are as many of them as the queues allow.
 _SCAN_LIMIT = 16
 _DUMP_LIMIT = 50  # ids in the state dump
+# What a process reports of itself outweighs what its witness knows.
+_CERTAINTY = (
+    _model.Seen.WITNESSED,
+    _model.Seen.REFUSED,
+    _model.Seen.RUNNING,
+    _model.Seen.UNKNOWN,
+    _model.Seen.DONE,
+)
 
 
 class _State(enum.IntEnum):
@@ -43,6 +51,7 @@
     __slots__ = (
         "born",
         "claim",
+        "denied",
         "displaced",
         "number",
         "origin",
@@ -64,6 +73,7 @@
         self.settled = 0
         self.claim = 0  # number of the claim of this attempt
         self.over = {}  # ended claims: (process, incarnation) -> number
+        self.denied = False  # a claim was denied since the last intent
         self.round = None
         self.origin = None  # (process, incarnation, number) of the forward
         self.target = None  # (process, incarnation) of our own forward
@@ -263,7 +273,7 @@
             record.attempt = live.settled = 1
             record.live = live
             return [_model.Proceed(request_id)]
-        if first and self._is_only_barred(record):
+        if first and _newest_attempt(record) > 1:
             message = "A newer attempt of the id has taken over."
             return [_refuse(request_id, "BARRED", message)]
         number = max(attempt or 2, 2)
@@ -332,6 +342,11 @@
         if reply.verdict == _model.Verdict.YOUNG:
             return self._ask_witness(request_id, record, now)
         if reply.verdict == _model.Verdict.BARRED:
+            if record.live.denied:
+                # The permit did not name the claims denied since.
+                record.live.denied = False
+                record.live.tried.pop()
+                return self._ask_witness(request_id, record, now)
             return self._displace(request_id, record, reply.attempt, now)
         return self._yield_to_other(request_id, record, now)
 
@@ -679,6 +694,7 @@
             over = record.live.over
             source = (claim.process, claim.incarnation)
             over[source] = max(over.get(source, 0), claim.number)
+            record.live.denied = True
             return [self._claim_reply(request_id, record, claim, True, now)]
         else:
             actions = self._bar(request_id, record, claim, now)
@@ -732,7 +748,7 @@
             seen = self._own_seen(record)
             holders = dict(record.holders or {})
             if record.live is not None and record.state in _ELSEWHERE:
-                holders[record.live.target] = _model.Seen.WITNESSED
+                _learn(holders, record.live.target, _model.Seen.WITNESSED)
             if seen == _model.Seen.RUNNING:
                 seen = _model.Seen.UNKNOWN
             if seen is None and record.state != _State.NONE:
@@ -787,7 +803,7 @@
             record.refused = max(record.refused, row["refused"])
             for process, incarnation, seen in row["holders"]:
                 holders = record.holders = record.holders or {}
-                holders[(process, incarnation)] = _model.Seen(seen)
+                _learn(holders, (process, incarnation), _model.Seen(seen))
             for *key, number, attempt in row["claims"]:
                 claims = record.claims = record.claims or {}
                 kept = claims.get(tuple(key), (0, 0))
@@ -854,12 +870,6 @@
         del self._records[request_id]
         self._answers.discard(request_id)
 
-    def _is_only_barred(self, record):
-        """Return whether claims are all that is known of an id."""
-        if record.state != _State.NONE or record.holders:
-            return False
-        return any(len(key) == 2 for key in record.claims or ())
-
     def _touch(self, request_id, record, now):
         record.touched = now
         self._records.move_to_end(request_id)
@@ -971,6 +981,7 @@
             failure = errors.Failure(errors.Kind.UNAVAILABLE, message, 1.0)
             return self._refuse_not_run(request_id, record, failure, now)
         live.tried.append(gateway)
+        live.denied = False
         self._number += 1
         live.number = self._number
         record.state = _State.PREPARING
@@ -1003,11 +1014,12 @@
         sender = (permit.process, permit.incarnation)
         if record is not None:
             busy = record.live is not None
-            if busy and permit.claim:
-                # The claimant's round has resolved a forward, or denied
-                # a claim, that was in progress here.
-                cleared = (*_ELSEWHERE, _State.CLAIMING)
-                busy = record.state not in cleared
+            if record.state == _State.CLAIMING:
+                # The claim made here is compared with the others below.
+                busy = False
+            elif record.state in _ELSEWHERE and permit.claim:
+                # The claimant's round has resolved the forward.
+                busy = False
             if busy or record.state in (_State.DONE, _State.UNKNOWN):
                 return _model.IntentReply(verdict.SEEN, newest)
         over = {(p, i): n for p, i, n in permit.over}
@@ -1029,15 +1041,14 @@
         if holders and any(key != sender for key in holders):
             return _model.IntentReply(verdict.SEEN, newest)
         up_for_s = now - self._complete_since
-        if up_for_s < permit.age_s + self._config.skew_s:
+        if up_for_s <= permit.age_s + self._config.skew_s:
             return _model.IntentReply(verdict.YOUNG, newest)
         return _model.IntentReply(verdict.ACCEPTED, newest)
 
     def _make_way(self, request_id, record, permit, now):
-        """End what an accepted claimant has cleared with its claim."""
-        if not permit.claim:
-            return []
-        record.holders = None
+        """End what the sender of an accepted permit has cleared."""
+        if permit.claim:
+            record.holders = None
         if record.live is None:
             return []
         return self._displace(request_id, record, permit.attempt, now)
@@ -1074,9 +1085,12 @@
         source = (claim.process, claim.incarnation)
         if live.over.get(source, 0) >= claim.number:
             return True
+        # An attempt that waits gives way to any claim, also of an older
+        # attempt. If numbers decided here and names between claims, three
+        # concurrent attempts could end each other.
         if record.state == _State.CLAIMING:
             return self._process < claim.process
-        return claim.attempt < record.attempt
+        return False
 
     def _bar(self, request_id, record, claim, now):
         """Record a claim that is not denied; end an attempt that waits."""
@@ -1119,7 +1133,7 @@
         me = (self._process, self._incarnation)
         seen = dict(record.holders or {})
         if record.live is not None and record.state in _ELSEWHERE:
-            seen[record.live.target] = _model.Seen.WITNESSED
+            _learn(seen, record.live.target, _model.Seen.WITNESSED)
         own = self._own_seen(record)
         if denied:
             own = _model.Seen.RUNNING
@@ -1234,7 +1248,7 @@
         else:
             needed = claim_round.started - self._keep_s
         since = {**claim_round.since, self._process: self._complete_since}
-        vouched = {name for name, t in since.items() if t <= needed}
+        vouched = {name for name, t in since.items() if t < needed}
         incarnations = {view.process: view.incarnation for view in views}
         inherited = set()
         for view in views:
@@ -1242,7 +1256,7 @@
             for process, incarnation, up_for_s in view.inherited:
                 # `up_for_s` refers to the time at which the view was made.
                 start = base + view.up_for_s - up_for_s
-                if start <= needed:
+                if start < needed:
                     inherited.add((process, incarnation))
                     if process not in incarnations:
                         vouched.add(process)
@@ -1277,14 +1291,15 @@
         if _model.Seen.RUNNING in seen:
             self._refer(record, _model.Seen.WITNESSED)
             return self._yield_to_other(request_id, record, now)
-        remembers = now - reply.up_for_s <= live.sent_at
+        remembers = now - reply.up_for_s < live.sent_at
         if seen or me != target or not remembers:
             return self._forward_lost(request_id, record, now)
         return self._forward_not_run(request_id, record, None, now)
 
     def _refer(self, record, seen):
         """Remember the receiver of the forward in progress."""
-        record.holders = {**(record.holders or {}), record.live.target: seen}
+        holders = record.holders = record.holders or {}
+        _learn(holders, record.live.target, seen)
 
     def _answer_elsewhere(self, request_id, record, reply, now):
         # The receiver keeps the answer; this gateway refers to it.
@@ -1293,6 +1308,18 @@
         return [_model.Answer(request_id, reply.answer)]
 
 
+def _newest_attempt(record):
+    """Return the highest attempt that was handled or has claimed here."""
+    claims = (record.claims or {}).values()
+    return max([record.attempt, *(attempt for _, attempt in claims)])
+
+
+def _learn(holders, key, seen):
+    """Add a sighting unless a more certain one of that process is known."""
+    kept = holders.get(key, seen)
+    holders[key] = max(kept, seen, key=_CERTAINTY.index)
+
+
 def _refuse(request_id, kind, message):
     failure = errors.Failure(errors.Kind[kind], message)
     return _model.Refuse(request_id, failure)
