Put the reserve in force only when slots free slowly

Cause: at 95 % load the reserve made low-class work unstable, and forwards that ended did not free their part of the peer's report.

--- a/src/citrondeal/admission/_model.py
+++ b/src/citrondeal/admission/_model.py
@@ -21,6 +21,11 @@
         Part of the slots, 0 to 1, that low-class work above its guaranteed
         share leaves free, so that urgent work finds a slot while others
         are full of long low-class work.
+    urgent_wait_s : float
+        Target for the wait of urgent work, seconds.  The reserve is in
+        force while the expected time between two slots that become free
+        exceeds it; otherwise urgent work gets the next slot in time, and
+        a reserve would only waste capacity.
     queue_count : int
         Bound on queued requests.
     queue_bytes : int
@@ -43,6 +48,7 @@
     share_normal: float = 0.4
     share_low: float = 0.2
     reserve: float = 0.1
+    urgent_wait_s: float = 0.02
     queue_count: int = 2000
     queue_bytes: int = 4 << 20
     wait_limit_s: float = 30.0
--- a/src/citrondeal/admission/_queues.py
+++ b/src/citrondeal/admission/_queues.py
@@ -25,6 +25,7 @@
         self.time = _estimate.ServiceTime()
         self.retries = _estimate.RetryBudget(config, now)
         self.advanced_at = now
+        self.released = _estimate.Rate()
         self.classes = [
             _shares.ClassState(
                 name, rank, share, _fair.FairQueue(config.team_weights)
@@ -40,6 +41,18 @@
             _shares.advance(self.classes, self.slots, elapsed)
             self.advanced_at = now
 
+    def reserved(self, now):
+        """Return the slots that low-class work leaves free now."""
+        running = sum(c.running for c in self.classes)
+        if not _shares.slow(
+            running,
+            self.slots,
+            self.released.value(now),
+            self.config.urgent_wait_s,
+        ):
+            return 0
+        return _shares.reserved(self.config.reserve, self.slots)
+
     def wait_s(self, state, team, now):
         ahead = state.queue.backlog_us(team)
         if not ahead:
@@ -208,7 +221,7 @@
                 chosen = None
             else:
                 chosen = _shares.choose(
-                    state.classes, state.slots, state.config.reserve, free
+                    state.classes, state.slots, state.reserved(now), free
                 )
             entry = chosen and chosen.queue.head(remote)
             if entry is None:
@@ -254,6 +267,8 @@
         service = self._services[entry.request.service]
         service.advance(now)
         self._release(entry)
+        if not entry.remote:
+            service.released.observe(now)
         used = now - entry.started if ran_s is None else ran_s
         used_us = max(1, round(used * 1e6))
         entry.queue.queue.correct(entry, used_us)
@@ -363,7 +378,7 @@
         """Return the number of queued requests of a service."""
         return sum(c.queue.count for c in self._services[service].classes)
 
-    def room(self, service, free):
+    def room(self, service, free, now):
         """Return how many further requests would start before others.
 
         Parameters
@@ -372,6 +387,8 @@
             Name of the service.
         free : int
             Free slots of this gateway.
+        now : float
+            Monotonic seconds.
 
         Returns
         -------
@@ -385,7 +402,7 @@
         for c in state.classes:
             usable = free
             if c is state.classes[-1]:
-                usable -= _shares.reserved(state.config.reserve, state.slots)
+                usable -= state.reserved(now)
             due = int(c.share * state.slots) - c.running
             room[c.name] = max(0, usable, due) - c.queue.count
             room[c.name] = max(0, room[c.name])
--- a/src/citrondeal/admission/_shares.py
+++ b/src/citrondeal/admission/_shares.py
@@ -61,7 +61,16 @@
     return 0 if slots < 2 else math.ceil(reserve * slots - 1e-9)
 
 
-def choose(states, slots, reserve, free):
+def slow(running, slots, released_per_s, limit_s):
+    """Return whether slots become free more rarely than every `limit_s`.
+
+    By Little's law the mean time in a slot is ``running / released_per_s``;
+    with all slots in use one becomes free every ``1 / slots`` of it.
+    """
+    return running > released_per_s * slots * limit_s
+
+
+def choose(states, slots, reserved_slots, free):
     """Return the class that gets the next free slot, or None.
 
     Parameters
@@ -70,8 +79,8 @@
         Classes, most urgent first.
     slots : int
         Slots of this gateway.
-    reserve : float
-        Part of the slots that the last class leaves free.
+    reserved_slots : int
+        Slots that the last class leaves free.
     free : int
         Free slots, including the one to be given.
     """
@@ -86,7 +95,7 @@
             if best is None or filled < best[0]:
                 best = (filled, state)
         elif spare is None and (
-            state is not states[-1] or free > reserved(reserve, slots)
+            state is not states[-1] or free > reserved_slots
         ):
             spare = state
     return best[1] if best is not None else spare
--- a/src/citrondeal/routing/_peers.py
+++ b/src/citrondeal/routing/_peers.py
@@ -17,9 +17,11 @@
         self.reported_at = None
         # Keys ``service/class`` that the peer refused since its report.
         self.refused = set()
-        # By ``service``: forwards that the report cannot count yet, by key
-        # with the time at which they were sent.
+        # By service: forwards that the report cannot count yet, by key
+        # with the time at which they were sent, and slots that the report
+        # counts as used by forwards that have ended since.
         self.uncounted = {}
+        self.returned = {}
         self.in_flight = 0
         # Last report that was sent to the peer.
         self.sent_at = None
@@ -68,6 +70,7 @@
         state.draining = draining
         state.reported_at = now - delay
         state.refused.clear()
+        state.returned.clear()
         # The report counts forwards that had arrived when it was sent.
         for sent in state.uncounted.values():
             arrived = [k for k, at in sent.items() if at + 2 * delay <= now]
@@ -130,9 +133,11 @@
             return False
         state, service, request_class = forward
         state.in_flight -= 1
-        state.uncounted.get(service, {}).pop(key, None)
+        sent = state.uncounted.get(service, {}).pop(key, None)
         if refused:
             state.refused.add(f"{service}/{request_class}")
+        elif sent is None:
+            state.returned[service] = state.returned.get(service, 0) + 1
         return True
 
     def reports(self, free, queued, now):
@@ -222,16 +227,17 @@
     def _room(self, state, service, request_class, wait_s, now):
         """Return the requests that may still be forwarded to a peer."""
         room = state.free.get(f"{service}/{request_class}", 0)
-        if room < 1:
-            return 0
+        returned = state.returned.get(service, 0)
         if (
             not state.free.get(service, 0)
             and wait_s * 1000.0 <= self._config.queue_price_ms
         ):
-            return 0
-        fresh = max(0.0, 1.0 - self._age(state, now))
-        room = max(1, int(room * self._config.spread * fresh))
-        return max(0, room - len(state.uncounted.get(service, ())))
+            room = 0
+        if room:
+            fresh = 1.0 - self._age(state, now)
+            room = max(1, int(room * self._config.spread * fresh))
+        uncounted = len(state.uncounted.get(service, ()))
+        return max(0, room + returned - uncounted)
 
     def _pressure(self, state, service):
         """Return the queue of a peer, or 0 if it gets nothing blindly."""
