--- a/src/citrondeal/admission/_fair.py
+++ b/src/citrondeal/admission/_fair.py
@@ -68,9 +68,9 @@
 
     __slots__ = (
         "cost_us",
+        "dispatched",
         "finish",
         "name",
-        "order",
         "own",
         "forwarded",
         "tag",
@@ -78,10 +78,10 @@
         "weight",
     )
 
-    def __init__(self, name, weight, order):
+    def __init__(self, name, weight):
         self.name = name
         self.weight = weight
-        self.order = order
+        self.dispatched = 0
         self.own = collections.OrderedDict()
         self.forwarded = collections.OrderedDict()
         self.tag = 0
@@ -178,8 +178,7 @@
                 del self._teams[old]
             elif name != OVERFLOW:
                 return self.team(OVERFLOW)
-        self._orders += 1
-        team = Team(name, self.weights.get(name, 1), self._orders)
+        team = Team(name, self.weights.get(name, 1))
         self._teams[name] = team
         self._idle[name] = None
         return team
@@ -234,7 +233,7 @@
         self._account(team, entry, -1)
         if not team.units:
             self.active_weight -= team.weight
-            if team.finish <= self.virtual:
+            if team.finish <= self.virtual and not team.dispatched:
                 del self._teams[team.name]
             else:
                 self._idle[team.name] = None
@@ -250,7 +249,7 @@
         """
         heap = self._heaps[own_only]
         while heap:
-            tag, _, team = heap[0]
+            tag, _, _, team = heap[0]
             if team.tag == tag and team.has(own_only):
                 if own_only:
                     return next(iter(team.own.values()))
@@ -267,15 +266,14 @@
         team = entry.team
         self.virtual = max(self.virtual, team.tag)
         team.finish = team.tag + entry.cost_us * SCALE // team.weight
+        team.dispatched += 1
         self.discard(entry)
         self._retag(team)
 
     def correct(self, entry, actual_us):
         """Replace the charged estimate by the actual slot time."""
-        team = self._teams.get(entry.team.name)
-        if team is None:
-            # The table was full and the idle team was forgotten.
-            return
+        team = entry.team
+        team.dispatched -= 1
         delta = (actual_us - entry.cost_us) * SCALE // team.weight
         limit = self.virtual + DEBT_LIMIT_S * 1_000_000 * SCALE // team.weight
         team.finish = min(limit, team.finish + delta)
@@ -294,13 +292,19 @@
         self._sizes.set(team.name, -(-team.units // team.weight))
 
     def _push(self, team):
-        heapq.heappush(self._heaps[0], (team.tag, team.order, team))
+        self._orders += 1
+        heapq.heappush(
+            self._heaps[0], (team.tag, team.name, self._orders, team)
+        )
         self._compact(0)
         if team.own:
             self._push_own(team)
 
     def _push_own(self, team):
-        heapq.heappush(self._heaps[1], (team.tag, team.order, team))
+        self._orders += 1
+        heapq.heappush(
+            self._heaps[1], (team.tag, team.name, self._orders, team)
+        )
         self._compact(1)
 
     def _compact(self, index):
@@ -309,5 +313,5 @@
         heap = self._heaps[index]
         if len(heap) > 64 + 4 * len(self._teams):
             teams = [t for t in self._teams.values() if t.has(bool(index))]
-            heap[:] = [(t.tag, t.order, t) for t in teams]
+            heap[:] = [(t.tag, t.name, n, t) for n, t in enumerate(teams)]
             heapq.heapify(heap)
--- a/src/citrondeal/admission/_model.py
+++ b/src/citrondeal/admission/_model.py
@@ -21,15 +21,19 @@
         Part of the slots, 0 to 1, that low-class work above its guaranteed
         share leaves free, so that urgent work finds a slot while others
         are full of long low-class work.
+    reserve_long : float
+        Reserve while low-class work is long.  Urgent and normal work
+        then cannot use the slots of low-class work for a while, so that
+        the reserve must cover the variation of their own number.
     urgent_wait_s : float
-        Target for the wait of urgent work, seconds.  The reserve is in
-        force while the expected time between two slots that become free
-        exceeds it; otherwise urgent work gets the next slot in time.
+        Target for the wait of urgent work, seconds.  `reserve_long` is
+        in force while slots full of low-class work would become free
+        more rarely than this.
     flood_wait_s : float
-        The reserve is also in force while low-class work floods, in
-        proportion to its expected wait, seconds, and fully from this wait
-        on.  A shorter queue is ordinary high load, at which a reserve
-        would make the queue of low-class work grow without bound.
+        `reserve` is in force while low-class work floods, in proportion
+        to its expected wait, seconds, and fully from this wait on.  A
+        shorter queue is ordinary high load, at which a full reserve would
+        make the queue of low-class work grow without bound.
     queue_count : int
         Bound on queued requests.
     queue_bytes : int
@@ -51,7 +55,8 @@
     share_urgent: float = 0.4
     share_normal: float = 0.4
     share_low: float = 0.2
-    reserve: float = 0.1
+    reserve: float = 0.15
+    reserve_long: float = 0.4
     urgent_wait_s: float = 0.02
     flood_wait_s: float = 2.0
     queue_count: int = 2000
@@ -67,8 +72,8 @@
         shares = self.shares
         if min(shares) < 0 or sum(shares) > 1 + 1e-9:
             raise ValueError("shares must be at least 0 and at most 1 in sum")
-        if not 0 <= self.reserve < 1:
-            raise ValueError("reserve must be at least 0 and below 1")
+        if not (0 <= self.reserve < 1 and 0 <= self.reserve_long < 1):
+            raise ValueError("reserves must be at least 0 and below 1")
         if any(weight < 1 for weight in self.team_weights.values()):
             raise ValueError("team weights must be at least 1")
 
--- a/src/citrondeal/admission/_queues.py
+++ b/src/citrondeal/admission/_queues.py
@@ -25,6 +25,7 @@
         self.time = _estimate.ServiceTime()
         self.retries = _estimate.RetryBudget(config, now)
         self.advanced_at = now
+        # Slots that low-class work frees.
         self.released = _estimate.Rate()
         self.classes = [
             _shares.ClassState(
@@ -45,12 +46,12 @@
         """Return the slots that low-class work leaves free now."""
         config = self.config
         if _shares.slow(
-            sum(c.running for c in self.classes),
+            self.classes[-1].running,
             self.slots,
             self.released.value(now),
             config.urgent_wait_s,
         ):
-            return _shares.reserved(config.reserve, self.slots)
+            return _shares.reserved(config.reserve_long, self.slots)
         wait = self.class_wait_s(self.classes[-1], now)
         flood = min(1.0, wait / config.flood_wait_s)
         return _shares.reserved(config.reserve * flood, self.slots)
@@ -280,7 +281,7 @@
         service = self._services[entry.request.service]
         service.advance(now)
         self._release(entry)
-        if not entry.remote:
+        if not entry.remote and entry.queue is service.classes[-1]:
             service.released.observe(now)
         used = now - entry.started if ran_s is None else ran_s
         used_us = max(1, round(used * 1e6))
--- a/src/citrondeal/admission/_shares.py
+++ b/src/citrondeal/admission/_shares.py
@@ -63,10 +63,11 @@
 
 
 def slow(running, slots, released_per_s, limit_s):
-    """Return whether slots become free more rarely than every `limit_s`.
+    """Return whether a class would free a slot more rarely than `limit_s`.
 
-    By Little's law the mean time in a slot is ``running / released_per_s``;
-    with all slots in use one becomes free every ``1 / slots`` of it.
+    By Little's law its mean time in a slot is ``running /
+    released_per_s``; if it held all slots, one would become free every
+    ``1 / slots`` of that.
     """
     return running > released_per_s * slots * limit_s
 
--- /dev/null
+++ b/src/citrondeal/admission/tests/admission.feature
@@ -0,0 +1,56 @@
+Feature: admission
+  # Guards against lost or doubly dispatched requests, shares that a flood
+  # takes away, bounds that are exceeded and refusals without a reason.
+
+  Scenario: admission decides as the naive version
+    Then admission agrees with the naive version
+
+  # Guards against a comparison that cannot fail.
+  Scenario Outline: admission comparison detects a fault
+    Given admission with the fault "<fault>"
+    Then admission differs from the naive version
+
+    Examples:
+      | fault                          |
+      | guaranteed shares are ignored  |
+      | the reserve is ignored         |
+      | removed requests stay queued   |
+      | any class is evicted           |
+      | deadlines are ignored on offer |
+      | long requests are not charged  |
+      | forwarded requests are sent on |
+      | a refused forward is lost      |
+      | units are not returned         |
+
+  Scenario Outline: admission keeps shares during a flood
+    When admission is flooded by "<flood>" requests
+    Then admission gives "<one>" at least 0.95 of its share
+    And admission gives "<other>" at least 0.95 of its share
+
+    Examples:
+      | flood  | one    | other  |
+      | low    | urgent | normal |
+      | normal | urgent | low    |
+      | urgent | normal | low    |
+
+  # Guards against a team that pays for less slot time than it uses.
+  Scenario: admission shares slot time between teams by weight
+    When admission serves teams of weight 1 and 3, the first with long work
+    Then admission gave the teams slot time of 1 to 3 within 5 percent
+
+  # Guards against retries that amplify an overload.
+  Scenario: admission bounds retries
+    Then admission allows 1 retry at once and 10 more after 100 successes
+    And admission allows at most the burst after a long time
+
+  # Guards against caller-chosen team names that use up memory.
+  Scenario: admission bounds the state of teams
+    Then admission keeps the state of at most 1025 teams
+
+  # Guards against cancelled requests that stay in internal tables.
+  Scenario: admission bounds its tables when requests are cancelled
+    Then admission tables stay small after 5000 cancelled requests
+
+  # Guards against one service that takes the room of the others.
+  Scenario: admission gives each service its part of the total
+    Then admission evicts from the largest service for the smallest
--- a/src/citrondeal/routing/_endpoints.py
+++ b/src/citrondeal/routing/_endpoints.py
@@ -83,8 +83,8 @@
         self._config = config
         self._states = {}
         self._attempts = {}
-        # By service: heap of (part of slots in use, turn, order, version,
-        # state).
+        # By service: heap of (part of slots in use, turn, id, order,
+        # version, state).
         self._ready = {}
         self._free = {}
         self._slots = {}
@@ -265,11 +265,18 @@
         heap = self._ready.setdefault(service, [])
         load = state.attempts / state.info.slots
         self._orders += 1
-        item = (load, state.turn, self._orders, state.version, state)
+        item = (
+            load,
+            state.turn,
+            state.info.id,
+            self._orders,
+            state.version,
+            state,
+        )
         heapq.heappush(heap, item)
         # Outdated items go once they are the majority.
         if len(heap) > 64 + 4 * len(self._states):
-            heap[:] = [item for item in heap if item[3] == item[4].version]
+            heap[:] = [item for item in heap if item[4] == item[5].version]
             heapq.heapify(heap)
 
     def _forget(self, state):
