--- a/src/citrondeal/admission/_queues.py
+++ b/src/citrondeal/admission/_queues.py
@@ -25,6 +25,8 @@
         self.time = _estimate.ServiceTime()
         self.retries = _estimate.RetryBudget(config, now)
         self.advanced_at = now
+        # Slots that low-class work frees.
+        self.released = _estimate.Rate()
         self.classes = [
             _shares.ClassState(
                 name, rank, share, _fair.FairQueue(config.team_weights)
@@ -40,6 +42,31 @@
             _shares.advance(self.classes, self.slots, elapsed)
             self.advanced_at = now
 
+    def reserved(self, now):
+        """Return the slots that low-class work leaves free now."""
+        config = self.config
+        if _shares.slow(
+            self.classes[-1].running,
+            self.slots,
+            self.released.value(now),
+            config.urgent_wait_s,
+        ):
+            return _shares.reserved(config.reserve_long, self.slots)
+        wait = self.class_wait_s(self.classes[-1], now)
+        flood = min(1.0, wait / config.flood_wait_s)
+        return _shares.reserved(config.reserve * flood, self.slots)
+
+    def class_wait_s(self, state, now):
+        """Return the expected wait behind the whole queue of a class."""
+        return _shares.wait_s(
+            self.classes,
+            state,
+            self.slots,
+            state.queue.cost_us,
+            self.time.us,
+            now,
+        )
+
     def wait_s(self, state, team, now):
         ahead = state.queue.backlog_us(team)
         if not ahead:
@@ -208,7 +235,7 @@
                 chosen = None
             else:
                 chosen = _shares.choose(
-                    state.classes, state.slots, state.config.reserve, free
+                    state.classes, state.slots, state.reserved(now), free
                 )
             entry = chosen and chosen.queue.head(remote)
             if entry is None:
@@ -254,6 +281,8 @@
         service = self._services[entry.request.service]
         service.advance(now)
         self._release(entry)
+        if not entry.remote and entry.queue is service.classes[-1]:
+            service.released.observe(now)
         used = now - entry.started if ran_s is None else ran_s
         used_us = max(1, round(used * 1e6))
         entry.queue.queue.correct(entry, used_us)
@@ -354,7 +383,7 @@
         """
         state = self._services[service]
         return [
-            (c.name, self._class_wait(state, c, now))
+            (c.name, state.class_wait_s(c, now))
             for c in state.classes
             if c.queue.own_count
         ]
@@ -363,7 +392,7 @@
         """Return the number of queued requests of a service."""
         return sum(c.queue.count for c in self._services[service].classes)
 
-    def room(self, service, free):
+    def room(self, service, free, now):
         """Return how many further requests would start before others.
 
         Parameters
@@ -372,6 +401,8 @@
             Name of the service.
         free : int
             Free slots of this gateway.
+        now : float
+            Monotonic seconds.
 
         Returns
         -------
@@ -385,7 +416,7 @@
         for c in state.classes:
             usable = free
             if c is state.classes[-1]:
-                usable -= _shares.reserved(state.config.reserve, state.slots)
+                usable -= state.reserved(now)
             due = int(c.share * state.slots) - c.running
             room[c.name] = max(0, usable, due) - c.queue.count
             room[c.name] = max(0, room[c.name])
@@ -414,16 +445,6 @@
             },
         }
 
-    def _class_wait(self, service, state, now):
-        return _shares.wait_s(
-            service.classes,
-            state,
-            service.slots,
-            state.queue.cost_us,
-            service.time.us,
-            now,
-        )
-
     def _make_room(self, service, state, entry):
         """Evict for an entry; returns the refusals, or None if refused.
 
--- a/src/citrondeal/admission/_shares.py
+++ b/src/citrondeal/admission/_shares.py
@@ -58,10 +58,21 @@
 
     With a single slot there is nothing to reserve.
     """
-    return 0 if slots < 2 else math.ceil(reserve * slots - 1e-9)
+    # A tenth of a slot is not worth a whole one at low reserves.
+    return 0 if slots < 2 else math.ceil(reserve * slots - 0.1)
 
 
-def choose(states, slots, reserve, free):
+def slow(running, slots, released_per_s, limit_s):
+    """Return whether a class would free a slot more rarely than `limit_s`.
+
+    By Little's law its mean time in a slot is ``running /
+    released_per_s``; if it held all slots, one would become free every
+    ``1 / slots`` of that.
+    """
+    return running > released_per_s * slots * limit_s
+
+
+def choose(states, slots, reserved_slots, free):
     """Return the class that gets the next free slot, or None.
 
     Parameters
@@ -70,8 +81,8 @@
         Classes, most urgent first.
     slots : int
         Slots of this gateway.
-    reserve : float
-        Part of the slots that the last class leaves free.
+    reserved_slots : int
+        Slots that the last class leaves free.
     free : int
         Free slots, including the one to be given.
     """
@@ -86,7 +97,7 @@
             if best is None or filled < best[0]:
                 best = (filled, state)
         elif spare is None and (
-            state is not states[-1] or free > reserved(reserve, slots)
+            state is not states[-1] or free > reserved_slots
         ):
             spare = state
     return best[1] if best is not None else spare
--- a/src/citrondeal/routing/_peers.py
+++ b/src/citrondeal/routing/_peers.py
@@ -17,9 +17,11 @@
         self.reported_at = None
         # Keys ``service/class`` that the peer refused since its report.
         self.refused = set()
-        # By ``service``: forwards that the report cannot count yet, by key
-        # with the time at which they were sent.
+        # By service: forwards that the report cannot count yet, by key
+        # with the time at which they were sent, and slots that the report
+        # counts as used by forwards that have ended since.
         self.uncounted = {}
+        self.returned = {}
         self.in_flight = 0
         # Last report that was sent to the peer.
         self.sent_at = None
@@ -47,9 +49,14 @@
         self._rng = rng
         self._peers = {}
         self._forwards = {}
+        # Arguments for which no peer was found since the last event that
+        # can change that.  Time alone only ages reports, and a forward
+        # only takes room, so the answer stays the same.
+        self._without = set()
 
     def update(self, peers):
         """Replace the list of peers: process to ``(zone, region)``."""
+        self._without.clear()
         for process in [p for p in self._peers if p not in peers]:
             del self._peers[process]
         for process, (zone, region) in peers.items():
@@ -62,12 +69,14 @@
         state = self._peers.get(process)
         if state is None:
             return
+        self._without.clear()
         delay = self._delay(state)
         state.free = free
         state.queued = queued
         state.draining = draining
         state.reported_at = now - delay
         state.refused.clear()
+        state.returned.clear()
         # The report counts forwards that had arrived when it was sent.
         for sent in state.uncounted.values():
             arrived = [k for k, at in sent.items() if at + 2 * delay <= now]
@@ -89,30 +98,20 @@
         now : float
             Monotonic seconds.
         """
-        tiers = ([], [], [])
-        for state in self._peers.values():
-            if self._open(state, service, request_class, now):
-                tiers[self._tier(state)].append(state)
-        local = own_slots or tiers[0] or tiers[1]
-        if wait_s * 1000.0 <= self._config.region_price_ms and local:
-            tiers = tiers[:2]
-        for tier in tiers:
-            rooms = [
-                self._room(state, service, request_class, wait_s, now)
-                for state in tier
-            ]
-            if any(rooms):
-                (state,) = self._rng.choices(tier, rooms)
-                return self._place(state)
-        if own_slots:
+        wait_ms = wait_s * 1000.0
+        question = (
+            service,
+            request_class,
+            wait_ms > self._config.region_price_ms,
+            wait_ms > self._config.queue_price_ms,
+            own_slots > 0,
+        )
+        if question in self._without:
             return None
-        for tier in tiers:
-            blind = [s for s in tier if self._pressure(s, service)]
-            if blind:
-                return self._place(
-                    min(blind, key=lambda s: self._pressure(s, service))
-                )
-        return None
+        place = self._choose(service, request_class, wait_s, own_slots, now)
+        if place is None:
+            self._without.add(question)
+        return place
 
     def start(self, key, process, service, request_class, now):
         """Note that a request is forwarded."""
@@ -128,11 +127,14 @@
         forward = self._forwards.pop(key, None)
         if forward is None:
             return False
+        self._without.clear()
         state, service, request_class = forward
         state.in_flight -= 1
-        state.uncounted.get(service, {}).pop(key, None)
+        sent = state.uncounted.get(service, {}).pop(key, None)
         if refused:
             state.refused.add(f"{service}/{request_class}")
+        elif sent is None:
+            state.returned[service] = state.returned.get(service, 0) + 1
         return True
 
     def reports(self, free, queued, now):
@@ -186,6 +188,32 @@
             for s in self._peers.values()
         }
 
+    def _choose(self, service, request_class, wait_s, own_slots, now):
+        tiers = ([], [], [])
+        for state in self._peers.values():
+            if self._open(state, service, request_class, now):
+                tiers[self._tier(state)].append(state)
+        local = own_slots or tiers[0] or tiers[1]
+        if wait_s * 1000.0 <= self._config.region_price_ms and local:
+            tiers = tiers[:2]
+        for tier in tiers:
+            rooms = [
+                self._room(state, service, request_class, wait_s, now)
+                for state in tier
+            ]
+            if any(rooms):
+                (state,) = self._rng.choices(tier, rooms)
+                return self._place(state)
+        if own_slots:
+            return None
+        for tier in tiers:
+            blind = [s for s in tier if self._pressure(s, service)]
+            if blind:
+                return self._place(
+                    min(blind, key=lambda s: self._pressure(s, service))
+                )
+        return None
+
     def _tier(self, state):
         if state.region != self._region:
             return 2
@@ -222,16 +250,17 @@
     def _room(self, state, service, request_class, wait_s, now):
         """Return the requests that may still be forwarded to a peer."""
         room = state.free.get(f"{service}/{request_class}", 0)
-        if room < 1:
-            return 0
+        returned = state.returned.get(service, 0)
         if (
             not state.free.get(service, 0)
             and wait_s * 1000.0 <= self._config.queue_price_ms
         ):
-            return 0
-        fresh = max(0.0, 1.0 - self._age(state, now))
-        room = max(1, int(room * self._config.spread * fresh))
-        return max(0, room - len(state.uncounted.get(service, ())))
+            room = 0
+        if room:
+            fresh = 1.0 - self._age(state, now)
+            room = max(1, int(room * self._config.spread * fresh))
+        uncounted = len(state.uncounted.get(service, ()))
+        return max(0, room + returned - uncounted)
 
     def _pressure(self, state, service):
         """Return the queue of a peer, or 0 if it gets nothing blindly."""
