--- a/src/citrondeal/gateway/main.py
+++ b/src/citrondeal/gateway/main.py
@@ -353,7 +353,7 @@
                 count = 0
             free[service] = count
             queued[service] = self._queues.queued(service)
-            room = self._queues.room(service, count)
+            room = self._queues.room(service, count, now)
             for name, places in room.items():
                 free[f"{service}/{name}"] = places
         return free, queued
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -18,6 +18,7 @@
 import httpcore
 
 HOST = "127.0.0.1"
+LOG_TAIL = 3000  # characters of a log shown after a failure
 START_LIMIT = 20.0  # seconds until a process must serve
 ENDPOINT_SLOTS = 8
 ENDPOINT_CONNECTIONS = 64
@@ -219,10 +220,35 @@
                 process.kill()
                 process.wait()
             process.stdout.close()
+        self._standins.clear()
         self.http.close()
-        self._folder.cleanup()
         return statuses
 
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *exc_info):
+        """Kill what still runs, so that a failed run leaves nothing."""
+        if exc_info[0] is not None:
+            time.sleep(0.5)
+            self._print_dead()
+        for daemon in self.daemons.values():
+            if daemon.process is not None:
+                self.kill(daemon)
+        for process in self._standins:
+            process.kill()
+            process.wait()
+        self._folder.cleanup()
+
+    def _print_dead(self):
+        """Show the last log lines of daemons that ended by themselves."""
+        for daemon in self.daemons.values():
+            if (daemon.process is not None) and (
+                daemon.process.poll() is not None
+            ):
+                text = (self.path / f"{daemon.name}.log").read_text()
+                print(f"{daemon.name} ended:\n{text[-LOG_TAIL:]}")
+
     # Single processes.
 
     def launch(self, daemon):
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -9,6 +9,7 @@
 
 import collections
 import json
+import math
 import random
 import uuid
 
@@ -74,7 +75,7 @@
                 self.counts["expired"] += 1
                 continue
             task.done_s += elapsed_s * task.rate
-            if task.done_s >= task.spec["run_time_s"] > 0:
+            if task.done_s >= (task.spec["run_time_s"] or math.inf):
                 task.state = "finished"
                 self.counts["finished"] += 1
 
