--- a/demo/jobs.py
+++ b/demo/jobs.py
@@ -124,16 +124,9 @@
         return sum(t["state"] == "running" for t in status["task_states"])
 
     def _status(self, job_id):
-        """Ask the owner of the zone's pool, which knows the tasks."""
-        zone = self._jobs[job_id][0].zone.name
-        best = None
-        for scheduler in self._cell.select("scheduler", zone):
-            status = self._cell.get(scheduler.http, f"/v1/jobs/{job_id}")
-            if "task_states" not in status:
-                continue
-            if best is None or status.get("owner"):
-                best = status
-        return best or {"state": "missing", "task_states": []}
+        scheduler, _ = self._jobs[job_id]
+        status = self._cell.get(scheduler.http, f"/v1/jobs/{job_id}")
+        return {"state": "missing", "task_states": [], **status}
 
     def _is_settled(self, state, tasks):
         if state in ENDED:
--- a/src/citrondeal/peers/_codec.py
+++ b/src/citrondeal/peers/_codec.py
@@ -109,6 +109,8 @@
     ttypes.Ok: "ok",
     ttypes.IntentReply: "intent_reply",
     ttypes.Handover: "handover",
+    ttypes.JobQuery: "job_query",
+    ttypes.Document: "document",
 }
 
 
--- a/src/citrondeal/peers/gen/peers/ttypes.py
+++ b/src/citrondeal/peers/gen/peers/ttypes.py
@@ -2073,6 +2073,142 @@
         return not (self == other)
 
 
+class JobQuery(object):
+    """
+    Attributes:
+     - job_id
+
+    """
+
+    __slots__ = (
+        'job_id',
+    )
+
+
+    def __init__(self, job_id=None,):
+        self.job_id = job_id
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.job_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('JobQuery')
+        if self.job_id is not None:
+            oprot.writeFieldBegin('job_id', TType.STRING, 1)
+            oprot.writeString(self.job_id.encode('utf-8') if sys.version_info[0] == 2 else self.job_id)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Document(object):
+    """
+    Attributes:
+     - text
+
+    """
+
+    __slots__ = (
+        'text',
+    )
+
+
+    def __init__(self, text=None,):
+        self.text = text
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.text = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Document')
+        if self.text is not None:
+            oprot.writeFieldBegin('text', TType.STRING, 1)
+            oprot.writeBinary(self.text)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Ok(object):
 
     __slots__ = (
@@ -2141,6 +2277,8 @@
      - ok
      - intent_reply
      - handover
+     - job_query
+     - document
 
     """
 
@@ -2160,10 +2298,12 @@
         'ok',
         'intent_reply',
         'handover',
+        'job_query',
+        'document',
     )
 
 
-    def __init__(self, hello=None, fault=None, forward=None, reply=None, intent=None, claim=None, claim_reply=None, promise=None, promise_reply=None, load=None, records=None, records_reply=None, ok=None, intent_reply=None, handover=None,):
+    def __init__(self, hello=None, fault=None, forward=None, reply=None, intent=None, claim=None, claim_reply=None, promise=None, promise_reply=None, load=None, records=None, records_reply=None, ok=None, intent_reply=None, handover=None, job_query=None, document=None,):
         self.hello = hello
         self.fault = fault
         self.forward = forward
@@ -2179,6 +2319,8 @@
         self.ok = ok
         self.intent_reply = intent_reply
         self.handover = handover
+        self.job_query = job_query
+        self.document = document
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2279,6 +2421,18 @@
                     self.handover.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.job_query = JobQuery()
+                    self.job_query.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.document = Document()
+                    self.document.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2349,6 +2503,14 @@
             oprot.writeFieldBegin('handover', TType.STRUCT, 15)
             self.handover.write(oprot)
             oprot.writeFieldEnd()
+        if self.job_query is not None:
+            oprot.writeFieldBegin('job_query', TType.STRUCT, 16)
+            self.job_query.write(oprot)
+            oprot.writeFieldEnd()
+        if self.document is not None:
+            oprot.writeFieldBegin('document', TType.STRUCT, 17)
+            self.document.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2615,6 +2777,16 @@
     None,  # 0
     (1, TType.STRING, 'state', 'BINARY', None, ),  # 1
 )
+all_structs.append(JobQuery)
+JobQuery.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'job_id', 'UTF8', None, ),  # 1
+)
+all_structs.append(Document)
+Document.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'text', 'BINARY', None, ),  # 1
+)
 all_structs.append(Ok)
 Ok.thrift_spec = (
 )
@@ -2636,6 +2808,8 @@
     (13, TType.STRUCT, 'ok', [Ok, None], None, ),  # 13
     (14, TType.STRUCT, 'intent_reply', [IntentReply, None], None, ),  # 14
     (15, TType.STRUCT, 'handover', [Handover, None], None, ),  # 15
+    (16, TType.STRUCT, 'job_query', [JobQuery, None], None, ),  # 16
+    (17, TType.STRUCT, 'document', [Document, None], None, ),  # 17
 )
 all_structs.append(Message)
 Message.thrift_spec = (
--- a/src/citrondeal/peers/peers.thrift
+++ b/src/citrondeal/peers/peers.thrift
@@ -147,6 +147,16 @@
   1: binary state
 }
 
+// Asks the owner of a pool for the state of a job.
+struct JobQuery {
+  1: string job_id
+}
+
+// JSON text of an answer that is passed on unchanged.
+struct Document {
+  1: binary text
+}
+
 struct Ok {
 }
 
@@ -166,6 +176,8 @@
   13: Ok ok
   14: IntentReply intent_reply
   15: Handover handover
+  16: JobQuery job_query
+  17: Document document
 }
 
 // call pairs a reply with its request; 0 needs no reply.
--- a/src/citrondeal/scheduler/main.py
+++ b/src/citrondeal/scheduler/main.py
@@ -1,6 +1,7 @@
 """Entry point of ``citrondeal-scheduler``."""
 
 import functools
+import json
 import logging
 import math
 import sys
@@ -28,6 +29,7 @@
 USAGE = "usage: citrondeal-scheduler SETTINGS.ini"
 # Time for the release of the pool to be read back from the log.
 RELEASE_S = 3.0
+QUERY_S = 1.0  # for the owner's answer about a job
 
 _LOG = logging.getLogger(__name__)
 
@@ -219,8 +221,35 @@
     async def _answer(self, peer, value):
         if isinstance(value, ttypes.Promise):
             return self._leases.answer_promise(value)
+        if isinstance(value, ttypes.JobQuery):
+            return self._answer_query(value)
         return ttypes.Fault(kind="protocol", message="unexpected message")
 
+    def _answer_query(self, message):
+        status = self._owner.status(message.job_id)
+        if status is None or not self._owner.owned:
+            return ttypes.Fault(kind="unavailable", message="not the owner")
+        return ttypes.Document(json.dumps(status).encode())
+
+    async def _job_status(self, job_id):
+        """Return the state of a job, with its tasks as the owner has them."""
+        own = await self._jobs.status(job_id)
+        if own.is_err() or self._owner.owned:
+            return own
+        holder = self._leases.group.holder_of(self._resource)
+        vm = self._directory.get(holder[0]) if holder else None
+        if vm is None:
+            return own
+        try:
+            reply = await self._links.call(
+                vm.peer, ttypes.JobQuery(job_id), QUERY_S
+            )
+        except peers.PeerError:
+            return own
+        if isinstance(reply, ttypes.Document):
+            return result.Ok(json.loads(reply.text))
+        return own
+
     def _backend(self):
         views = api.tree_views(lambda: self._settings.tree)
         return operators.Backend(
@@ -228,7 +257,7 @@
             edit=self._edits.edit,
             submit=self._jobs.submit,
             jobs=self._jobs.listing,
-            job=self._jobs.status,
+            job=self._job_status,
             cancel=self._jobs.cancel,
             live=_live,
             ready=self._ready,
