--- a/src/citrondeal/operators/tests/fake.py
+++ b/src/citrondeal/operators/tests/fake.py
@@ -148,7 +148,7 @@
             return _OK
 
         return operators.Backend(
-            **api.tree_views(tree),
+            **api.tree_views(lambda: tree),
             edit=edit,
             submit=submit,
             jobs=jobs,
