--- a/src/citrondeal/platform/_vms.py
+++ b/src/citrondeal/platform/_vms.py
@@ -3,9 +3,11 @@
 import dataclasses
 import json
 import logging
+from typing import Annotated
 from typing import Literal
 
-import pydantic
+import msgspec
+import msgspec.structs
 import result
 
 from citrondeal import errors
@@ -14,6 +16,8 @@
 
 TIMEOUT = 2.0  # seconds for one read of the list
 
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -53,10 +57,10 @@
     accelerators: int = 0
 
 
-class _VmModel(pydantic.BaseModel):
+class _VmModel(msgspec.Struct):
     """Validates a row as the platform sends it; other fields are ignored."""
 
-    id: str = pydantic.Field(min_length=1, max_length=128)
+    id: Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
     kind: Literal["endpoint", "worker", "entry"]
     zone: str
     region: str
@@ -66,11 +70,11 @@
     http: str = ""
     peer: str = ""
     service: str = ""
-    slots: int = pydantic.Field(0, ge=0)
-    connections: int = pydantic.Field(0, ge=0)
-    cores: float = pydantic.Field(0, ge=0)
-    memory_mb: int = pydantic.Field(0, ge=0)
-    accelerators: int = pydantic.Field(0, ge=0)
+    slots: _Count = 0
+    connections: _Count = 0
+    cores: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    memory_mb: _Count = 0
+    accelerators: _Count = 0
 
 
 def parse_rows(rows):
@@ -79,11 +83,11 @@
     rejected = 0
     for row in rows:
         try:
-            model = _VmModel.model_validate(row)
-        except pydantic.ValidationError:
+            model = msgspec.convert(row, _VmModel)
+        except msgspec.ValidationError:
             rejected += 1
             continue
-        vms.append(Vm(**model.model_dump()))
+        vms.append(Vm(**msgspec.structs.asdict(model)))
     return vms, rejected
 
 
