Vouch for all earlier ids at the first start of a gateway name

A resubmission needs every gateway to know that it has not handled the id. The log shows whether a name has had a predecessor; a first incarnation now vouches for any age, and nothing runs before the own heartbeat is read back.

--- a/src/citrondeal/dedup/_ledger.py
+++ b/src/citrondeal/dedup/_ledger.py
@@ -45,6 +45,10 @@
 _ELSEWHERE = (_State.FORWARDED, _State.RESOLVING)
 
 
+# Age, in seconds, beyond that of any id: ten years.
+EVER_S = 3.2e8
+
+
 class _Live:
     """The part of a record that exists only while a request is handled."""
 
@@ -174,6 +178,13 @@
     def __len__(self):
         return len(self._records)
 
+    def never_ran_before(self, now):
+        """Note that no earlier incarnation of this gateway has existed.
+
+        The memory is then complete however old an id is.
+        """
+        self._complete_since = min(self._complete_since, now - EVER_S)
+
     # The cell
 
     def set_gateways(self, gateways, now):
--- a/src/citrondeal/gateway/main.py
+++ b/src/citrondeal/gateway/main.py
@@ -33,6 +33,9 @@
 RELEASE_S = 3.0  # seconds for releases to be read back from the log
 
 
+_STARTING = ttypes.Fault(kind="unavailable", message="the gateway is starting")
+
+
 class Gateway:
     """Cores and borders of one gateway process.
 
@@ -151,6 +154,7 @@
         start_soon(self._settings.run)
         start_soon(self._flow.run)
         start_soon(self._report_load)
+        start_soon(self._watch_registration)
         start_soon(
             runtime.poll_vms, self._vm_client, self._directory, self._on_vms
         )
@@ -207,9 +211,17 @@
             "requests": self._flow.dump(),
         }
 
+    async def _watch_registration(self):
+        while not self._leases.registered:
+            await anyio.sleep(REPORT_TICK_S)
+        if self._leases.is_first:
+            self._ledger.never_ran_before(anyio.current_time())
+
     # Callers.
 
     async def _submit(self, request):
+        if not self._leases.registered:
+            return self._not_registered(request)
         values = self._settings.tree.values(f"/services/{request.service}")
         if values is None:
             return self._no_service(request)
@@ -224,6 +236,15 @@
         await request.disconnected()
         self._flow.leave(work)
 
+    def _not_registered(self, request):
+        # A successor of this process relies on the log to know that it has
+        # a predecessor, so nothing may run before the first heartbeat.
+        kind = errors.Kind.UNAVAILABLE
+        if request.attempt != 1:
+            kind = errors.Kind.UNKNOWN_OUTCOME
+        message = "the gateway is starting"
+        return result.Err(errors.Failure(kind, message, 1.0))
+
     def _no_service(self, request):
         if not self._settings.complete:
             kind = errors.Kind.UNAVAILABLE
@@ -261,14 +282,16 @@
         if isinstance(value, ttypes.Load):
             self._on_load(peer, value)
             return ttypes.Ok()
+        if isinstance(value, ttypes.Promise):
+            return self._leases.answer_promise(value)
+        if not self._leases.registered:
+            return _STARTING
         if isinstance(value, ttypes.Intent):
             return self._flow.answer_intent(value)
         if isinstance(value, ttypes.Claim):
             return self._flow.answer_claim(value)
         if isinstance(value, ttypes.Forward):
             return await self._on_forward(value)
-        if isinstance(value, ttypes.Promise):
-            return self._leases.answer_promise(value)
         if isinstance(value, ttypes.Handover):
             return self._on_handover(value)
         return ttypes.Fault(kind="protocol", message="unexpected message")
@@ -361,7 +384,11 @@
     # Changes.
 
     def _is_ready(self):
-        return self._settings.complete and bool(self._directory.updated_at)
+        return (
+            self._settings.complete
+            and self._leases.registered
+            and self._directory.updated_at is not None
+        )
 
     def _other_gateways(self):
         return [
--- a/src/citrondeal/replay/_follower.py
+++ b/src/citrondeal/replay/_follower.py
@@ -127,6 +127,11 @@
         """Whether the state includes every record below `position`."""
         return self._has_state and not self._is_seeking
 
+    @property
+    def is_from_start(self):
+        """Whether every record from offset 0 on was applied one by one."""
+        return self.complete and not self._counts["loads"]
+
     @property
     def at_tail(self):
         """Whether the last read reached the end of the stream."""
--- a/src/citrondeal/runtime/_leases.py
+++ b/src/citrondeal/runtime/_leases.py
@@ -48,6 +48,16 @@
         self._on_gained = None
         self._on_lost = None
         self._on_drain = None
+        self._is_registered = False
+        self._has_predecessor = False
+        self._replica = _replica.Replica(
+            log,
+            self._stream,
+            apply=self._apply,
+            load=self._load,
+            snapshot=group.snapshot,
+            task_group=task_group,
+        )
 
     @classmethod
     def from_config(cls, config, identity, log, pool, task_group, metrics):
@@ -76,6 +86,25 @@
         """The core, for queries."""
         return self._group
 
+    @property
+    def registered(self):
+        """Whether a heartbeat of this process has been read back."""
+        return self._is_registered
+
+    @property
+    def is_first(self):
+        """Whether no other process has ever registered under this name.
+
+        Known only if the log was read from its first record on.
+        """
+        follower = self._replica.follower
+        return (
+            self._is_registered
+            and not self._has_predecessor
+            and follower.complete
+            and follower.is_from_start
+        )
+
     def listen(self, on_gained, on_lost, on_drain):
         """Set the functions told of gained, lost and draining resources.
 
@@ -93,17 +122,9 @@
 
     async def run(self):
         """Follow the stream of the group and tick, until cancelled."""
-        replica = _replica.Replica(
-            self._log,
-            self._stream,
-            apply=self._apply,
-            load=self._load,
-            snapshot=self._group.snapshot,
-            task_group=self._task_group,
-        )
         async with anyio.create_task_group() as task_group:
             task_group.start_soon(
-                replica.run, self._after_batch, self._after_failure
+                self._replica.run, self._after_batch, self._after_failure
             )
             while True:
                 await anyio.sleep(TICK_S)
@@ -137,8 +158,18 @@
 
     def _apply(self, offset, payload):
         now = anyio.current_time()
+        self._note_name(payload)
         self._perform(self._group.on_record(offset, payload, now))
 
+    def _note_name(self, payload):
+        if not isinstance(payload, dict) or payload.get("relay_of"):
+            return
+        if payload.get("process") == self._identity.process:
+            if payload.get("incarnation") == self._identity.incarnation:
+                self._is_registered = True
+            else:
+                self._has_predecessor = True
+
     def _load(self, state):
         now = anyio.current_time()
         if state is None:
