End a throttle order when the worker lists the smaller size

Cause: the order was repeated in every exchange, and kept the worker in the group that is polled every second. Scenarios check that urgent work starts within 4 s in a full pool when the worker obeys the checkpoint, only the throttle, or only the stop.

--- a/src/citrondeal/jobs/_owner.py
+++ b/src/citrondeal/jobs/_owner.py
@@ -559,6 +559,8 @@
         place.unanswered_until = -math.inf
         if not place.throttled:
             size = tuple(map(max, size, place.size))
+        elif place.stop == "throttle" and size[0] < place.size[0]:
+            place.stop = None
         if size != place.size:
             place.size = size
             self._allot(worker, place, now)
--- a/src/citrondeal/jobs/tests/fakes.py
+++ b/src/citrondeal/jobs/tests/fakes.py
@@ -17,6 +17,7 @@
         self.tasks = {}
         self.ends = {}
         self.leaving = False
+        self.ignores = ()
         self.reboot()
 
     @property
@@ -78,8 +79,12 @@
             entry = self.tasks.get(stop["task"])
             if entry is None or entry["state"] != "running":
                 continue
+            if stop["how"] in self.ignores:
+                continue
             if stop["how"] == "checkpoint":
                 entry["state"] = "checkpointed"
+            elif stop["how"] == "throttle":
+                entry["cores"] = min(entry["cores"], 0.5)
             elif stop["how"] == "stop":
                 del self.tasks[stop["task"]]
         for task in request["ack"]:
--- a/src/citrondeal/jobs/tests/jobs.feature
+++ b/src/citrondeal/jobs/tests/jobs.feature
@@ -17,8 +17,8 @@
 
     Examples:
       | seed | count |
-      | 1    | 25    |
-      | 2    | 25    |
+      | 1    | 40    |
+      | 2    | 40    |
 
   Scenario Outline: jobs machine notices a broken rule
     # Guards against checks that pass whatever the owner does.
@@ -189,3 +189,19 @@
     When jobs appends work again and 10 s pass
     Then jobs the state of "a" is "finished"
     And jobs no worker lists a task
+
+  Scenario Outline: jobs that are urgent start in a full pool
+    # Guards against urgent work that waits longer than 4.2 s, and against
+    # more than the needed harm to other work.
+    Given jobs a scheduler that owns a pool of 1 workers
+    And jobs workers ignore "<ignored>"
+    When jobs big "a" with 2 tasks is submitted and 20 s pass
+    And jobs urgent "u" with 1 tasks is submitted and 4 s pass
+    Then jobs 1 tasks of "u" run
+    And jobs <left> tasks of "a" run
+
+    Examples:
+      | ignored             | left |
+      | nothing             | 1    |
+      | checkpoint          | 2    |
+      | checkpoint,throttle | 1    |
--- a/src/citrondeal/jobs/tests/steps.py
+++ b/src/citrondeal/jobs/tests/steps.py
@@ -119,10 +119,20 @@
     " and {seconds:g} s pass"
 )
 def submit_kind(context, kind, job, count, seconds):
-    context.log.append(fakes.submit(job, tasks=count, kind=kind))
+    fields = {
+        "big": {"cores": 2},
+        "urgent": {"priority": "urgent"},
+    }.get(kind, {"kind": kind})
+    context.log.append(fakes.submit(job, tasks=count, **fields))
     run(context, seconds)
 
 
+@given('jobs workers ignore "{orders}"')
+def ignore(context, orders):
+    for worker in context.workers:
+        worker.ignores = orders.split(",")
+
+
 @when('jobs "{job}" that must run once is submitted and {seconds:g} s pass')
 def submit_once(context, job, seconds):
     context.log.append(fakes.submit(job, once=True))
