Remember more sizes that do not fit

Cause: at 810 workers most of the time went into searches for sizes that were implied by one that had failed before, beyond the eight remembered.

--- a/src/citrondeal/jobs/_owner.py
+++ b/src/citrondeal/jobs/_owner.py
@@ -1057,14 +1057,27 @@
         """
         return self._book.refusal(job, self._pool)
 
-    def status(self, job_id):
-        """Return the status of a job and of each task, or None."""
+    def status(self, job_id, limit=1000):
+        """Return the status of a job and of its tasks, or None.
+
+        Parameters
+        ----------
+        job_id : str
+            Id of the job.
+        limit : int
+            Tasks to report on (about 100 bytes each).
+
+        Returns
+        -------
+        dict or None
+            JSON-ready; None if the job is not known.
+        """
         job = self._book.get(job_id)
         if job is None:
             return None
         status = self._book.status(job_id)
         tasks = []
-        for index, code in enumerate(job.outcomes):
+        for index, code in enumerate(job.outcomes[:limit]):
             place = self._at.get((job_id, index))
             state = _book.OUTCOMES[chr(code)]
             if place is not None:
--- a/src/citrondeal/placement/_pool.py
+++ b/src/citrondeal/placement/_pool.py
@@ -12,7 +12,7 @@
 from citrondeal.placement import _model
 
 # Sizes remembered per version as not fitting anywhere.
-_MAX_MISFITS = 8
+_MAX_MISFITS = 24
 # Jobs at the head of each queue that may get a reservation.
 _HEADS = 4
 _STARVED_PERIOD = 1.0  # seconds between two looks for such jobs
@@ -580,10 +580,21 @@
         worker = self._search(work, item.avoid)
         if worker is None and item.avoid:
             worker = self._search(work, ())
-        if worker is None and len(self._misfits) < _MAX_MISFITS:
-            self._misfits.append(size)
+        if worker is None:
+            self._add_misfit(size)
         return worker
 
+    def _add_misfit(self, size):
+        """Remember a size that does not fit, without those it implies."""
+        kept = [
+            misfit
+            for misfit in self._misfits
+            if not _model.fits(size, misfit) or (misfit[2] and not size[2])
+        ]
+        if len(kept) < _MAX_MISFITS:
+            kept.append(size)
+        self._misfits = kept
+
     def _search(self, work, avoid):
         if work.kind == "service":
             return _index.spread(
