Bound open jobs and ends that are not recorded

Cause: held jobs and, while the log is down, ends without a record had no bound. At 10,000 ends no further task is started; at 10,000 open jobs new ones are refused.

--- a/src/citrondeal/jobs/_book.py
+++ b/src/citrondeal/jobs/_book.py
@@ -31,6 +31,9 @@
     max_history : int
         Ended jobs that are remembered (about 1 kB each), so that an id can
         be recognised and its status be read.
+    max_open_jobs : int
+        Open jobs (about 1 kB each) at which further ones are refused; only
+        jobs on hold can be that many.
     max_restarts : int
         Restarts of a failed batch or gang task if the job names none.
     hold_workers : int
@@ -39,6 +42,7 @@
     """
 
     max_history: int = 2048
+    max_open_jobs: int = 10_000
     max_restarts: int = 3
     hold_workers: int = 3
 
@@ -491,6 +495,12 @@
             return errors.Failure(errors.Kind.MALFORMED, str(exc))
         if self.get(job.id) is not None:
             return None
+        if len(self._open) >= self._config.max_open_jobs:
+            return errors.Failure(
+                errors.Kind.OVERLOADED,
+                f"{len(self._open)} jobs are open",
+                retry_after_s=60.0,
+            )
         return pool.refusal(job.work, job.tasks)
 
     def status(self, job_id):
--- a/src/citrondeal/jobs/_owner.py
+++ b/src/citrondeal/jobs/_owner.py
@@ -59,6 +59,10 @@
     place_rounds : int
         Calls of `placement.Pool.place` per tick (64 starts, a few
         milliseconds each), so that a tick does not delay the event loop.
+    max_unrecorded : int
+        Ended tasks without a record (about 500 bytes each, also on the
+        workers) at which no further task is started; reached only if the
+        log is down for long.
     """
 
     task_ttl_s: float = 30.0
@@ -77,6 +81,7 @@
     checkpoint_limit_s: float = 10.0
     move_share: float = 0.25
     place_rounds: int = 4
+    max_unrecorded: int = 10_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -849,6 +854,8 @@
                 self._enqueue(job, [index], now)
         self._move(now)
         for _ in range(self._config.place_rounds):
+            if len(self._records) >= self._config.max_unrecorded:
+                break
             started = False
             for action in self._pool.place(now):
                 if isinstance(action, placement.Start):
--- a/src/citrondeal/jobs/tests/fakes.py
+++ b/src/citrondeal/jobs/tests/fakes.py
@@ -107,10 +107,9 @@
 class Scheduler:
     """An owner's view that follows the log."""
 
-    def __init__(self, log, owner_class=jobs.Owner, pool=None):
+    def __init__(self, log, owner_class=jobs.Owner, config=None):
         self.log = log
-        self.pool = pool or placement.Pool()
-        self.owner = owner_class(jobs.Book(), self.pool)
+        self.owner = owner_class(jobs.Book(), placement.Pool(), config)
         self.position = 0
         self.valid_until = None
         self.paused = False
--- a/src/citrondeal/jobs/tests/jobs.feature
+++ b/src/citrondeal/jobs/tests/jobs.feature
@@ -190,6 +190,19 @@
     Then jobs the state of "a" is "finished"
     And jobs no worker lists a task
 
+  Scenario: jobs stop to start when too many ends are not recorded
+    # Guards against memory that grows for as long as the log is down.
+    Given jobs a scheduler that owns a pool of 1 workers
+    And jobs at most 6 ends may be unrecorded
+    When jobs "a" with 40 tasks is submitted and 2 s pass
+    And jobs appends are lost
+    And jobs every task ends as "finished" and 6 s pass
+    And jobs every task ends as "finished" and 6 s pass
+    And jobs every task ends as "finished" and 6 s pass
+    Then jobs "a" was started 8 times
+    When jobs appends work again and 6 s pass
+    Then jobs 4 tasks of "a" run
+
   Scenario Outline: jobs that are urgent start in a full pool
     # Guards against urgent work that waits longer than 4.2 s, and against
     # more than the needed harm to other work.
--- a/src/citrondeal/jobs/tests/steps.py
+++ b/src/citrondeal/jobs/tests/steps.py
@@ -6,6 +6,7 @@
 from behave import then
 from behave import when
 
+from citrondeal import jobs
 from citrondeal.jobs.tests import fakes
 from citrondeal.jobs.tests import folds
 from citrondeal.jobs.tests import machine
@@ -89,8 +90,8 @@
     add_scheduler(context, 1, -math.inf)
 
 
-def add_scheduler(context, epoch, bound):
-    scheduler = fakes.Scheduler(context.log)
+def add_scheduler(context, epoch, bound, config=None):
+    scheduler = fakes.Scheduler(context.log, config=config)
     context.schedulers.insert(0, scheduler)
     scheduler.follow(context.now)
     publish(context)
@@ -127,6 +128,13 @@
     run(context, seconds)
 
 
+@given("jobs at most {count:d} ends may be unrecorded")
+def bound_unrecorded(context, count):
+    context.schedulers.clear()
+    config = jobs.OwnerConfig(max_unrecorded=count)
+    add_scheduler(context, 1, -math.inf, config)
+
+
 @given('jobs workers ignore "{orders}"')
 def ignore(context, orders):
     for worker in context.workers:
