--- a/src/citrondeal/jobs/_owner.py
+++ b/src/citrondeal/jobs/_owner.py
@@ -33,6 +33,14 @@
     min_lease_s : float
         No start is sent with less of our own validity left; the first
         renewal has to follow within this time.
+    poll_s, idle_poll_s : float
+        Period of the exchanges with a worker on which something happens,
+        and with the others.  The reply lists every task (about 115 bytes
+        each), so that one exchange per second with each of 203 workers is
+        about 340 KB/s.
+    busy_s : float
+        Time after a start, stop or end for which a worker counts as one
+        on which something happens; most faulty tasks fail within it.
     clock_age_s : float
         No start is sent on an older reading of the worker's clock, since
         the difference in rate adds up.
@@ -51,12 +59,19 @@
     place_rounds : int
         Calls of `placement.Pool.place` per tick (64 starts, a few
         milliseconds each), so that a tick does not delay the event loop.
+    max_unrecorded : int
+        Ended tasks without a record (about 500 bytes each, also on the
+        workers) at which no further task is started; reached only if the
+        log is down for long.
     """
 
     task_ttl_s: float = 30.0
     lease_margin_s: float = 0.5
     renew_after_s: float = 5.0
     min_lease_s: float = 1.0
+    poll_s: float = 1.0
+    idle_poll_s: float = 5.0
+    busy_s: float = 5.0
     clock_age_s: float = 5.0
     append_retry_s: float = 3.0
     batch_tasks: int = 200
@@ -66,6 +81,7 @@
     checkpoint_limit_s: float = 10.0
     move_share: float = 0.25
     place_rounds: int = 4
+    max_unrecorded: int = 10_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -146,12 +162,14 @@
         "acks",
         "answering",
         "boot",
+        "busy_until",
         "clock_at",
         "clock_s",
         "gone",
         "info",
         "outstanding",
         "places",
+        "polled_at",
         "read",
         "sent",
     )
@@ -168,6 +186,8 @@
         self.acks = set()
         self.outstanding = None
         self.sent = ()
+        self.polled_at = -math.inf
+        self.busy_until = -math.inf
 
 
 class Owner:
@@ -441,7 +461,10 @@
                 if place.stop != "stop":
                     self._renew(worker, place, renewals, now)
         worker.outstanding = now
+        worker.polled_at = now
         worker.sent = sent
+        if starts or stops or worker.acks:
+            worker.busy_until = now + self._config.busy_s
         return {
             "boot_id": worker.boot or "",
             "starts": starts,
@@ -569,6 +592,8 @@
         place.unanswered_until = -math.inf
         if not place.throttled:
             size = tuple(map(max, size, place.size))
+        elif place.stop == "throttle" and size[0] < place.size[0]:
+            place.stop = None
         if size != place.size:
             place.size = size
             self._allot(worker, place, now)
@@ -642,6 +667,7 @@
         task = listing["task"]
         state = listing["state"]
         name = worker.info.name
+        worker.busy_until = now + self._config.busy_s
         parts = _book.parse_task(task)
         job = self._book.get(parts[0]) if parts else None
         if job is None or parts[1] >= job.tasks:
@@ -760,6 +786,7 @@
             if place.stop is None:
                 place.stop = "checkpoint"
                 place.stop_at = now
+                place.worker.polled_at = -math.inf
         if alone:
             due = now + max(pause_s, self._config.refused_pause_s)
             entry = (due, next(self._sequence), job, None)
@@ -855,6 +882,8 @@
                 self._enqueue(job, [index], now)
         self._move(now)
         for _ in range(self._config.place_rounds):
+            if len(self._records) >= self._config.max_unrecorded:
+                break
             started = False
             for action in self._pool.place(now):
                 if isinstance(action, placement.Start):
@@ -917,6 +946,7 @@
         else:
             place.stop = "checkpoint"
         place.stop_at = now
+        place.worker.polled_at = -math.inf
 
     def _on_start(self, action, now):
         job = self._book.get(action.job)
@@ -968,6 +998,7 @@
             if place.phase in (INTENT, READY):
                 self._gone(worker, place, False, now)
             elif place.stop != "stop":
+                worker.polled_at = -math.inf
                 place.stop = action.how
                 place.stop_at = now
                 if action.how == "throttle":
@@ -1007,14 +1038,44 @@
         """Return the names of the workers to poll."""
         return [n for n, w in self._workers.items() if not w.gone]
 
-    def has_news(self, name):
-        """Return whether a worker should be polled before its period."""
-        worker = self._workers.get(name)
-        if worker is None or worker.outstanding is not None:
-            return False
+    def due(self, now):
+        """Return the workers to exchange with now.
+
+        Workers with something to tell are named at once, those on which
+        something happens every `poll_s`, the others every `idle_poll_s`.
+
+        Parameters
+        ----------
+        now : float
+            Monotonic seconds.
+
+        Returns
+        -------
+        list of str
+            Ids; workers with an exchange under way are left out.
+        """
+        names = []
+        for name, worker in self._workers.items():
+            if worker.gone or worker.outstanding is not None:
+                continue
+            age = now - worker.polled_at
+            busy = now < worker.busy_until or not worker.answering
+            period = self._config.idle_poll_s
+            if busy:
+                period = self._config.poll_s
+            if age >= period or self._has_news(worker):
+                names.append(name)
+        return names
+
+    def _has_news(self, worker):
         if not worker.answering:
             return False
-        return any(p.phase == READY for p in worker.places.values())
+        for place in worker.places.values():
+            if place.phase == READY:
+                return True
+            if place.stop is None and not self._wanted(place):
+                return True
+        return False
 
     def refusal(self, job):
         """Return why a job record cannot be accepted, or None.
@@ -1031,14 +1092,27 @@
         """
         return self._book.refusal(job, self._pool)
 
-    def status(self, job_id):
-        """Return the status of a job and of each task, or None."""
+    def status(self, job_id, limit=1000):
+        """Return the status of a job and of its tasks, or None.
+
+        Parameters
+        ----------
+        job_id : str
+            Id of the job.
+        limit : int
+            Tasks to report on (about 100 bytes each).
+
+        Returns
+        -------
+        dict or None
+            JSON-ready; None if the job is not known.
+        """
         job = self._book.get(job_id)
         if job is None:
             return None
         status = self._book.status(job_id)
         tasks = []
-        for index, code in enumerate(job.outcomes):
+        for index, code in enumerate(job.outcomes[:limit]):
             place = self._at.get((job_id, index))
             state = _book.OUTCOMES[chr(code)]
             if place is not None:
--- a/src/citrondeal/placement/_pool.py
+++ b/src/citrondeal/placement/_pool.py
@@ -2,6 +2,7 @@
 
 import collections
 import itertools
+import math
 
 from citrondeal import errors
 from citrondeal.placement import _families
@@ -11,9 +12,10 @@
 from citrondeal.placement import _model
 
 # Sizes remembered per version as not fitting anywhere.
-_MAX_MISFITS = 8
+_MAX_MISFITS = 24
 # Jobs at the head of each queue that may get a reservation.
 _HEADS = 4
+_STARVED_PERIOD = 1.0  # seconds between two looks for such jobs
 # Entries of each list in the state dump.
 _DUMP_LIMIT = 50
 
@@ -86,6 +88,7 @@
         self._quarantined = {}
         self._trials = {}
         self._reservation = None
+        self._starved_at = -math.inf
         self._holds = {}
         self._window = None
         self._window_start = 0
@@ -443,7 +446,8 @@
                     break
             else:
                 queue.tried = self._version
-        if self._reservation is None:
+        if self._reservation is None and now >= self._starved_at:
+            self._starved_at = now + _STARVED_PERIOD
             starved = self._find_starved(now)
             if starved is not None:
                 self._reserve(starved, now, actions)
@@ -576,10 +580,21 @@
         worker = self._search(work, item.avoid)
         if worker is None and item.avoid:
             worker = self._search(work, ())
-        if worker is None and len(self._misfits) < _MAX_MISFITS:
-            self._misfits.append(size)
+        if worker is None:
+            self._add_misfit(size)
         return worker
 
+    def _add_misfit(self, size):
+        """Remember a size that does not fit, without those it implies."""
+        kept = [
+            misfit
+            for misfit in self._misfits
+            if not _model.fits(size, misfit) or (misfit[2] and not size[2])
+        ]
+        if len(kept) < _MAX_MISFITS:
+            kept.append(size)
+        self._misfits = kept
+
     def _search(self, work, avoid):
         if work.kind == "service":
             return _index.spread(
