Forget released resources and space out requests to drain

Ruled out: starting forgotten resources at epoch 1 again; an old claim in flight could then match.

Conclusion: unknown resources start above the highest forgotten epoch.

--- a/src/citrondeal/ownership/_fold.py
+++ b/src/citrondeal/ownership/_fold.py
@@ -7,6 +7,8 @@
 # Incarnations remembered for duplicate detection.  Forgetting one that
 # holds nothing can only make an old process look alive for a short time.
 INCARNATION_LIMIT = 256
+# Released resources remembered; names of endpoints change over months.
+FREE_LIMIT = 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,10 +48,17 @@
     ----------
     role : str
         Records of other roles are ignored.
+    free_limit : int
+        Released resources that are remembered; the same on every replica.
     """
 
-    def __init__(self, role):
+    def __init__(self, role, free_limit=FREE_LIMIT):
         self._role = role
+        self._free_limit = free_limit
+        # Highest epoch of a forgotten resource.  Unknown resources start
+        # above it, so that no epoch of a resource is used twice.
+        self.floor = 0
+        self._free = 0
         self.leases = {}
         self.incarnations = {}
         self.position = 0
@@ -94,11 +103,14 @@
                 lease.heirs = {}
                 lease.age_s = age_s
                 outcome.released.append(resource)
+                self._free += 1
         for resource, (epoch, seen) in beat.claims.items():
             if not self._is_claimable(resource, epoch, seen):
                 outcome.refused.append(resource)
                 continue
             before = self.leases.get(resource)
+            if before is not None and not before.held:
+                self._free -= 1
             self.leases[resource] = Lease(
                 epoch,
                 beat.process,
@@ -108,6 +120,8 @@
                 _heirs(beat),
             )
             outcome.claimed[resource] = before
+        if self._free > self._free_limit:
+            self._forget_free()
         return outcome
 
     def state(self):
@@ -130,6 +144,7 @@
             ]
         return {
             "position": self.position,
+            "floor": self.floor,
             "leases": leases,
             "heirs": [dict(key) for key in table],
             "incarnations": [
@@ -147,6 +162,7 @@
         """
         if state is None:
             self.leases, self.incarnations, self.position = {}, {}, 0
+            self.floor = self._free = 0
             return
         try:
             heirs = [dict(row) for row in state["heirs"]]
@@ -161,11 +177,14 @@
                 ]
             }
             position = int(state["position"])
+            floor = int(state["floor"])
         except (KeyError, TypeError, IndexError, AttributeError) as exc:
             raise ValueError(f"malformed snapshot: {exc!r}") from exc
         self.leases = leases
         self.incarnations = incarnations
         self.position = position
+        self.floor = floor
+        self._free = sum(not lease.held for lease in leases.values())
 
     def _is_new(self, offset, beat):
         # An append can take effect after later ones, and more than once.
@@ -191,6 +210,18 @@
             oldest = min(idle, key=lambda key: self.incarnations[key][2])
             del self.incarnations[oldest]
 
+    def _forget_free(self):
+        # An entry with an age still bounds the end of an earlier holder.
+        free = [
+            (lease.offset, resource)
+            for resource, lease in self.leases.items()
+            if not lease.held and lease.age_s is None
+        ]
+        for _, resource in sorted(free)[: self._free - self._free_limit]:
+            self.floor = max(self.floor, self.leases[resource].epoch)
+            del self.leases[resource]
+            self._free -= 1
+
     def _renew(self, offset, beat, holder, outcome):
         relayed = beat.relay_of is not None
         incarnation = beat.relay_incarnation if relayed else beat.incarnation
@@ -224,7 +255,7 @@
     def _is_claimable(self, resource, epoch, seen):
         lease = self.leases.get(resource)
         if lease is None:
-            return epoch == 1 and seen == -1
+            return epoch == self.floor + 1 and seen == -1
         return epoch == lease.epoch + 1 and seen == lease.offset
 
 
--- a/src/citrondeal/ownership/_group.py
+++ b/src/citrondeal/ownership/_group.py
@@ -11,6 +11,9 @@
 # LEASE_TTL has passed, but the processes they list are still asked.
 _SENT_LIMIT = 64
 _DUMP_LIMIT = 50
+# Longest wait between two requests to drain one resource for one member, as
+# a multiple of `rebalance_after_s`.
+_DRAIN_WAITS = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -153,7 +156,7 @@
         beat = outcome.beat
         key = (beat.process, beat.incarnation)
         own = key == (self._process, self._incarnation)
-        if not beat.relay_of:
+        if beat.relay_of is None:
             self._note_alive(key, now)
         for resource, before in outcome.claimed.items():
             if own:
@@ -167,7 +170,7 @@
             self._read_at[resource] = now
             if own:
                 self._drop(resource)
-        if own and not beat.relay_of:
+        if own and beat.relay_of is None:
             self._note_read_back(beat, outcome, now)
         if own or outcome.claimed:
             return self._review(now)
@@ -188,6 +191,14 @@
         if self._view_since is None or now - self._last_tail > gap:
             self._view_since = now
         self._last_tail = now
+        if len(self._read_at) > len(self._fold.leases) + _fold.FREE_LIMIT:
+            known = self._fold.leases
+            self._read_at = {
+                k: v for k, v in self._read_at.items() if k in known
+            }
+            self._drained = {
+                k: v for k, v in self._drained.items() if k in known
+            }
         self._complete = complete
         self._update_members()
         return self._review(now)
@@ -486,6 +497,8 @@
         self._mine.discard(resource)
         self._releasing.pop(resource, None)
         self._lease_from.pop(resource, None)
+        self._usable_at.pop(resource, None)
+        self._previous.pop(resource, None)
 
     def _note_gain(self, resource, before, now, previous=None):
         """Note that a claim of this process was read back."""
@@ -507,7 +520,6 @@
         self._lease_from.pop(resource, None)
         self._claims_sent.pop(resource, None)
         self._releases_sent.discard(resource)
-        self._drained.pop(resource, None)
         if resource not in self._wanted:
             self._releasing[resource] = self._fold.leases[resource].epoch
 
@@ -665,7 +677,7 @@
             if now < start + rank * self._config.claim_stagger_s:
                 continue
             if lease is None:
-                claims[resource] = [1, -1]
+                claims[resource] = [self._fold.floor + 1, -1]
             else:
                 claims[resource] = [lease.epoch + 1, lease.offset]
         return claims
@@ -776,14 +788,24 @@
         if self._view_since is None:
             return []
         actions = []
-        for resource, epoch in self._reported.items():
+        stable_s = self._config.rebalance_after_s
+        for resource in self._reported:
             best = self._order(resource)[0]
             if best == self._process:
                 continue
-            if self._drained.get(resource) == (epoch, best):
+            last, after, wait = self._drained.get(
+                resource, (None, -math.inf, stable_s)
+            )
+            if last != best:
+                after, wait = self._members[best][2] + stable_s, stable_s
+            if self._last_tail < after:
                 continue
-            since = self._members[best][2]
-            if self._last_tail - since >= self._config.rebalance_after_s:
-                self._drained[resource] = (epoch, best)
-                actions.append(_actions.Drain(resource, best))
+            # The better member may not want the resource, or not claim it
+            # in time; the waits between attempts are doubled.
+            self._drained[resource] = (
+                best,
+                self._last_tail + wait,
+                min(2 * wait, _DRAIN_WAITS * stable_s),
+            )
+            actions.append(_actions.Drain(resource, best))
         return actions
--- a/src/citrondeal/ownership/tests/machine.py
+++ b/src/citrondeal/ownership/tests/machine.py
@@ -25,6 +25,7 @@
     """Two to four processes under pauses, cuts, late and lost appends."""
 
     group_class = ownership.Group
+    fold_class = ownership.Fold
     checks_liveness = True
 
     def __init__(self):
@@ -33,7 +34,7 @@
 
     @stateful.initialize(count=strategies.integers(2, 4))
     def begin(self, count):
-        self.world = world.World(count, self.group_class)
+        self.world = world.World(count, self.group_class, fold=self.fold_class)
         self.world.advance(3.0)
 
     def pick(self, index):
@@ -226,6 +227,26 @@
             self.world.settle()
 
 
+class _SmallFold(ownership.Fold):
+    """Forgets released resources at once."""
+
+    def __init__(self, role):
+        super().__init__(role, free_limit=0)
+
+
+class _Forgetting(ownership.Group):
+    def __init__(self, zone, role, *args):
+        super().__init__(zone, role, *args)
+        self._fold = _SmallFold(role)
+
+
+class ForgettingMachine(Machine):
+    """The same faults while the fold forgets released resources."""
+
+    group_class = _Forgetting
+    fold_class = _SmallFold
+
+
 def run(machine, examples, steps=30, seed=None):
     """Run a machine; raises AssertionError with the failing events.
 
--- a/src/citrondeal/ownership/tests/ownership.feature
+++ b/src/citrondeal/ownership/tests/ownership.feature
@@ -5,6 +5,7 @@
   # stay without a holder after all faults are over.
   Scenario: ownership random faults never give two holders
     Then ownership the state machine passes 70 histories
+    And ownership the state machine passes 30 histories that forget releases
 
   # Each broken rule must be found, or the scenario above proves nothing.
   Scenario Outline: ownership the test finds the mutation <name>
@@ -39,6 +40,7 @@
     Then ownership the fold of 150 random histories equals the plain fold
     And ownership folds of 50 histories from snapshots equal the whole
     And ownership the comparison finds a fold without compare-and-set
+    And ownership a forgotten resource continues above its last epoch
 
   # Guards against an exception or a silent skip for foreign content.
   Scenario: ownership malformed records are skipped and counted
@@ -64,6 +66,7 @@
   # it has been stable.
   Scenario: ownership resources move to a better-placed member
     Then ownership a joined process gets its share after the stable time
+    And ownership a member that does not want a resource is offered it rarely
 
   # A restarted process forgets its promises; its wait must outlast them.
   Scenario: ownership settings that break the wait are refused
--- a/src/citrondeal/ownership/tests/steps.py
+++ b/src/citrondeal/ownership/tests/steps.py
@@ -24,6 +24,14 @@
     machine.run(machine.Machine, count)
 
 
+@then(
+    "ownership the state machine passes {count:d} histories that forget "
+    "releases"
+)
+def forgetting_machine_passes(context, count):
+    machine.run(machine.ForgettingMachine, count)
+
+
 @then(
     'ownership the state machine finds the mutation "{name}" with seed '
     "{seed:d}"
@@ -106,6 +114,25 @@
     assert differ
 
 
+@then("ownership a forgotten resource continues above its last epoch")
+def forgotten(context):
+    fold = ownership.Fold("gateway", free_limit=1)
+    beats = (
+        {"claims": {"r": [1, -1], "s": [1, -1]}},
+        {"releases": {"r": [1, None], "s": [1, None]}},
+        # Both at epoch 1; "r" was forgotten, since it sorts first.
+        {"claims": {"r": [1, -1], "s": [1, -1]}},
+        {"claims": {"r": [2, -1]}},
+    )
+    for offset, fields in enumerate(beats):
+        fold.apply(offset, {**_BEAT, "seq": offset, **fields})
+        copy = ownership.Fold("gateway", free_limit=1)
+        copy.load(json.loads(json.dumps(fold.state())))
+        assert copy.state() == fold.state()
+    assert fold.leases["r"].epoch == 2 and fold.leases["r"].held
+    assert not fold.leases["s"].held
+
+
 def _group(name="a"):
     return ownership.Group("z", "gateway", name, f"{name}1", f"{name}:1")
 
@@ -183,13 +210,19 @@
     def __init__(self, *groups):
         self.groups = list(groups)
         self.next = 0
+        self.drains = []
 
     def run(self, start, end):
         now = start
         while now < end:
             for group in self.groups:
-                for record in _records(group.tick(now)):
+                actions = group.tick(now)
+                for record in _records(actions):
                     self.append(record, now)
+                for action in actions:
+                    if isinstance(action, ownership.Drain):
+                        self.drains.append(now)
+                        group.release(action.resource, now)
             for group in self.groups:
                 group.on_tail(now, True)
             now += 0.25
@@ -266,6 +299,21 @@
     assert "b" in after.values()
 
 
+@then("ownership a member that does not want a resource is offered it rarely")
+def rare_drains(context):
+    # A resource for which "b" is preferred, and which "b" never claims.
+    names = (f"r{number}" for number in range(100))
+    resource = next(r for r in names if ownership.order(r, "ab")[0] == "b")
+    one, other = _group("a"), _group("b")
+    one.want([resource], 0.0)
+    log = _Log(one, other)
+    log.run(0.0, 200.0)
+    # After 10 s, and then after waits that double.
+    drains = log.drains
+    assert 4 <= len(drains) <= 6, drains
+    assert one.valid_until(resource, 200.0) is not None
+
+
 @then("ownership a promise longer than the wait is refused")
 def long_promise(context):
     try:
--- a/src/citrondeal/ownership/tests/world.py
+++ b/src/citrondeal/ownership/tests/world.py
@@ -77,10 +77,16 @@
 class World:
     """Runs groups and checks every step for two valid holders."""
 
-    def __init__(self, count, group_class=ownership.Group, config=CONFIG):
+    def __init__(
+        self,
+        count,
+        group_class=ownership.Group,
+        config=CONFIG,
+        fold=ownership.Fold,
+    ):
         self.t = 0.0
         self.log = Log(self._note_release)
-        self.fold = ownership.Fold("gateway")
+        self.fold = fold("gateway")
         self.config = config
         self.group_class = group_class
         self.processes = []
--- a/tools/run_faults.py
+++ b/tools/run_faults.py
@@ -18,6 +18,9 @@
     "ownership": lambda seed: ownership_machine.run(
         ownership_machine.Machine, examples=60, steps=30, seed=seed
     ),
+    "ownership-forgetting": lambda seed: ownership_machine.run(
+        ownership_machine.ForgettingMachine, examples=60, steps=30, seed=seed
+    ),
 }
 
 
