--- a/src/citrondeal/dedup/_ledger.py
+++ b/src/citrondeal/dedup/_ledger.py
@@ -13,6 +13,7 @@
 # Records looked at for one that can be forgotten; records in progress are
 # kept, and there are as many of them as the queues allow.
 _SCAN_LIMIT = 16
+_SHARED_LIMIT = 1000  # dispatchers whose holder dicts are shared
 _DUMP_LIMIT = 50  # ids in the state dump
 # What a process reports of itself outweighs what its witness knows.
 _CERTAINTY = (
@@ -151,6 +152,7 @@
         self._departed = {}
         self._inherited = {}  # process -> (incarnation, since, until)
         self._suspects = {}
+        self._witnessed = {}
         self._records = collections.OrderedDict()
         self._answers = _answers.Answers(self._config.answer_bytes)
         self._idempotent = _idempotent.Requests()
@@ -684,7 +686,7 @@
             record = record or self._new_record(request_id, now)
             actions = self._make_way(request_id, record, permit, now)
             holder = (permit.process, permit.incarnation)
-            record.holders = {holder: _model.Seen.WITNESSED}
+            record.holders = self._holders_of(holder)
             self._touch(request_id, record, now)
         reply = _model.SendIntentReply(request_id, permit.process, reply)
         return [reply, *actions]
@@ -809,8 +811,9 @@
             self._touch(request_id, record, now)
             record.refused = max(record.refused, row["refused"])
             for process, incarnation, seen in row["holders"]:
-                holders = record.holders = record.holders or {}
-                _learn(holders, (process, incarnation), _model.Seen(seen))
+                record.holders = dict(record.holders or {})
+                key = (process, incarnation)
+                _learn(record.holders, key, _model.Seen(seen))
             for *key, number, attempt in row["claims"]:
                 claims = record.claims = record.claims or {}
                 kept = claims.get(tuple(key), (0, 0))
@@ -1054,6 +1057,15 @@
             return _model.IntentReply(verdict.YOUNG, newest)
         return _model.IntentReply(verdict.ACCEPTED, newest)
 
+    def _holders_of(self, holder):
+        # One dict per dispatcher, shared by all ids that it announced and
+        # never changed: a dict per id would double the size of a record.
+        if holder not in self._witnessed:
+            if len(self._witnessed) >= _SHARED_LIMIT:
+                self._witnessed.clear()
+            self._witnessed[holder] = {holder: _model.Seen.WITNESSED}
+        return self._witnessed[holder]
+
     def _make_way(self, request_id, record, permit, now):
         """End what the sender of an accepted permit has cleared."""
         if permit.claim:
@@ -1309,8 +1321,8 @@
 
     def _refer(self, record, seen):
         """Remember the receiver of the forward in progress."""
-        holders = record.holders = record.holders or {}
-        _learn(holders, record.live.target, seen)
+        record.holders = dict(record.holders or {})
+        _learn(record.holders, record.live.target, seen)
 
     def _answer_elsewhere(self, request_id, record, reply, now):
         # The receiver keeps the answer; this gateway refers to it.
--- a/src/citrondeal/dedup/tests/cell.py
+++ b/src/citrondeal/dedup/tests/cell.py
@@ -106,11 +106,15 @@
             for waiter in waiting:
                 if isinstance(waiter, Message):
                     self._fail(waiter)
-        # Calls of the dead process that were not delivered are lost; a
-        # caller's send reaches whichever process has the name.
-        self.flight = [m for m in self.flight if m.source is not node]
+        self._delay_from(node)
         self.boot(name)
 
+    def _delay_from(self, node):
+        """Deliver late what a process sent before its end."""
+        for message in self.flight:
+            if message.source is node:
+                message.held = True
+
     def replace(self, name):
         """Start a successor while the predecessor is only paused."""
         self.nodes[name].paused = True
@@ -124,7 +128,7 @@
             state = node.ledger.export(self.now)
             self.nodes[heir].ledger.import_records(state, self.now)
         node.alive = False
-        self.flight = [m for m in self.flight if m.source is not node]
+        self._delay_from(node)
         self.listed.remove(name)
         self._publish()
 
@@ -145,8 +149,9 @@
         request_id = f"id-{number}"
         if kind == "uuid7":
             ms = int((self.now + self.offset + skew_s) * 1000)
-            high = (ms << 16) | 0x7000 | number
-            request_id = str(uuid.UUID(int=(high << 64) | (2 << 62)))
+            high = (ms << 16) | 0x7000
+            low = (2 << 62) | number
+            request_id = str(uuid.UUID(int=(high << 64) | low))
         self.sends[request_id] = []
         return request_id
 
--- a/src/citrondeal/dedup/tests/dedup.feature
+++ b/src/citrondeal/dedup/tests/dedup.feature
@@ -40,6 +40,20 @@
       | UnnumberedRefusal | send a, send b, queue c, refuse c, late |
       | YoungWitness      | send a, finish c, kill a b c d, late |
 
+  Scenario Outline: dedup refuses an idempotent request after a <first> try
+    # Guards against "not run" for a request of which an earlier try may
+    # have run.
+    Then dedup a "<first>" try and a refusal of its retry give "<answer>"
+
+    Examples:
+      | first   | answer          |
+      | unknown | unknown_outcome |
+      | not_run | overloaded      |
+
+  Scenario: dedup keeps answers within the bound
+    # Guards against unbounded memory and against a run for a lost answer.
+    Then dedup the oldest of 3 answers is lost in a cache for 2
+
   Scenario Outline: dedup answers after <case>
     # Guards against a change of the answers listed in at-most-once.md.
     Given dedup a cell of 4 gateways and a "uuid7" id
--- a/src/citrondeal/dedup/tests/steps.py
+++ b/src/citrondeal/dedup/tests/steps.py
@@ -8,6 +8,7 @@
 from behave import then
 from behave import when
 
+from citrondeal import dedup
 from citrondeal.dedup.tests import cell as cells
 from citrondeal.dedup.tests import central
 from citrondeal.dedup.tests import machine
@@ -103,6 +104,32 @@
                     assert _kind(send) == expected, f"{expected}: {where}"
 
 
+@then('dedup a "{first}" try and a refusal of its retry give "{answer}"')
+def idempotent_refusal(context, first, answer):
+    ledger, now = cells.Cell(3).nodes["a"].ledger, cells.START
+    failure = errors.Failure(errors.Kind.OVERLOADED, "queue is full")
+    assert ledger.begin("r", 1, True, now, 0.0) == [dedup.Proceed("r")]
+    assert ledger.start("r", now) == [dedup.Dispatch("r")]
+    if first == "unknown":
+        actions = ledger.unknown("r", "silent", now, retry=True)
+    else:
+        actions = ledger.not_run("r", failure, now, retry=True)
+    assert actions == [dedup.Proceed("r")]
+    (refusal,) = ledger.not_run("r", failure, now)
+    assert refusal.failure.kind.value == answer
+
+
+@then("dedup the oldest of 3 answers is lost in a cache for 2")
+def bounded_answers(context):
+    cell = cells.Cell(3, config=dedup.Config(answer_bytes=25))
+    ids = [cell.new_id("uuid7") for _ in range(3)]
+    for request_id in [*ids, *ids]:
+        cell.send(request_id, "a")
+        cell.settle(request_id)
+    again = [_kind(cell.sends[request_id][1]) for request_id in ids]
+    assert again == ["answer_lost", "answer", "answer"], again
+
+
 @given('dedup a cell of {size:d} gateways and a "{kind}" id')
 def make_cell(context, size, kind):
     context.cell = cells.Cell(size)
