dedup: limit imported memory by the heir's own forgetting

A heir that forgot ids at its bound still vouched for the records it had imported, so a handed-over id could run twice; found in review and now a scenario that fails without the change. Refusals while claims are pending are answered unknown_outcome, and completions count only for attempts that were dispatched or forwarded.

--- a/src/citrondeal/dedup/_ledger.py
+++ b/src/citrondeal/dedup/_ledger.py
@@ -44,6 +44,7 @@
 
 _WAITING = (_State.QUEUED, _State.PREPARING, _State.READY)
 _ELSEWHERE = (_State.FORWARDED, _State.RESOLVING)
+_STARTED = (*_ELSEWHERE, _State.DISPATCHED)
 
 
 class _Live:
@@ -150,7 +151,8 @@
         self._complete_since = now
         self._gateways = {}
         self._departed = {}
-        self._inherited = {}  # process -> (incarnation, since, until)
+        # process -> (incarnation, complete since, time of the import)
+        self._inherited = {}
         self._suspects = {}
         self._witnessed = {}
         self._records = collections.OrderedDict()
@@ -216,8 +218,8 @@
         for name, since in list(self._departed.items()):
             if since + keep_s <= now:
                 del self._departed[name]
-        for name, (_, _, until) in list(self._inherited.items()):
-            if until <= now:
+        for name, (_, _, imported_at) in list(self._inherited.items()):
+            if imported_at + keep_s <= now:
                 del self._inherited[name]
         return []
 
@@ -412,7 +414,7 @@
             return []
         # An answer that arrives after the attempt was given up as unknown
         # still settles the id for later attempts.
-        if record.live is None and record.state != _State.UNKNOWN:
+        if record.state not in (*_STARTED, _State.UNKNOWN):
             return []
         waited_for = record.live is not None
         self._conclude(request_id, record, _State.DONE, now)
@@ -422,6 +424,9 @@
     def not_run(self, request_id, failure, now, retry=False):
         """Handle a refusal, or the proof that a dispatch did not run.
 
+        While claims are pending the answer is ``unknown_outcome`` instead:
+        an earlier attempt may have run.
+
         The proof is a connection that failed before the first byte, or the
         endpoint's own statement (status 503 with the header
         ``Request-Run: not_run``).
@@ -445,6 +450,9 @@
             return []
         if record.state == _State.DISPATCHED:
             record.state = _State.READY
+        if record.state == _State.CLAIMING:
+            message = f"Not all gateways answered; {failure.message}"
+            return self._end_unknown(request_id, record, message, now)
         if record.state not in _WAITING:
             return []
         if retry:
@@ -481,7 +489,7 @@
         if request_id in self._idempotent:
             return self._idempotent.finish(request_id, failure)
         record = self._records.get(request_id)
-        if record is None or record.live is None:
+        if record is None or record.state not in _STARTED:
             return []
         self._conclude(request_id, record, _State.DONE, now)
         return [_model.Refuse(request_id, failure)]
@@ -635,6 +643,9 @@
         ):
             message = "The id is handled here."
             return [self._reject(request_id, permit, "IN_PROGRESS", message)]
+        if idempotent and self._has_left:
+            message = "The gateway is stopping."
+            return [self._reject(request_id, permit, "UNAVAILABLE", message)]
         if idempotent:
             return self._idempotent.begin(request_id)
         if record is not None and record.state == _State.DONE:
@@ -720,6 +731,10 @@
         if record is None or gateway not in record.live.round.asked:
             return []
         claim_round = record.live.round
+        if reply.process != gateway:
+            # Another process has taken over the address.
+            claim_round.failed.add(gateway)
+            return self._evaluate(request_id, record, now)
         claim_round.replies[gateway] = reply
         claim_round.since[gateway] = now - reply.up_for_s
         return self._evaluate(request_id, record, now)
@@ -794,13 +809,12 @@
         now : float
             Monotonic seconds; the transfer must have been complete.
         """
-        until = now + self._keep_s
         sources = [
             (state["process"], state["incarnation"], state["up_for_s"]),
             *state["inherited"],
         ]
         for process, incarnation, up_for_s in sources:
-            self._inherited[process] = (incarnation, now - up_for_s, until)
+            self._inherited[process] = (incarnation, now - up_for_s, now)
         for row in state["records"]:
             if row["age_s"] >= self._keep_s:
                 continue
@@ -1183,10 +1197,14 @@
         return _model.SendClaimReply(request_id, claim.process, reply)
 
     def _inherited_at(self, now):
-        return [
-            (process, incarnation, now - since)
-            for process, (incarnation, since, _) in self._inherited.items()
-        ]
+        rows = []
+        for process, row in self._inherited.items():
+            incarnation, since, imported_at = row
+            if self._complete_since >= imported_at:
+                # Imported records may be among those forgotten since.
+                since = max(since, self._complete_since)
+            rows.append((process, incarnation, now - since))
+        return rows
 
     def _evaluate(self, request_id, record, now):
         """Conclude a claim round as soon as its replies allow it."""
--- a/src/citrondeal/dedup/tests/dedup.feature
+++ b/src/citrondeal/dedup/tests/dedup.feature
@@ -54,6 +54,12 @@
     # Guards against unbounded memory and against a run for a lost answer.
     Then dedup the oldest of 3 answers is lost in a cache for 2
 
+  Scenario: dedup does not vouch for imported records that it forgot
+    # Guards against a second run when an heir has reached its bound.
+    Given dedup a cell of 4 gateways that remember 2 ids
+    When dedup "finish a, leave a b, fill b, finish c" happens
+    Then dedup the attempts are answered "answer unknown_outcome" with 1 runs
+
   Scenario Outline: dedup answers after <case>
     # Guards against a change of the answers listed in at-most-once.md.
     Given dedup a cell of 4 gateways and a "uuid7" id
--- a/src/citrondeal/dedup/tests/steps.py
+++ b/src/citrondeal/dedup/tests/steps.py
@@ -142,6 +142,13 @@
     context.id = context.cell.new_id(kind)
 
 
+@given("dedup a cell of {size:d} gateways that remember {count:d} ids")
+def make_forgetful_cell(context, size, count):
+    config = dedup.Config(max_ids=count)
+    context.cell = cells.Cell(size, config=config)
+    context.id = context.cell.new_id("uuid7")
+
+
 @then('dedup "{text}" breaks a guarantee')
 def breaks(context, text):
     try:
@@ -204,6 +211,12 @@
         cell.finish(cell.nodes[names[0]], request_id, "unknown")
     elif verb == "leave":
         cell.leave(names[0], names[1] if len(names) > 1 else None)
+    elif verb == "fill":
+        for _ in range(2):
+            other = cell.new_id("uuid7")
+            cell.send(other, names[0])
+            cell.settle(other, 0)
+            cell.refuse(cell.nodes[names[0]], other)
     elif verb == "wait":
         cell.advance(float(names[0]))
     else:
