--- a/src/citrondeal/dedup/_ledger.py
+++ b/src/citrondeal/dedup/_ledger.py
@@ -634,13 +634,11 @@
             `Proceed`, `RejectForward`, or `Answer` for an id that is done.
         """
         record = self._records.get(request_id)
-        busy = record is not None and record.live is not None
-        if (
-            idempotent
-            and busy
-            or not idempotent
-            and (request_id in self._idempotent)
-        ):
+        if idempotent:
+            other_kind = record is not None and record.live is not None
+        else:
+            other_kind = request_id in self._idempotent
+        if other_kind:
             message = "The id is handled here."
             return [self._reject(request_id, permit, "IN_PROGRESS", message)]
         if idempotent and self._has_left:
@@ -1017,16 +1015,18 @@
     def _next_witness(self, request_id, tried, now):
         # The choice depends on the id alone, so that first attempts of one
         # id at two gateways of a zone meet at the same witness.
-        best = None
-        best_key = None
+        best, best_key = None, (4, 0)
+        content = request_id.encode()
         for name, zone in self._gateways.items():
             if name in tried:
                 continue
-            score = xxhash.xxh64_intdigest(f"{request_id}/{name}".encode())
             suspect = self._suspects.get(name, now) > now
-            key = (suspect, zone != self._zone, score)
-            if best_key is None or key < best_key:
-                best, best_key = name, key
+            rank = 2 * suspect + (zone != self._zone)
+            if rank > best_key[0]:
+                continue
+            score = xxhash.xxh64_intdigest(content + name.encode())
+            if (rank, score) < best_key:
+                best, best_key = name, (rank, score)
         return best
 
     def _judge(self, record, permit, now):
--- a/src/citrondeal/dedup/_model.py
+++ b/src/citrondeal/dedup/_model.py
@@ -2,10 +2,16 @@
 
 import dataclasses
 import enum
-import uuid
+import re
 
 from citrondeal import errors
 
+# `uuid.UUID` takes about three times as long for this check.
+_UUID7 = re.compile(
+    r"[0-9a-f]{8}-[0-9a-f]{4}-7[0-9a-f]{3}-[89ab][0-9a-f]{3}-[0-9a-f]{12}",
+    re.IGNORECASE,
+)
+
 ID_WINDOW = 600.0  # seconds for which an id may be submitted again
 
 
@@ -301,12 +307,6 @@
     >>> created_unix("018bcfe5-6800-7000-8000-000000000001")
     1700000000.0
     """
-    if len(request_id) != 36 or request_id[14] != "7":
-        return None
-    try:
-        value = uuid.UUID(request_id)
-    except ValueError:
-        return None
-    if value.version != 7 or str(value) != request_id.lower():
+    if _UUID7.fullmatch(request_id) is None:
         return None
-    return (value.int >> 80) / 1000.0
+    return int(request_id[:8] + request_id[9:13], 16) / 1000.0
--- a/src/citrondeal/dedup/tests/cell.py
+++ b/src/citrondeal/dedup/tests/cell.py
@@ -1,6 +1,7 @@
 """A cell of ledgers with a fake network, callers and endpoint."""
 
 import dataclasses
+import json
 import uuid
 
 from citrondeal import dedup
@@ -125,7 +126,7 @@
         """Stop a gateway; with an heir it hands its records over."""
         node = self.nodes.pop(name)
         if heir is not None:
-            state = node.ledger.export(self.now)
+            state = json.loads(json.dumps(node.ledger.export(self.now)))
             self.nodes[heir].ledger.import_records(state, self.now)
         node.alive = False
         self._delay_from(node)
--- a/src/citrondeal/dedup/tests/machine.py
+++ b/src/citrondeal/dedup/tests/machine.py
@@ -1,5 +1,7 @@
 """Random runs of a cell with faults; checks P4 and P5 at each event."""
 
+import json
+
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
@@ -108,6 +110,7 @@
         cell.cuts.clear()
         for node in [*cell.nodes.values(), *cell.zombies]:
             node.paused = False
+            assert len(json.dumps(node.ledger.dump())) < 10_000
         for _ in range(3):
             for message in cell.flight:
                 message.held = False
