--- a/bench/requests.py
+++ b/bench/requests.py
@@ -362,6 +362,8 @@
             g.table.start(request.key, place.endpoint, now)
             job = request.payload[0]
             self.at(now + job.service_s, self.done, g, request)
+            held = min(self.end, now + job.service_s) - max(WARM_S, now)
+            self.busy_s[job.request_class] += max(0.0, held)
         for request_class, wait in g.queues.waiting(SERVICE, now):
             while True:
                 place = g.table.choose_peer(SERVICE, request_class, wait, now)
@@ -399,9 +401,6 @@
         g.table.finish(request.key, routing.Outcome.DONE, self.now)
         g.queues.finished(request.key, self.now)
         job, origin = request.payload
-        begin = max(WARM_S, self.now - job.service_s)
-        held = min(self.end, self.now) - begin
-        self.busy_s[job.request_class] += max(0.0, held)
         if origin is None:
             self.answered(job)
         else:
@@ -644,7 +643,10 @@
     for c in calm:
         before = result["undisturbed"][c]
         after = result["flood"][c]
-        due = min(shares[c], before["share"])
+        # What the class is due: its share, or less if it asks for less.
+        due = shares[c]
+        if offered[c] < due:
+            due = min(due, before["share"])
         kept[c] = {
             "of_undisturbed": round(after["share"] / before["share"], 3),
             "of_guaranteed": round(after["share"] / due, 3),
--- a/src/citrondeal/admission/_queues.py
+++ b/src/citrondeal/admission/_queues.py
@@ -18,8 +18,10 @@
 class _Service:
     """Queues and slots of one service."""
 
-    def __init__(self, config, now):
+    def __init__(self, config, bound, now):
         self.config = config
+        # Queue room in units.
+        self.bound = bound
         self.slots = 0
         self.units = 0
         self.time = _estimate.ServiceTime()
@@ -98,6 +100,7 @@
 
     def __init__(self, config):
         self._config = config
+        self._limit = _units_of(config, config.total_count, config.total_bytes)
         self._services = {}
         self._sizes = _fair.Largest()
         self._units = 0
@@ -122,13 +125,15 @@
         ValueError
             If the bound on services is reached.
         """
+        bound = _units_of(self._config, config.queue_count, config.queue_bytes)
         current = self._services.get(service)
         if current is None:
             if len(self._services) >= self._config.services:
                 raise ValueError("too many services")
-            self._services[service] = _Service(config, now)
+            self._services[service] = _Service(config, bound, now)
             return
         current.advance(now)
+        current.bound = bound
         current.config = current.retries.config = config
         for state, share in zip(current.classes, config.shares, strict=True):
             state.share = share
@@ -235,7 +240,10 @@
                 chosen = None
             else:
                 chosen = _shares.choose(
-                    state.classes, state.slots, state.reserved(now), free
+                    state.classes,
+                    state.slots,
+                    state.reserved(now),
+                    free,
                 )
             entry = chosen and chosen.queue.head(remote)
             if entry is None:
@@ -450,11 +458,11 @@
 
         Nothing is evicted unless the entry then fits.
         """
-        need = max(0, service.units + entry.units - self._bound(service))
-        limit = _units_of(
-            self._config, self._config.total_count, self._config.total_bytes
-        )
+        need = max(0, service.units + entry.units - service.bound)
+        limit = self._limit
         short = self._units + entry.units - need - limit
+        if not need and short <= 0:
+            return []
         others = 0
         if short > 0:
             mine = service.units + entry.units - need
@@ -515,15 +523,7 @@
         return victim.units
 
     def _excess(self, service, state):
-        part = int(state.share * self._bound(service))
-        return state.queue.units - part
-
-    def _bound(self, service):
-        return _units_of(
-            self._config,
-            service.config.queue_count,
-            service.config.queue_bytes,
-        )
+        return state.queue.units - int(state.share * service.bound)
 
     def _insert(self, service, entry, front=False):
         entry.cost_us = service.time.us
--- a/src/citrondeal/admission/_shares.py
+++ b/src/citrondeal/admission/_shares.py
@@ -45,12 +45,9 @@
 
 def entitled(state, slots):
     """Return whether the class holds less than its guaranteed slots."""
-    return state.running < _whole(state.share * slots) + (state.credit > 0.0)
-
-
-def _whole(value):
     # Shares like 0.1 + 0.2 miss whole numbers by rounding errors.
-    return math.floor(value + 1e-9)
+    whole = int(state.share * slots + 1e-9)
+    return state.running < whole + (state.credit > 0.0)
 
 
 def reserved(reserve, slots):
