--- a/demo/run.py
+++ b/demo/run.py
@@ -137,33 +137,20 @@
         self._figures["unclean_exits"] = len(unclean)
 
     def _standin_figures(self, load):
-        runs = {}
-        slots = connections = 0
-        for address in self._cell.endpoints.values():
-            for request_id, count in self._cell.get(address, "/runs").items():
-                runs[request_id] = runs.get(request_id, 0) + count
-            counts = self._cell.get(address, "/stats")["counts"]
-            slots += counts.get("slots_exceeded", 0)
-            connections += counts.get("connections_exceeded", 0)
-        fleets = self._fleets()
+        cell = self._cell
+        runs = cell.runs()
+        doubles = sum(len(f["two_places"]) for f in cell.fleets())
         return {
             "double_runs": load.double_runs(runs),
             "false_refusals": load.false_refusals(runs),
-            "slots_exceeded": slots,
-            "connections_exceeded": connections,
-            "vm_overcommits": sum(
-                f["counts"].get("overcommits", 0) for f in fleets
+            "slots_exceeded": cell.endpoint_count("slots_exceeded"),
+            "connections_exceeded": cell.endpoint_count(
+                "connections_exceeded"
             ),
-            "task_in_two_places": sum(len(f["two_places"]) for f in fleets),
+            "vm_overcommits": cell.fleet_count("overcommits"),
+            "task_in_two_places": doubles,
         }
 
-    def _fleets(self):
-        """Return the counters of each process of workers once."""
-        first_of = {}
-        for name, address in self._cell.workers.items():
-            first_of.setdefault(name.rpartition("-")[0], address)
-        return [self._cell.get(a, "/fleet") for a in first_of.values()]
-
 
 def note(start, text):
     """Print one step with the seconds since the start."""
--- a/src/citrondeal/web/_app.py
+++ b/src/citrondeal/web/_app.py
@@ -31,6 +31,8 @@
         Whole body.
     params : dict of str to str
         Values of the placeholders of the route.
+    client : tuple of (str, int) or None
+        Address of the other end of the connection.
     disconnected : callable
         ``await disconnected()`` returns once the client is gone.
     """
@@ -42,6 +44,7 @@
     body: bytes
     params: dict
     raw_query: str = ""
+    client: tuple | None = None
     disconnected: object = None
 
 
@@ -184,6 +187,7 @@
             body,
             params,
             raw_query,
+            scope.get("client"),
             _make_disconnected(receive),
         )
         try:
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -4,6 +4,7 @@
 scenarios; the daemons themselves start no processes.
 """
 
+import collections
 import dataclasses
 import json
 import os
@@ -99,9 +100,8 @@
         self.daemons = {}
         self.endpoints = {}
         self.workers = {}
-        log, vms = free_ports(2)
-        self.log = f"{HOST}:{log}"
-        self.vms = f"{HOST}:{vms}"
+        self.vms, *logs = self._addresses(1 + len(zones))
+        self.logs = {zone.name: log for zone, log in zip(zones, logs)}
 
     # Life cycle of the whole cell.
 
@@ -116,7 +116,9 @@
     def start_standins(self):
         """Start the platform, the endpoints and the workers."""
         self._spawn_standin(
-            "log_service", f"--address={self.log}", f"--keep={self._keep}"
+            "log_service",
+            "--addresses=" + ",".join(self.logs.values()),
+            f"--keep={self._keep}",
         )
         self._spawn_standin("vm_list", f"--address={self.vms}")
         rows = []
@@ -312,6 +314,39 @@
             if d.role == role and zone in (None, d.zone.name)
         ]
 
+    # Faults.
+
+    def set_log(self, zones=None, **switches):
+        """Set switches of the log as some zones (or all) reach it."""
+        for name, address in self.logs.items():
+            if zones is None or name in zones:
+                self.post(address, "/faults", switches)
+
+    def fleets(self):
+        """Return the counters of each process of workers."""
+        first_of = {}
+        for name, address in self.workers.items():
+            first_of.setdefault(name.rpartition("-")[0], address)
+        return [self.get(a, "/fleet") for a in first_of.values()]
+
+    def fleet_count(self, name):
+        """Return the sum of a counter over all workers."""
+        return sum(f["counts"].get(name, 0) for f in self.fleets())
+
+    def runs(self):
+        """Return how often each request id ran at any endpoint."""
+        runs = collections.Counter()
+        for address in self.endpoints.values():
+            runs.update(self.get(address, "/runs"))
+        return runs
+
+    def endpoint_count(self, name):
+        """Return the sum of a counter over all endpoints."""
+        return sum(
+            self.get(a, "/stats")["counts"].get(name, 0)
+            for a in self.endpoints.values()
+        )
+
     # HTTP helpers.
 
     def post(self, address, path, value):
@@ -342,7 +377,7 @@
             },
             "listen": {"http": daemon.http, "peer": daemon.peer},
             "platform": {
-                "log_url": f"http://{self.log}",
+                "log_url": f"http://{self.logs[daemon.zone.name]}",
                 "vms_url": f"http://{self.vms}",
             },
         }
--- a/tests/standins/endpoint.py
+++ b/tests/standins/endpoint.py
@@ -2,9 +2,8 @@
 
 Each records every run by request id and watches its slots and connections.
 Request body (JSON, optional): ``work_ms``, ``echo``, ``answer_bytes``.
-Switches: ``silent`` (open connections go silent, new ones work),
-``lose_answers`` (share of answers dropped after the run), ``truncate``
-(share of answers cut in the middle), ``slow_factor``.
+Switches: ``lose_answers`` (share of answers dropped after the run) and
+``slow_factor``.  ``POST /silence`` makes the connections used so far silent.
 """
 
 import collections
@@ -28,10 +27,9 @@
         self._connections = connections
         self._random = random.Random(seed)
         self._server = None
+        self._clients = set()
         self._silenced = set()
-        self.faults = _common.Faults(
-            silent=0, lose_answers=0.0, truncate=0.0, slow_factor=1.0
-        )
+        self.faults = _common.Faults(lose_answers=0.0, slow_factor=1.0)
         self.runs = collections.Counter()
         self.running = 0
         self.counts = collections.Counter()
@@ -42,6 +40,10 @@
 
     async def run(self, request):
         """Run one request."""
+        self._clients.add(request.client)
+        if request.client in self._silenced:
+            self.counts["silenced"] += 1
+            await anyio.sleep_forever()
         if self._expired(request):
             self.counts["expired"] += 1
             return web.Response(503, headers={"request-run": "not_run"})
@@ -60,6 +62,11 @@
             await anyio.sleep_forever()
         return self._answer(request_id, work)
 
+    async def silence(self, request):
+        """Answer ``POST /silence``: connections used so far go silent."""
+        self._silenced = set(self._clients)
+        return web.json_response({"connections": len(self._silenced)})
+
     def _expired(self, request):
         limit = request.headers.get("request-not-after")
         return limit is not None and time.time() > float(limit)
@@ -110,6 +117,7 @@
     app.add("GET", "/stats", endpoint.stats)
     app.add("GET", "/runs", endpoint.ids)
     app.add("POST", "/faults", endpoint.faults.handle)
+    app.add("POST", "/silence", endpoint.silence)
     app.add("POST", "/{path*}", endpoint.run)
     return app
 
--- a/tests/standins/log_service.py
+++ b/tests/standins/log_service.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's append-only log service.
 
-Switches: ``outage`` (answers 503), ``slow_s`` (delay of each answer),
+Each zone has its own address, with its own switches, so that a zone can be
+cut off: ``outage`` (answers 503), ``slow_s`` (delay of each answer),
 ``lose_answers`` (share of appends that take effect without an answer).
 """
 
@@ -55,37 +56,58 @@
     """All streams, and counters of the traffic."""
 
     def __init__(self, keep, seed):
-        self._keep = keep
-        self._streams = collections.defaultdict(Stream)
-        self._random = random.Random(seed)
-        self.faults = _common.Faults(outage=0, slow_s=0.0, lose_answers=0.0)
+        self.keep = keep
+        self.streams = collections.defaultdict(Stream)
+        self.random = random.Random(seed)
         self.counts = collections.Counter()
 
+    async def stats(self, request):
+        """Answer ``GET /stats``."""
+        return web.json_response(
+            {
+                "counts": dict(self.counts),
+                "streams": {
+                    name: {"first": s.first, "next": s.next}
+                    for name, s in self.streams.items()
+                },
+            }
+        )
+
+
+class Access:
+    """The log as one zone reaches it."""
+
+    def __init__(self, service):
+        self._service = service
+        self.faults = _common.Faults(outage=0, slow_s=0.0, lose_answers=0.0)
+
     async def append(self, request):
         """Answer ``POST /v1/streams/{stream}/records``."""
+        service = self._service
         if self.faults["outage"]:
             return web.Response(503)
         if self.faults["slow_s"]:
             await anyio.sleep(self.faults["slow_s"])
-        stream = self._streams[request.params["stream"]]
+        stream = service.streams[request.params["stream"]]
         try:
             data = json.loads(request.body)
         except ValueError:
             data = None
-        offset = stream.append(data, self._keep)
-        self.counts["appends"] += 1
-        self.counts["append_bytes"] += len(request.body)
-        if self._random.random() < self.faults["lose_answers"]:
+        offset = stream.append(data, service.keep)
+        service.counts["appends"] += 1
+        service.counts["append_bytes"] += len(request.body)
+        if service.random.random() < self.faults["lose_answers"]:
             return web.Response(CUT)
         return web.json_response({"offset": offset})
 
     async def read(self, request):
         """Answer ``GET /v1/streams/{stream}/records``."""
+        service = self._service
         if self.faults["outage"]:
             return web.Response(503)
         if self.faults["slow_s"]:
             await anyio.sleep(self.faults["slow_s"])
-        stream = self._streams[request.params["stream"]]
+        stream = service.streams[request.params["stream"]]
         start = int(request.query["from"])
         limit = int(request.query.get("limit", "500"))
         wait_s = int(request.query.get("wait_ms", "0")) / 1000
@@ -95,40 +117,32 @@
         if self.faults["outage"]:
             return web.Response(503)
         records = stream.read(start, limit)
-        self.counts["reads"] += 1
+        service.counts["reads"] += 1
         response = web.json_response(
             {"first": stream.first, "next": stream.next, "records": records}
         )
-        self.counts["read_bytes"] += len(response.body)
+        service.counts["read_bytes"] += len(response.body)
         return response
 
-    async def stats(self, request):
-        """Answer ``GET /stats``."""
-        return web.json_response(
-            {
-                "counts": dict(self.counts),
-                "streams": {
-                    name: {"first": s.first, "next": s.next}
-                    for name, s in self._streams.items()
-                },
-            }
-        )
-
 
 def build_app(service):
-    """Return the application of a `LogService`."""
-    app = web.App()
-    app.add("POST", "/v1/streams/{stream}/records", service.append)
-    app.add("GET", "/v1/streams/{stream}/records", service.read)
-    app.add("POST", "/faults", service.faults.handle)
+    """Return an application for one zone."""
+    access = Access(service)
+    app = web.App(body_limit=4 * 1024 * 1024)
+    app.add("POST", "/v1/streams/{stream}/records", access.append)
+    app.add("GET", "/v1/streams/{stream}/records", access.read)
+    app.add("POST", "/faults", access.faults.handle)
     app.add("GET", "/stats", service.stats)
     return app
 
 
-def main(address="127.0.0.1:7001", keep=100000, seed=1):
-    """Serve the log on `address`, keeping `keep` records per stream."""
-    app = build_app(LogService(keep, seed))
-    anyio.run(_common.serve_apps, [(address, app)])
+def main(addresses="127.0.0.1:7001", keep=100000, seed=1):
+    """Serve the log on each address, keeping `keep` records per stream."""
+    service = LogService(keep, seed)
+    pairs = [
+        (address, build_app(service)) for address in _common.as_list(addresses)
+    ]
+    anyio.run(_common.serve_apps, pairs)
 
 
 if __name__ == "__main__":
