--- /dev/null
+++ b/features/system.feature
@@ -0,0 +1,65 @@
+Feature: system
+  # Real processes against the stand-ins.  Every figure is read from the
+  # stand-ins and the callers.  Guards against faults of the shells, which
+  # the scenarios of the cores do not see.
+
+  Scenario: system a killed pool owner is replaced and its tasks run on
+    Given a system cell with endpoints 0 and workers 4 per zone
+    And system jobs "service" with 6 tasks are running
+    When the system owner of the pool is killed
+    Then a system urgent job ends within 15 seconds
+    And the system started no task of the service twice
+    And the system kept its promises
+
+  Scenario: system a paused pool owner harms nothing when it resumes
+    Given a system cell with endpoints 0 and workers 4 per zone
+    And system jobs "service" with 6 tasks are running
+    When the system owner of the pool is paused for 8 seconds
+    Then a system urgent job ends within 15 seconds
+    And the system started no task of the service twice
+    And the system kept its promises
+
+  Scenario: system work goes on while the log is away longer than all leases
+    Given a system cell with endpoints 4 and workers 4 per zone
+    And system jobs "service" with 6 tasks are running
+    And system batch jobs wait for room
+    When the system log is away for 12 seconds under load
+    Then the system answered every request
+    And system batch jobs were started during the outage
+    And the system refused edits and jobs as not run during the outage
+    And the system started no task of the service twice
+    And the system kept its promises
+    And a system edit is accepted again
+
+  Scenario: system a paused gateway harms nothing when it resumes
+    Given a system cell with endpoints 4 and workers 0 per zone
+    When a system gateway is paused for 8 seconds under load
+    Then the system resolved every request
+    And the system kept its promises
+
+  Scenario: system a killed gateway loses no request for good
+    Given a system cell with endpoints 4 and workers 0 per zone
+    When a system gateway is killed and replaced under load
+    Then the system resolved every request
+    And the system kept its promises
+
+  Scenario: system a rolling replacement cuts off nothing
+    Given a system cell with endpoints 4 and workers 4 per zone
+    And system jobs "service" with 6 tasks are running
+    When every system daemon is replaced gracefully under load
+    Then the system answered every request at the first attempt
+    And the system started no task of the service twice
+    And the system kept its promises
+
+  Scenario: system silent connections to endpoints are given up
+    Given a system cell with endpoints 4 and workers 0 per zone
+    When system connections to endpoints go silent under load
+    Then the system resolved every request
+    And the system kept its promises
+
+  Scenario: system lost answers of the log neither double nor lose anything
+    Given a system cell with endpoints 0 and workers 4 per zone
+    When the system log loses 40 percent of its answers
+    Then each system edit takes effect once
+    And each system job runs once
+    And the system kept its promises
--- a/src/citrondeal/scheduler/_exchange.py
+++ b/src/citrondeal/scheduler/_exchange.py
@@ -10,61 +10,46 @@
 
 
 class Exchange:
-    """Polls each worker in its own task while this process owns the pool.
+    """Performs the exchanges that are due while this process is the owner.
 
     Parameters
     ----------
     owner : citrondeal.jobs.Owner
-        The core.
+        The core; it decides when a worker is due.
     client : citrondeal.workers.Client
         HTTP client to workers.
     valid_until : callable
         ``valid_until(now)`` returns the end of our validity as owner.
     append : callable
         Appends one record to the zone's stream in the background.
-    period_s : float
-        Seconds between two exchanges with a worker without news.
     task_group : anyio.abc.TaskGroup
-        Runs the polling tasks.
+        Runs the exchanges.
     metrics : citrondeal.telemetry.Metrics
         Counts exchanges and starts.
     """
 
     def __init__(
-        self,
-        owner,
-        client,
-        valid_until,
-        append,
-        period_s,
-        task_group,
-        metrics,
+        self, owner, client, valid_until, append, task_group, metrics
     ):
         self._owner = owner
         self._client = client
         self._valid_until = valid_until
         self._append = append
-        self._period = period_s
         self._task_group = task_group
         self._metrics = metrics
         self._addresses = {}
-        self._nudges = {}
         self._dirty = anyio.Event()
 
     def set_workers(self, addresses):
         """Take the addresses of the workers by name."""
         self._addresses = addresses
-        for name in addresses:
-            if name not in self._nudges:
-                self._nudges[name] = anyio.Event()
-                self._task_group.start_soon(self._poll, name)
 
     def changed(self):
         """Run a round of placement soon."""
         self._dirty.set()
 
     async def run(self):
-        """Run rounds of placement until cancelled."""
+        """Run rounds of placement and exchanges until cancelled."""
         while True:
             with anyio.move_on_after(TICK_S):
                 await self._dirty.wait()
@@ -74,34 +59,27 @@
 
     def _round(self):
         now = anyio.current_time()
-        for action in self._owner.tick(now, self._valid_until(now)):
+        valid_until = self._valid_until(now)
+        for action in self._owner.tick(now, valid_until):
             self._append(action.record)
-        for name, nudge in self._nudges.items():
-            if self._owner.has_news(name):
-                nudge.set()
-
-    async def _poll(self, name):
-        try:
-            while name in self._addresses:
-                await self._exchange(name)
-                with anyio.move_on_after(self._period):
-                    await self._nudges[name].wait()
-                self._nudges[name] = anyio.Event()
-        finally:
-            self._nudges.pop(name, None)
-
-    async def _exchange(self, name):
-        sent_at = anyio.current_time()
-        message = self._owner.sync_request(
-            name, sent_at, self._valid_until(sent_at)
-        )
-        if message is None:
+        if not self._owner.owned:
             return
+        for name in self._owner.due(now):
+            address = self._addresses.get(name)
+            if address is None:
+                continue
+            message = self._owner.sync_request(name, now, valid_until)
+            if message is not None:
+                self._task_group.start_soon(
+                    self._exchange, name, address, message, now
+                )
+
+    async def _exchange(self, name, address, message, sent_at):
         if message["starts"]:
             self._metrics.count(
                 "citrondeal.tasks.starts", len(message["starts"])
             )
-        outcome = await self._client.sync(self._addresses[name], message)
+        outcome = await self._client.sync(address, message)
         now = anyio.current_time()
         if outcome.is_ok():
             self._owner.on_reply(name, outcome.ok_value, sent_at, now)
--- a/src/citrondeal/scheduler/main.py
+++ b/src/citrondeal/scheduler/main.py
@@ -71,7 +71,10 @@
         self._owner = jobs.Owner(
             jobs.Book(),
             placement.Pool(placement.Config()),
-            jobs.OwnerConfig(task_ttl_s=config.leases.task_ttl_s),
+            jobs.OwnerConfig(
+                task_ttl_s=config.leases.task_ttl_s,
+                poll_s=config.workers.period_s,
+            ),
         )
         self._jobs = _jobs.JobService(
             self._owner,
@@ -87,7 +90,6 @@
             self._worker_client,
             self._valid_until,
             self._jobs.append,
-            config.workers.period_s,
             task_group,
             self._metrics,
         )
