Report no success that the answer does not state

The command line took any 2xx as accepted, also from another program at the address. It now requires the fields of this API, and treats an error without the public error body as an unknown outcome.

--- a/src/citrondeal/operators/_client.py
+++ b/src/citrondeal/operators/_client.py
@@ -8,6 +8,8 @@
 
 TIMEOUTS = {"connect": 3.0, "read": 30.0, "write": 10.0, "pool": 3.0}  # s
 
+RETRIED = (500, 502, 503, 504)  # the next server is asked
+
 # The request cannot have reached the server.
 _NOT_SENT = (
     httpcore.ConnectError,
@@ -52,14 +54,15 @@
         """Whether the status is a success."""
         return 200 <= self.status < 300
 
+    def field(self, name):
+        """Return a field of the body; None if there is none."""
+        return self.body.get(name) if isinstance(self.body, dict) else None
+
     @property
     def error(self):
         """Error object of the body; empty for none."""
-        if isinstance(self.body, dict):
-            found = self.body.get("error")
-            if isinstance(found, dict):
-                return found
-        return {}
+        found = self.field("error")
+        return found if isinstance(found, dict) else {}
 
     @property
     def message(self):
@@ -100,11 +103,11 @@
             unknown = unknown or not isinstance(exc, _NOT_SENT)
             notes.append(f"{server}: {_text_of(exc)}")
             continue
-        run = _run_of(value)
-        if status in (500, 502, 504) or status == 503:
+        if status >= 300 and _run_of(value) != "not_run":
             # An answer without the public error body may come from
             # something between this program and the server.
-            unknown = unknown or run != "not_run"
+            unknown = True
+        if status in RETRIED:
             last = (status, value, server)
             notes.append(f"{server}: {_message_of(value, status)}")
             continue
@@ -134,7 +137,7 @@
     status : int
         HTTP status.
     value : object
-        Decoded JSON; None if the body is something else.
+        Decoded JSON; None for an error with another body.
 
     Raises
     ------
@@ -158,8 +161,11 @@
             extensions={"timeout": TIMEOUTS},
         )
     try:
-        return response.status, json.loads(response.content or b"null")
+        return response.status, json.loads(response.content)
     except ValueError:
+        if 200 <= response.status < 300:
+            text = f"status {response.status} without JSON"
+            raise httpcore.RemoteProtocolError(text) from None
         return response.status, None
 
 
--- a/src/citrondeal/operators/ctl.py
+++ b/src/citrondeal/operators/ctl.py
@@ -103,11 +103,14 @@
             raise _Stop(USAGE, text + SERVERS_VARIABLE)
         return self.servers
 
-    def read(self, path):
-        """Return the body of a GET request; stop if there is none."""
+    def read(self, path, *fields):
+        """Return the body of a GET request; stop if it has not `fields`."""
         reply = self.send("GET", path)
-        if reply.ok:
+        if reply.ok and all(reply.field(name) is not None for name in fields):
             return reply.body
+        if reply.ok:
+            text = f"{reply.server} is no operators' API of citrondeal"
+            raise _Stop(REFUSED, f"{text}; check --server")
         if reply.status == 0 or reply.status >= 500:
             raise _Stop(REFUSED, _unreached(reply))
         raise _Stop(REFUSED, f"refused: {reply.message}")
@@ -343,7 +346,11 @@
     if "//" not in text:
         text = f"http://{text}"
     parts = urllib.parse.urlsplit(text)
-    if parts.scheme != "http" or not parts.hostname:
+    try:
+        usable = parts.scheme == "http" and parts.hostname and parts.port != 0
+    except ValueError:
+        usable = False
+    if not usable:
         raise _Stop(USAGE, f"--server {text}: should be http://host:port")
     return text
 
@@ -363,7 +370,7 @@
 def _show_tree(session, path):
     path = schema.normalize_path(path)
     query = urllib.parse.urlencode({"below": path})
-    body = session.read(f"/v1/tree?{query}")
+    body = session.read(f"/v1/tree?{query}", "branches")
     rows = []
     for branch, item in body["branches"].items():
         settings = list(item["set"].items()) or [("", "")]
@@ -375,7 +382,8 @@
 
 def _explain(session, path):
     path = schema.normalize_path(path)
-    body = session.read(f"/v1/tree/node/{_client.quote(path)}")
+    url = f"/v1/tree/node/{_client.quote(path)}"
+    body = session.read(url, "values", "exists")
     rows = [
         (
             name,
@@ -395,7 +403,7 @@
 
 def _show_history(session, path):
     path = schema.normalize_path(path)
-    body = session.read(f"/v1/tree/history/{_client.quote(path)}")
+    body = session.read(f"/v1/tree/history/{_client.quote(path)}", "edits")
     rows = []
     for edit in body["edits"]:
         changes = [f"{name}={value}" for name, value in edit["set"].items()]
@@ -416,7 +424,8 @@
 def _edit(session, path, change, base, edit_id, author, again):
     path = schema.normalize_path(path)
     if base is None:
-        node = session.read(f"/v1/tree/node/{_client.quote(path)}")
+        url = f"/v1/tree/node/{_client.quote(path)}"
+        node = session.read(url, "version")
         base = node["version"]
     elif not str(base).isdecimal():
         raise _Stop(USAGE, f"--base {base}: should be a whole number")
@@ -430,7 +439,7 @@
         **change,
     }
     reply = session.send("POST", "/v1/tree/edits", body)
-    if reply.ok:
+    if reply.ok and reply.field("outcome") == "accepted":
         text = f"accepted: {path} is at version {reply.body['version']}"
         session.say(reply.body, text)
         return
@@ -453,13 +462,13 @@
     holds for all copies of the id) or is a conflict (the version of a
     branch never returns to the base, so that a copy is rejected as well).
     """
+    if reply.ok:
+        # Not an answer of this API.
+        return False
     if not reply.unknown:
         return True
-    if not isinstance(reply.body, dict):
-        return False
-    return (
-        reply.body.get("code") == "conflict"
-        or reply.body.get("offset") is not None
+    return reply.field("code") == "conflict" or (
+        reply.field("offset") is not None
     )
 
 
@@ -480,7 +489,7 @@
         return f"refused, nothing was changed: {_unreached(reply)}"
     lines = [f"rejected: {reply.message}"]
     lines += _key_hints(names)
-    winner = reply.body.get("winner") if isinstance(reply.body, dict) else None
+    winner = reply.field("winner")
     if winner:
         author = f" by {winner['author']}" if winner["author"] else ""
         lines.append(
@@ -508,10 +517,10 @@
             raise _Stop(USAGE, f"{name} is given twice")
         body[name] = schema.parse_value(f"job.{name}", text)
     reply = session.send("POST", "/v1/jobs", body)
-    if reply.ok:
+    if reply.ok and reply.field("id") == body["id"]:
         session.say(reply.body, f"accepted: job {body['id']}")
         return
-    if reply.unknown:
+    if reply.unknown or reply.ok:
         words = [f"{name}={text}" for name, text in settings.items()]
         repeat = ["job", "submit", path, *words, "--id", body["id"]]
         raise _undecided(session, reply, repeat)
@@ -526,13 +535,13 @@
 
 
 def _show_job(session, job_id):
-    body = session.read(f"/v1/jobs/{_client.quote(job_id)}")
+    body = session.read(f"/v1/jobs/{_client.quote(job_id)}", "id")
     session.show(body, ("FIELD", "VALUE"), list(body.items()))
 
 
 def _list_jobs(session, limit, after):
     query = urllib.parse.urlencode({"limit": limit, "after": after})
-    body = session.read(f"/v1/jobs?{query}")
+    body = session.read(f"/v1/jobs?{query}", "jobs")
     rows = [
         (job.get("id", ""), job.get("path", ""), job.get("state", ""))
         for job in body["jobs"]
@@ -542,10 +551,10 @@
 
 def _cancel(session, job_id):
     reply = session.send("DELETE", f"/v1/jobs/{_client.quote(job_id)}")
-    if reply.ok:
+    if reply.status == 202:
         session.say(reply.body, f"accepted: job {job_id} is cancelled")
         return
-    if reply.unknown:
+    if reply.unknown or reply.ok:
         raise _undecided(session, reply, ["job", "cancel", job_id])
     raise _refused(reply)
 
@@ -565,7 +574,7 @@
             raise _refused(reply)
         if not reply.ok:
             continue
-        state = reply.body.get("state", "not known")
+        state = reply.field("state") or "not known"
         if state in SUCCEEDED:
             session.say(reply.body, f"job {job_id}: {state}")
             return
@@ -587,11 +596,11 @@
         text = "drain needs exactly one server: give --server URL"
         raise _Stop(USAGE, text)
     reply = session.send("POST", "/v1/drain")
-    if reply.ok:
+    if reply.status == 202:
         server = session.servers[0]
         session.say(reply.body, f"accepted: {server} is draining")
         return
-    if reply.unknown:
+    if reply.unknown or reply.ok:
         raise _undecided(session, reply, ["drain"])
     raise _refused(reply)
 
@@ -608,10 +617,11 @@
         reply = session.send_to(
             server, "POST", "/debug/log-level", {"level": level}
         )
-        rows.append((server, level if reply.ok else reply.message))
-        if reply.unknown:
+        done = reply.field("level") == level
+        rows.append((server, level if done else reply.message))
+        if reply.unknown or (reply.ok and not done):
             status = UNKNOWN
-        elif not reply.ok:
+        elif not done:
             status = status or REFUSED
     session.show([list(row) for row in rows], ("SERVER", "LEVEL"), rows)
     if status:
--- a/src/citrondeal/operators/tests/ctl.feature
+++ b/src/citrondeal/operators/tests/ctl.feature
@@ -63,6 +63,8 @@
       | silent | down |
       | unsure | silent |
       | unsure | down |
+      | foreign | down |
+      | proxy | down |
 
   Scenario: operators ctl a refusal after a lost request proves nothing
     # Server one may still append the edit, at a place where it is valid.
@@ -121,6 +123,7 @@
       | check /nowhere.ini |
       | check /nowhere.ini --program web |
       | --server ftp://one status |
+      | --server one:x status |
 
   Scenario: operators ctl needs a server
     When operators citrondealctl "status" without servers
@@ -137,6 +140,24 @@
     When operators citrondealctl "job submit /batch/b --id 007"
     Then operators it exits with 3 and says "unknown --id 007"
 
+  Scenario Outline: operators ctl believes no answer of another program
+    Given operators server "one" is "foreign"
+    When operators citrondealctl "--server one <line>"
+    Then operators it exits with <code> and says "<words>"
+
+    Examples:
+      | line | code | words |
+      | job submit /batch/b | 3 | unknown --id |
+      | job cancel 7 | 3 | unknown |
+      | drain | 3 | unknown |
+      | log-level info | 3 | not set |
+      | job list | 1 | API |
+      | job status 7 | 1 | API |
+      | tree set /teams/t | 1 | API |
+      | tree show | 1 | API |
+      | tree explain / | 1 | API |
+      | tree history / | 1 | API |
+
   Scenario Outline: operators ctl waits for a job
     Given operators job "7" goes through "<states>"
     When operators citrondealctl "job wait 7 --limit_s 5"
--- a/src/citrondeal/operators/tests/fake.py
+++ b/src/citrondeal/operators/tests/fake.py
@@ -47,7 +47,8 @@
     connections), ``silent`` (reads requests, does nothing), ``deaf`` (does
     what is asked, but its answers are lost), ``unavailable`` (answers so),
     ``behind`` (has not read the log), ``unsure`` (appends, but cannot read
-    back).
+    back), ``foreign`` (is something else that answers 200), ``proxy`` (is
+    something else that answers 404).
     """
 
     def __init__(self):
@@ -74,6 +75,10 @@
             raise httpcore.ConnectError("refused")
         if mode == "silent":
             raise httpcore.ReadTimeout("timed out")
+        if mode == "foreign":
+            return 200, {"hello": "world"}
+        if mode == "proxy":
+            return 404, None
         if method == "POST" and self.before_edit is not None:
             self.before_edit, hook = None, self.before_edit
             hook()
--- a/src/citrondeal/tree/_tree.py
+++ b/src/citrondeal/tree/_tree.py
@@ -301,11 +301,16 @@
         Outcome
             The verdict in the log may differ if another edit comes first.
         """
-        fingerprint = edit.fingerprint
-        for key in (edit.edit_id, _reuse_key(edit.edit_id, fingerprint)):
-            known = self._known.get(key)
-            if known is not None and known.fingerprint == fingerprint:
-                return _repeated(edit, known.outcome)
+        first = self.outcome_of(edit)
+        if first is not None:
+            return Outcome(
+                Verdict.IGNORED,
+                Code.REPEATED,
+                "the edit was decided before",
+                edit.edit_id,
+                edit.path,
+                first=first,
+            )
         if edit.edit_id in self._known:
             reason = f"edit id {edit.edit_id} was used for another edit"
             return _rejected(edit, Code.ID_REUSED, reason)
@@ -327,16 +332,25 @@
             version=self._counter + 1,
         )
 
-    def outcome_of(self, edit_id):
-        """Return the verdict on an edit id.
+    def outcome_of(self, edit):
+        """Return the verdict on the first record of an edit.
+
+        Parameters
+        ----------
+        edit : Edit
+            Id and content count, the author does not.
 
         Returns
         -------
         Outcome or None
-            None if the id is not known (any more).
+            None if the edit is not known (any more).
         """
-        known = self._known.get(edit_id)
-        return None if known is None else known.outcome
+        fingerprint = edit.fingerprint
+        for key in (edit.edit_id, _reuse_key(edit.edit_id, fingerprint)):
+            known = self._known.get(key)
+            if known is not None and known.fingerprint == fingerprint:
+                return known.outcome
+        return None
 
     def __contains__(self, path):
         return path in self._branches
@@ -840,17 +854,6 @@
     )
 
 
-def _repeated(edit, first):
-    return Outcome(
-        Verdict.IGNORED,
-        Code.REPEATED,
-        "the edit id was decided before",
-        edit.edit_id,
-        edit.path,
-        first=first,
-    )
-
-
 def _reuse_key(edit_id, fingerprint):
     """Key of an edit whose id was known with other content.
 
--- a/src/citrondeal/tree/tests/steps.py
+++ b/src/citrondeal/tree/tests/steps.py
@@ -17,7 +17,7 @@
 MUTATIONS = {
     "accepts any base": [("if edit.base != current:", "if False:")],
     "forgets edit ids": [
-        ("if known is not None and known.fingerprint", "if False and known"),
+        ("if first is not None:", "if False:"),
         ("if edit.edit_id in self._known:", "if False:"),
     ],
     "applies snapshots while running": [
