--- a/src/citrondeal/runtime/_leases.py
+++ b/src/citrondeal/runtime/_leases.py
@@ -1,5 +1,6 @@
 """Drives the lease core of one group: log, promises and clock."""
 
+import functools
 import logging
 
 import anyio
@@ -57,6 +58,10 @@
             load=self._load,
             snapshot=group.snapshot,
             task_group=task_group,
+            snapshot_of=ownership.snapshot_reader(identity.role),
+            record_of=functools.partial(
+                ownership.snapshot_record, identity.role
+            ),
         )
 
     @classmethod
--- a/src/citrondeal/runtime/_replica.py
+++ b/src/citrondeal/runtime/_replica.py
@@ -11,6 +11,10 @@
 _LOG = logging.getLogger(__name__)
 
 
+def _record_of(covers, state):
+    return {"kind": "snapshot", "covers": covers, "state": state}
+
+
 class Replica:
     """Connects a `replay.Follower` to the log service.
 
@@ -29,18 +33,28 @@
         Returns the JSON-ready state.
     task_group : anyio.abc.TaskGroup
         Runs the appends of snapshots.
-    config : citrondeal.replay.Config, optional
-        When snapshots are due.
+    snapshot_of, record_of : callable, optional
+        Reader and writer of snapshot records, for a stream in which
+        replicas of several kinds keep their snapshots.
     """
 
     def __init__(
-        self, log, stream, apply, load, snapshot, task_group, config=None
+        self,
+        log,
+        stream,
+        apply,
+        load,
+        snapshot,
+        task_group,
+        snapshot_of=replay.snapshot_of,
+        record_of=_record_of,
     ):
         self._log = log
         self._stream = stream
         self._snapshot = snapshot
         self._task_group = task_group
-        self._follower = replay.Follower(apply, load, config)
+        self._record_of = record_of
+        self._follower = replay.Follower(apply, load, snapshot_of=snapshot_of)
 
     @property
     def follower(self):
@@ -81,11 +95,7 @@
         )
 
     def _append_snapshot(self, covers):
-        record = {
-            "kind": "snapshot",
-            "covers": covers,
-            "state": self._snapshot(),
-        }
+        record = self._record_of(covers, self._snapshot())
         telemetry.event(
             _LOG,
             logging.INFO,
--- a/src/citrondeal/scheduler/_edits.py
+++ b/src/citrondeal/scheduler/_edits.py
@@ -62,7 +62,7 @@
 
     async def _read_back(self, edit):
         while True:
-            outcome = self._settings.tree.outcome_of(edit.edit_id)
+            outcome = self._settings.tree.outcome_of(edit)
             if outcome is not None:
                 return result.Ok(outcome)
             await self._settings.wait_advanced()
