Use an intent that a previous owner appended too late

It came into the log after the new owner had read it to the end, hence after the validity of the previous one, which starts a task only after it has read the intent back; the new owner can use the intent for its own start.

--- a/src/citrondeal/jobs/_owner.py
+++ b/src/citrondeal/jobs/_owner.py
@@ -946,19 +946,27 @@
         self._at[spot] = place
 
     def _on_intent(self, task, now):
-        parts = _book.parse_task(task)
-        spot = parts[:2]
+        spot = _book.parse_task(task)[:2]
         place = self._at.get(spot)
-        if place is not None and place.phase == INTENT:
-            if place.task == task:
+        if place is not None and place.task == task:
+            if place.phase == INTENT:
                 place.phase = READY
                 self._own_intents.add(spot)
                 self._intent_due.pop(task, None)
-            else:
-                # Another owner's intent came first.
-                job = place.job
-                self._remove(place.worker, place)
-                self._record(job, spot[1], task, "unknown", "", now)
+            return
+        if not self._caught_up:
+            return
+        if place is not None and place.phase != INTENT:
+            return
+        # A previous owner's record that came into the log after we had read
+        # it to the end, hence after that owner's validity: the task was
+        # never started, and this intent can be used for our start.
+        if place is not None:
+            self._remove(place.worker, place)
+        self._own_intents.add(spot)
+        job = self._book.get(spot[0])
+        if not job.ended and self._may_offer(job, spot[1]):
+            self._enqueue(job, [spot[1]], now)
 
     def _on_preempt(self, action, now):
         worker = self._workers.get(action.worker)
--- a/src/citrondeal/jobs/tests/jobs.feature
+++ b/src/citrondeal/jobs/tests/jobs.feature
@@ -98,6 +98,17 @@
     Then jobs 0 tasks of "a" run
     And jobs the state of "a" is "unknown"
 
+  Scenario: jobs use an intent that a previous owner appended too late
+    # Guards against a task that is never started because of an intent
+    # without a start.
+    Given jobs a scheduler that owns a pool of 1 workers
+    When jobs "b" with 4 tasks is submitted and 2 s pass
+    And jobs "a" that must run once is submitted and 2 s pass
+    And jobs an intent "a/0/0.9" is appended
+    And jobs every task ends as "finished" and 5 s pass
+    Then jobs 1 tasks of "a" run
+    And jobs task "a/0/0.9" runs
+
   Scenario: jobs of a lost owner go on, and new ones start at once
     # Guards against restarts of healthy tasks by a new owner, and against
     # new jobs that wait for leases they cannot have.
--- a/src/citrondeal/jobs/tests/steps.py
+++ b/src/citrondeal/jobs/tests/steps.py
@@ -153,6 +153,16 @@
     run(context, seconds)
 
 
+@when('jobs an intent "{task}" is appended')
+def append_intent(context, task):
+    context.log.append({"kind": "intent", "task": task, "worker": "w9"})
+
+
+@then('jobs task "{task}" runs')
+def task_runs(context, task):
+    assert task in running(context, task.split("/")[0])
+
+
 @when("jobs {count:d} malformed records are appended")
 def malformed(context, count):
     assert count == len(MALFORMED)
