--- a/src/citrondeal/placement/tests/placement.feature
+++ b/src/citrondeal/placement/tests/placement.feature
@@ -68,6 +68,24 @@
     And placement 8 tasks of "old" end
     Then placement "g" runs 4 tasks
 
+  Scenario: placement ends backfill that runs longer than declared
+    # Guards against tasks on held room that delay the holder.
+    Given placement 4 workers of 4 cores in 2 racks
+    When placement batch "old" asks for 16 tasks of 1 cores for 100 s
+    And placement gang "g" asks for 4 tasks of 4 cores
+    And placement 12 s pass
+    And placement 8 tasks of "old" end
+    And placement batch "short" asks for 4 tasks of 1 cores for 10 s
+    And placement 80 s pass
+    Then placement preempts 0 tasks of "short" by "checkpoint"
+    When placement 9 s pass
+    Then placement preempts 4 tasks of "short" by "checkpoint"
+    When placement 0.9 s pass
+    Then placement preempts 4 tasks of "short" by "stop"
+    When placement 4 preempted tasks end
+    And placement 8 tasks of "old" end
+    Then placement "g" runs 4 tasks
+
   Scenario: placement gives gangs their turn one after the other
     # Guards against two gangs that wait for each other's room.
     Given placement 4 workers of 4 cores in 2 racks
