Release lost tasks once every worker has answered the new owner

The new owner now restarts once all listed workers have answered a request sent after the previous validity, provided that no worker left the list recently, and new tasks are renewed after 0.25 s.

--- a/src/citrondeal/jobs/_owner.py
+++ b/src/citrondeal/jobs/_owner.py
@@ -32,6 +32,12 @@
         Age of a lease at which it is renewed, in every second exchange
         with a quiet worker.  At least 15 s of a lease are left when its
         owner fails; a takeover takes about 6 s.
+    first_renewal_s : float
+        Age at which a new task is renewed for the first time.  Its first
+        lease ends with our validity; a task that is not renewed yet when
+        its owner fails is lost.
+    list_lag_s : float
+        Longest lag of the list of VMs.
     min_lease_s : float
         No start is sent with less of our own validity left; the first
         renewal has to follow within this time.
@@ -70,6 +76,8 @@
     task_ttl_s: float = 30.0
     lease_margin_s: float = 0.5
     renew_after_s: float = 9.0
+    first_renewal_s: float = 0.25
+    list_lag_s: float = 5.0
     min_lease_s: float = 1.0
     poll_s: float = 1.0
     idle_poll_s: float = 5.0
@@ -125,6 +133,7 @@
         "job",
         "key",
         "lease_end",
+        "listed_at",
         "phase",
         "renewed_at",
         "size",
@@ -152,6 +161,7 @@
         # Until then a start whose reply was lost may still arrive.
         self.unanswered_until = -math.inf
         self.renewed_at = -math.inf
+        self.listed_at = math.inf
         self.stop = None
         self.stop_at = 0.0
         self.throttled = False
@@ -173,6 +183,7 @@
         "places",
         "polled_at",
         "read",
+        "read_sent",
         "sent",
     )
 
@@ -183,6 +194,8 @@
         self.clock_s = 0.0
         self.clock_at = 0.0
         self.read = False
+        # Send time of the last request that was answered with a list.
+        self.read_sent = -math.inf
         self.answering = False
         self.places = {}
         self.acks = set()
@@ -213,6 +226,10 @@
         self._pool = pool
         self._config = config or OwnerConfig()
         self._workers = {}
+        # What this process has seen of the list of workers.
+        self._listed_since = math.inf
+        self._listed_at = -math.inf
+        self._unlisted_at = -math.inf
         self._tail_sent = None
         self._owned = False
         self._reset(-math.inf)
@@ -274,6 +291,8 @@
         now : float
             Monotonic seconds.
         """
+        self._listed_since = min(self._listed_since, now)
+        self.on_list(now)
         named = {info.name: info for info in infos}
         for name, info in named.items():
             worker = self._workers.get(name)
@@ -284,6 +303,8 @@
             self._refresh(worker, now)
         for name, worker in list(self._workers.items()):
             if name not in named:
+                if not worker.gone:
+                    self._unlisted_at = now
                 worker.gone = True
                 self._refresh(worker, now)
                 self._forget(worker)
@@ -312,6 +333,19 @@
             self._pool.remove_worker(worker.info.name)
             self._workers.pop(worker.info.name, None)
 
+    def on_list(self, now):
+        """Note that the list was read at `now`, whether or not it changed."""
+        self._listed_at = now
+
+    def on_unused_pool(self, now):
+        """Note that no process has ever owned the pool.
+
+        To be called while the list of workers is known; every worker that
+        may run a task is then known to this process.
+        """
+        if self._listed_since <= now:
+            self._listed_since = -math.inf
+
     def on_record(self, offset, record, now):
         """Apply one record of the stream, in log order.
 
@@ -558,6 +592,7 @@
                 if place.phase in (SENT, RUNNING):
                     self._gone(worker, place, place.phase == RUNNING, now)
         worker.read = True
+        worker.read_sent = sent_at
         worker.acks.intersection_update(tasks)
         for place in list(worker.places.values()):
             if place.task not in tasks and place.phase in (SENT, RUNNING):
@@ -588,6 +623,8 @@
             # The job may have become known since the task was found.
             self._remove(worker, place)
             place = self._found(worker, listing, size, now)
+        if place.listed_at == math.inf:
+            place.listed_at = now
         place.phase = RUNNING
         place.unanswered_until = -math.inf
         if not place.throttled:
@@ -823,6 +860,26 @@
         if indices:
             self._enqueue(job, indices, now)
 
+    def _all_found(self, now):
+        """Return whether every task of previous owners must be in a list.
+
+        All workers on which a task may run are known, because none has left
+        the list so recently that a lease there may still run, and each has
+        answered a request that was sent after the previous validity, when
+        no start of a previous owner can take effect any more.
+        """
+        lag = self._config.list_lag_s
+        ttl = self._config.task_ttl_s + self._margin
+        if self._listed_at < self._bound + lag:
+            return False
+        if now < max(self._listed_since, self._unlisted_at) + lag + ttl:
+            return False
+        return all(
+            worker.read and worker.read_sent >= self._bound + self._margin
+            for worker in self._workers.values()
+            if not worker.gone
+        )
+
     def _release(self, now):
         """Restart what was not found; every earlier lease has ended."""
         self._released = True
@@ -866,7 +923,7 @@
         if not self._caught_up:
             return []
         end = self._bound + self._config.task_ttl_s + self._margin
-        if not self._released and now >= end:
+        if not self._released and (now >= end or self._all_found(now)):
             self._release(now)
         while self._later and self._later[0][0] <= now:
             _, _, job, index = heapq.heappop(self._later)
@@ -1062,14 +1119,17 @@
             period = self._config.idle_poll_s
             if busy:
                 period = self._config.poll_s
-            if age >= period or self._has_news(worker):
+            if age >= period or self._has_news(worker, now):
                 names.append(name)
         return names
 
-    def _has_news(self, worker):
+    def _has_news(self, worker, now):
         if not worker.answering:
             return False
+        settled = now - self._config.first_renewal_s
         for place in worker.places.values():
+            if place.listed_at <= settled and place.renewed_at == -math.inf:
+                return True
             if place.phase == READY:
                 return True
             if place.stop is None and not self._wanted(place):
--- a/src/citrondeal/jobs/tests/jobs.feature
+++ b/src/citrondeal/jobs/tests/jobs.feature
@@ -35,6 +35,8 @@
       | stop sent only once                   | 6    |
       | requests after the end of validity    | 11   |
       | start without intent                  | 12   |
+      | release before all lists are read     | 2    |
+      | workers that left the list forgotten  | 1    |
       | relative lease                        | 4    |
       | lease mapped from the send time       | 1    |
       | replacement before the move           | 1    |
--- a/src/citrondeal/jobs/tests/mutations.py
+++ b/src/citrondeal/jobs/tests/mutations.py
@@ -126,6 +126,23 @@
             self._vacated(place.job, place.spot[1], now, 0.0)
 
 
+class ReleaseBeforeRead(jobs.Owner):
+    """Tasks that are not found count as ended before all lists are read."""
+
+    def _all_found(self, now):
+        for worker in self._workers.values():
+            worker.read, worker.read_sent = True, now
+        return super()._all_found(now)
+
+
+class UnlistedForgotten(jobs.Owner):
+    """A worker that has left the list counts as without tasks."""
+
+    def _all_found(self, now):
+        self._unlisted_at = -math.inf
+        return super()._all_found(now)
+
+
 def mutated(owner_class):
     """Return the machine with another owner class."""
     return type("Mutated", (machine.Machine,), {"owner_class": owner_class})
@@ -147,6 +164,8 @@
     "stop sent only once": mutated(StopOnce),
     "requests after the end of validity": mutated(NoValidityCheck),
     "start without intent": mutated(NoIntent),
+    "release before all lists are read": mutated(ReleaseBeforeRead),
+    "workers that left the list forgotten": mutated(UnlistedForgotten),
     "relative lease": RelativeLease,
     "lease mapped from the send time": mutated(LeaseFromSend),
     "replacement before the move": mutated(FirstPlaceForgotten),
--- a/src/citrondeal/runtime/_leases.py
+++ b/src/citrondeal/runtime/_leases.py
@@ -51,6 +51,7 @@
         self._on_drain = None
         self._is_registered = False
         self._has_predecessor = False
+        self._used = set()
         self._replica = _replica.Replica(
             log,
             self._stream,
@@ -110,6 +111,15 @@
             and follower.is_from_start
         )
 
+    def is_unused(self, resource):
+        """Whether the log shows that nobody has ever held a resource."""
+        follower = self._replica.follower
+        return (
+            follower.is_from_start
+            and follower.at_tail
+            and resource not in self._used
+        )
+
     def listen(self, on_gained, on_lost, on_drain):
         """Set the functions told of gained, lost and draining resources.
 
@@ -169,6 +179,9 @@
     def _note_name(self, payload):
         if not isinstance(payload, dict) or payload.get("relay_of"):
             return
+        claims = payload.get("claims")
+        if isinstance(claims, dict):
+            self._used.update(str(name) for name in claims)
         if payload.get("process") == self._identity.process:
             if payload.get("incarnation") == self._identity.incarnation:
                 self._is_registered = True
--- a/src/citrondeal/runtime/_vms.py
+++ b/src/citrondeal/runtime/_vms.py
@@ -11,7 +11,7 @@
 _LOG = logging.getLogger(__name__)
 
 
-async def poll_vms(client, directory, on_changed):
+async def poll_vms(client, directory, on_changed, on_read=None):
     """Keep `directory` up to date until cancelled.
 
     Parameters
@@ -22,6 +22,8 @@
         Updated in place; keeps the last list while reads fail.
     on_changed : callable
         Called without arguments after each change.
+    on_read : callable, optional
+        Called without arguments after each read that succeeded.
     """
     failing = False
     while True:
@@ -42,4 +44,6 @@
                 directory.confirm(now)
             elif directory.update(outcome.ok_value, now):
                 on_changed()
+            if on_read is not None:
+                on_read()
         await anyio.sleep(POLL_S)
--- a/src/citrondeal/scheduler/main.py
+++ b/src/citrondeal/scheduler/main.py
@@ -134,7 +134,11 @@
         start_soon(self._jobs.run)
         start_soon(self._exchange.run)
         start_soon(
-            runtime.poll_vms, self._vm_client, self._directory, self._on_vms
+            runtime.poll_vms,
+            self._vm_client,
+            self._directory,
+            self._on_vms,
+            self._on_list,
         )
 
     async def serve_http(self, *, task_status):
@@ -188,6 +192,12 @@
     def _is_ready(self):
         return self._settings.complete and self._jobs.complete
 
+    def _on_list(self):
+        now = anyio.current_time()
+        self._owner.on_list(now)
+        if self._leases.is_unused(self._resource):
+            self._owner.on_unused_pool(now)
+
     def _on_vms(self):
         vms = self._directory.select("worker", self._zone)
         now = anyio.current_time()
