Remove services from the queues

Cause: the settings tree can delete a service, whose queued requests must get an answer. Requests that were dispatched before may still finish; they are not counted for a later service of the same name.

--- a/src/citrondeal/admission/_queues.py
+++ b/src/citrondeal/admission/_queues.py
@@ -139,6 +139,24 @@
             state.share = share
             state.queue.weights = config.team_weights
 
+    def remove_service(self, service, now):
+        """Remove a service with its queue; dispatched requests may finish.
+
+        Returns
+        -------
+        list of Refusal
+            One for each queued request.
+        """
+        state = self._services[service]
+        state.advance(now)
+        refused = []
+        for c in state.classes:
+            while c.queue.count:
+                victim = c.queue.newest(c.queue.heaviest())
+                refused.append(self._drop(victim, _removed()))
+        del self._services[service]
+        return refused
+
     def set_slots(self, service, slots, now):
         """Set the number of slots that this gateway holds for a service."""
         state = self._services[service]
@@ -171,9 +189,7 @@
             raise ValueError("unknown class")
         service = self._services.get(request.service)
         if service is None:
-            return errors.Failure(
-                errors.Kind.UNKNOWN_SERVICE, "the service is not configured"
-            )
+            return _removed()
         service.advance(now)
         state = service.classes[_RANK[request.request_class]]
         left = service.config.wait_limit_s
@@ -286,7 +302,9 @@
             If the request is not dispatched.
         """
         entry = self._dispatched.pop(key)
-        service = self._services[entry.request.service]
+        service = self._service_of(entry)
+        if service is None:
+            return
         service.advance(now)
         self._release(entry)
         if not entry.remote and entry.queue is service.classes[-1]:
@@ -315,7 +333,9 @@
             If the request is not dispatched.
         """
         entry = self._dispatched.pop(key)
-        service = self._services[entry.request.service]
+        service = self._service_of(entry)
+        if service is None:
+            return _removed()
         service.advance(now)
         self._release(entry)
         entry.queue.queue.correct(entry, 0)
@@ -453,6 +473,13 @@
             },
         }
 
+    def _service_of(self, entry):
+        """Return the state that took the entry, or None if removed."""
+        service = self._services.get(entry.request.service)
+        if service is None or entry.queue not in service.classes:
+            return None
+        return service
+
     def _make_room(self, service, state, entry):
         """Evict for an entry; returns the refusals, or None if refused.
 
@@ -564,6 +591,12 @@
     return min(count, size_bytes // config.unit_bytes)
 
 
+def _removed():
+    return errors.Failure(
+        errors.Kind.UNKNOWN_SERVICE, "the service is not configured"
+    )
+
+
 def _expired():
     return errors.Failure(
         errors.Kind.DEADLINE, "the deadline passed in the queue"
--- a/src/citrondeal/admission/tests/admission.feature
+++ b/src/citrondeal/admission/tests/admission.feature
@@ -54,3 +54,8 @@
   # Guards against one service that takes the room of the others.
   Scenario: admission gives each service its part of the total
     Then admission evicts from the largest service for the smallest
+
+  # Guards against requests that are lost with their service, and against
+  # their late ends being counted for a service of the same name.
+  Scenario: admission refuses what is queued for a removed service
+    Then admission refuses 3 queued requests when their service is removed
--- a/src/citrondeal/admission/tests/steps.py
+++ b/src/citrondeal/admission/tests/steps.py
@@ -423,3 +423,23 @@
     for key in range(20, 32):
         queues.offer(admission.Request(key, "b", "low"), 0.0)
     assert (queues.queued("a"), queues.queued("b")) == (5, 5)
+
+
+@then(
+    "admission refuses {count:d} queued requests when their service is removed"
+)
+def removal(context, count):
+    queues = _one_service()
+    for key in range(count + 2):
+        queues.offer(admission.Request(key, "a", team=f"t{key % 2}"), 0.0)
+    one, two = (queues.take("a", 1, 0.0).request.key for _ in range(2))
+    refused = _refusals(queues.remove_service("a", 0.0))
+    assert sorted([k for k, _ in refused] + [one, two]) == list(range(5))
+    assert {kind for _, kind in refused} == {"unknown_service"}
+    queues.configure("a", admission.ServiceConfig(), 0.0)
+    queues.finished(one, 1.0)
+    assert _plain(queues.requeue(two, 1.0)) == "unknown_service"
+    dump = queues.dump()
+    assert dump["units"] == dump["dispatched"] == 0
+    assert dump["services"]["a"]["classes"]["normal"]["running"] == 0
+    assert queues.next_expiry() is None
