dedup: do not vouch for the time of the list's lag after a start

An intent could reach a paused predecessor that had just been replaced, while the successor vouched for the id, if the caller's clock was ahead by the allowed skew as well. Found in review; the scenario fails without the change.

--- a/src/citrondeal/dedup/_ledger.py
+++ b/src/citrondeal/dedup/_ledger.py
@@ -148,6 +148,7 @@
         self._incarnation = incarnation
         self._zone = zone
         self._config = config or _model.Config()
+        self._started_at = now
         self._complete_since = now
         self._gateways = {}
         self._departed = {}
@@ -177,6 +178,16 @@
         """Incarnation of this gateway."""
         return self._incarnation
 
+    @property
+    def _vouches_since(self):
+        """Time since which this memory speaks for the process's name.
+
+        For `skew_s` after the start, other gateways may still send to a
+        predecessor that was replaced while it was paused.
+        """
+        started_at = self._started_at + self._config.skew_s
+        return max(self._complete_since, started_at)
+
     def __len__(self):
         return len(self._records)
 
@@ -792,7 +803,7 @@
         return {
             "process": self._process,
             "incarnation": self._incarnation,
-            "up_for_s": now - self._complete_since,
+            "up_for_s": now - self._vouches_since,
             "inherited": [list(k) for k in self._inherited_at(now)],
             "records": records,
         }
@@ -1185,7 +1196,7 @@
         reply = _model.ClaimReply(
             self._process,
             self._incarnation,
-            now - self._complete_since,
+            now - self._vouches_since,
             0 if denied else self._number,
             record.refused,
             tuple((p, i, s) for (p, i), s in seen.items()),
@@ -1265,7 +1276,7 @@
         return _model.ClaimReply(
             self._process,
             self._incarnation,
-            now - self._complete_since,
+            now - self._vouches_since,
             0,
             record.refused,
             tuple((p, i, s) for (p, i), s in holders),
@@ -1288,7 +1299,7 @@
             needed = live.born - self._config.skew_s
         else:
             needed = claim_round.started - self._keep_s
-        since = {**claim_round.since, self._process: self._complete_since}
+        since = {**claim_round.since, self._process: self._vouches_since}
         vouched = {name for name, t in since.items() if t < needed}
         incarnations = {view.process: view.incarnation for view in views}
         inherited = set()
--- a/src/citrondeal/dedup/tests/cell.py
+++ b/src/citrondeal/dedup/tests/cell.py
@@ -75,6 +75,7 @@
         self.listed = list(self.names)
         self.nodes = {}
         self.zombies = []
+        self.stale = {}  # replaced processes that still get the calls
         self.flight = []
         self.cuts = set()
         self.sends = {}  # id -> list of Send
@@ -226,7 +227,7 @@
         lead = node.lead.get(request_id)
         message = Message(kind, node, None, request_id, body, lead)
         self.message_count += 1
-        message.target = self.nodes.get(target)
+        message.target = self.stale.get(target) or self.nodes.get(target)
         if message.target is None:
             message.target = node
             message.target = Node(target, "gone", None)
--- a/src/citrondeal/dedup/tests/dedup.feature
+++ b/src/citrondeal/dedup/tests/dedup.feature
@@ -60,6 +60,10 @@
     When dedup "finish a, leave a b, fill b, finish c" happens
     Then dedup the attempts are answered "answer unknown_outcome" with 1 runs
 
+  Scenario: dedup counts the lag of the gateway list against a successor
+    # Guards against a second run when an intent reached a replaced process.
+    Then dedup a successor does not vouch for its predecessor's last intents
+
   Scenario Outline: dedup answers after <case>
     # Guards against a change of the answers listed in at-most-once.md.
     Given dedup a cell of 4 gateways and a "uuid7" id
--- a/src/citrondeal/dedup/tests/mutants.py
+++ b/src/citrondeal/dedup/tests/mutants.py
@@ -19,7 +19,7 @@
 
     def __init__(self, process, incarnation, zone, now, config=None):
         super().__init__(process, incarnation, zone, now, config)
-        self._complete_since = 0.0
+        self._started_at = self._complete_since = 0.0
 
 
 class BarIgnoredInQueue(dedup.Ledger):
--- a/src/citrondeal/dedup/tests/steps.py
+++ b/src/citrondeal/dedup/tests/steps.py
@@ -149,6 +149,28 @@
     context.id = context.cell.new_id("uuid7")
 
 
+@then("dedup a successor does not vouch for its predecessor's last intents")
+def last_intents(context):
+    cell = cells.Cell(4)
+    cell.replace("b")
+    (old,) = cell.zombies
+    old.paused = False
+    cell.advance(1.0)
+    # The caller's clock is ahead, so that the id seems to be younger.
+    request_id = cell.new_id("uuid7", 2.9)
+    cell.stale["b"] = old
+    cell.send(request_id, "a")
+    cell.settle(request_id, 2)
+    assert old.ledger.dump()["ids"] == 1 and len(cell.runs) == 1
+    del cell.stale["b"]
+    cell.kill("a")
+    cell.advance(4.0)
+    cell.send(request_id, "c")
+    cell.settle(request_id)
+    cell.check()
+    assert _kind(cell.sends[request_id][1]) == "unknown_outcome"
+
+
 @then('dedup "{text}" breaks a guarantee')
 def breaks(context, text):
     try:
