--- a/bench/placement.py
+++ b/bench/placement.py
@@ -218,7 +218,11 @@
 
 
 class Simulation:
-    """Runs tasks in virtual time on workers that do as they are told."""
+    """Runs tasks in virtual time on workers that do as they are told.
+
+    It has its own random numbers, so that the jobs do not depend on what
+    the pool decides.
+    """
 
     def __init__(self, pool, rng, workers):
         self.pool = pool
@@ -334,7 +338,7 @@
 def urgent_wait(seed, pool):
     """Return the waits of urgent tasks in a flood of batch, in seconds."""
     rng = random.Random(seed)
-    sim = Simulation(pool, rng, 20)
+    sim = Simulation(pool, random.Random(seed + 1), 20)
     number = 0
     urgent = 0
     while sim.now < 300:
@@ -373,7 +377,7 @@
 def urgent_flood(seed, pool):
     """Return the share of the cores per priority in a flood of urgent."""
     rng = random.Random(seed)
-    sim = Simulation(pool, rng, 20)
+    sim = Simulation(pool, random.Random(seed + 1), 20)
     number = 0
     shares = {name: [] for name in placement.PRIORITIES}
     backlog = dict.fromkeys(placement.PRIORITIES, 0)
@@ -405,7 +409,7 @@
 def black_hole(seed, pool):
     """Return the part of the starts wasted on a failing worker."""
     rng = random.Random(seed)
-    sim = Simulation(pool, rng, 50)
+    sim = Simulation(pool, random.Random(seed + 1), 50)
     sim.black_hole = ("w0007", 60.0)
     number = 0
     before = 0
