--- a/src/citrondeal/jobs/_owner.py
+++ b/src/citrondeal/jobs/_owner.py
@@ -673,6 +673,8 @@
                 pause = self._restart_pause(job, index)
             if (job.id, index) not in self._finishing:
                 self._vacated(job, index, now, pause)
+            elif job.work.kind == "gang":
+                self._resume_gang(job, now)
 
     def _restart_pause(self, job, index):
         count = job.failures.get(index, 0)
@@ -760,6 +762,19 @@
             entry = (due, next(self._sequence), job, None)
             heapq.heappush(self._later, entry)
 
+    def _resume_gang(self, job, now):
+        """Queue the rest of a gang if its last running task has ended.
+
+        A task may finish in spite of the order to stop that it got when
+        another task of the gang was lost.
+        """
+        for index in range(job.tasks):
+            if (job.id, index) in self._at:
+                return
+        due = now + self._config.refused_pause_s
+        entry = (due, next(self._sequence), job, None)
+        heapq.heappush(self._later, entry)
+
     def _may_offer(self, job, index):
         spot = (job.id, index)
         if job.hold or spot in self._at or spot in self._finishing:
--- a/src/citrondeal/jobs/tests/jobs.feature
+++ b/src/citrondeal/jobs/tests/jobs.feature
@@ -167,6 +167,17 @@
     Then jobs 3 tasks of "g" run
     And jobs "g" was started 6 times
 
+  Scenario: jobs gang goes on when its other tasks finish meanwhile
+    # Guards against a task that is left over when the rest of its gang
+    # finishes in spite of the order to stop.
+    Given jobs a scheduler that owns a pool of 3 workers
+    When jobs gang "g" with 3 tasks is submitted and 5 s pass
+    And jobs one task of "g" ends as "failed" and 0 s pass
+    And jobs every task ends as "finished" and 15 s pass
+    Then jobs 1 tasks of "g" run
+    When jobs every task ends as "finished" and 8 s pass
+    Then jobs the state of "g" is "finished"
+
   Scenario: jobs that fail on three workers are held with the reason
     # Guards against a faulty job that wastes starts for ever.
     Given jobs a scheduler that owns a pool of 4 workers
