operators: validate bodies with msgspec instead of pydantic

Cause: the scheduler loaded pydantic only for three models of operators' bodies, and memory does not come back when modules are dropped. msgspec is loaded anyway by the VM list.

Ruled out: msgspec decodes JSON strictly (1.0 or true is no integer, "1" is no number), so no further type checks are needed. A `$` in a pattern would accept an id that ends with a line feed, since msgspec uses Python's `re`; the pattern now ends with \Z and a row of the feature guards it (it fails with `$`). Difference: msgspec reports the first problem of a body's shape only; ranges of a job are still reported together.

--- a/src/citrondeal/operators/_models.py
+++ b/src/citrondeal/operators/_models.py
@@ -1,50 +1,60 @@
-"""pydantic models of the bodies that operators send."""
+"""Models of the bodies that operators send, validated by msgspec."""
 
-import typing
+import re
+from typing import Annotated
+from typing import Literal
 
-import pydantic
+import msgspec
 
 from citrondeal.tree import schema
 
-ID_PATTERN = r"^[A-Za-z0-9._-]{1,128}$"
+# In Python a `$` would also match before a trailing line feed.
+ID_PATTERN = r"^[A-Za-z0-9._-]{1,128}\Z"
 BASE_LIMIT = 2**53
-
-_Value = (
-    pydantic.StrictBool
-    | pydantic.StrictInt
-    | pydantic.StrictFloat
-    | pydantic.StrictStr
+REASONS_LIMIT = 5  # in one answer
+
+_Id = Annotated[str, msgspec.Meta(pattern=ID_PATTERN)]
+_Path = Annotated[str, msgspec.Meta(max_length=256)]
+
+# Position that msgspec adds to its messages, such as ``$.set[...]``.
+_PLACE = re.compile(r"^(.*) - at `(?:key in )?\$\.?(.*)`$", re.DOTALL)
+
+_RANGED = (
+    "kind",
+    "team",
+    "priority",
+    "tasks",
+    "cores",
+    "memory_mb",
+    "accelerators",
+    "run_time_s",
+    "once",
+    "max_restarts",
+    "command",
 )
 
 
-class _Body(pydantic.BaseModel):
-    """Refuses unknown fields, so that a mistyped one is not ignored."""
-
-    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
-
-
-class EditBody(_Body):
+# Unknown fields are refused, so that a mistyped one is not ignored.
+class EditBody(msgspec.Struct, forbid_unknown_fields=True):
     """Body of ``POST /v1/tree/edits``."""
 
-    edit_id: str = pydantic.Field(pattern=ID_PATTERN)
-    path: str = pydantic.Field(max_length=256)
-    base: int = pydantic.Field(ge=0, le=BASE_LIMIT)
-    set: dict[str, _Value] = {}
+    edit_id: _Id
+    path: _Path
+    base: Annotated[int, msgspec.Meta(ge=0, le=BASE_LIMIT)]
+    set: dict[str, bool | int | float | str] = {}
     unset: list[str] = []
     delete: bool = False
-    author: str = pydantic.Field(default="", max_length=128)
+    author: Annotated[str, msgspec.Meta(max_length=128)] = ""
 
-    @pydantic.field_validator("path")
-    @classmethod
-    def _normalize(cls, path):
-        return schema.normalize_path(path)
+    def __post_init__(self):
+        self.path = schema.normalize_path(self.path)
 
 
-class JobBody(_Body):
+class JobBody(msgspec.Struct, forbid_unknown_fields=True):
     """Body of ``POST /v1/jobs``; ranges are those of the tree's keys."""
 
-    path: str = pydantic.Field(max_length=256)
-    id: str | None = pydantic.Field(default=None, pattern=ID_PATTERN)
+    path: _Path
+    id: _Id | None = None
     kind: str | None = None
     team: str | None = None
     priority: str | None = None
@@ -56,50 +66,45 @@
     once: bool | None = None
     max_restarts: int | None = None
     command: str | None = None
-    zone: str | None = pydantic.Field(default=None, max_length=64)
-
-    @pydantic.field_validator("path")
-    @classmethod
-    def _batch_path(cls, path):
-        path = schema.normalize_path(path)
-        if schema.kind_of(path) is not schema.PathKind.BATCH:
-            raise ValueError("should be /batch/<name>[/<leaf>]")
-        return path
-
-    @pydantic.field_validator(
-        "kind",
-        "team",
-        "priority",
-        "tasks",
-        "cores",
-        "memory_mb",
-        "accelerators",
-        "run_time_s",
-        "once",
-        "max_restarts",
-        "command",
-    )
-    @classmethod
-    def _range(cls, value, info):
-        if value is None:
-            return None
-        key = schema.KEYS[f"job.{info.field_name}"]
-        value, reason = schema.check_value(key, value)
-        if reason is not None:
-            raise ValueError(reason)
-        return value
-
-
-class LevelBody(_Body):
+    zone: Annotated[str, msgspec.Meta(max_length=64)] | None = None
+
+    def __post_init__(self):
+        self.path = schema.normalize_path(self.path)
+        reasons = []
+        if schema.kind_of(self.path) is not schema.PathKind.BATCH:
+            reasons.append("path: should be /batch/<name>[/<leaf>]")
+        for name in _RANGED:
+            value = getattr(self, name)
+            if value is None:
+                continue
+            key = schema.KEYS[f"job.{name}"]
+            value, reason = schema.check_value(key, value)
+            if reason is not None:
+                reasons.append(f"{name}: {reason}")
+            setattr(self, name, value)
+        if reasons:
+            # msgspec raises it again as a `msgspec.ValidationError`.
+            raise ValueError("; ".join(reasons[:REASONS_LIMIT]))
+
+
+class LevelBody(msgspec.Struct, forbid_unknown_fields=True):
     """Body of ``POST /debug/log-level``."""
 
-    level: typing.Literal["debug", "info", "warning", "error"]
+    level: Literal["debug", "info", "warning", "error"]
 
 
 def reason_of(error):
-    """Return one sentence for a `pydantic.ValidationError`."""
-    parts = []
-    for item in error.errors(include_url=False, include_context=False)[:5]:
-        place = ".".join(str(part) for part in item["loc"][:2]) or "body"
-        parts.append(f"{place}: {item['msg'].removeprefix('Value error, ')}")
-    return "; ".join(parts)
+    """Return one sentence for a `msgspec.DecodeError`.
+
+    Examples
+    --------
+    >>> reason_of(msgspec.ValidationError("Expected `int` - at `$.base`"))
+    'base: Expected `int`'
+    """
+    text = str(error)
+    if not isinstance(error, msgspec.ValidationError):
+        return f"body: invalid JSON: {text}"
+    found = _PLACE.match(text)
+    if found is None:
+        return text
+    return f"{found[2] or 'body'}: {found[1]}"
--- a/src/citrondeal/operators/api.py
+++ b/src/citrondeal/operators/api.py
@@ -5,7 +5,8 @@
 import re
 import uuid
 
-import pydantic
+import msgspec
+import msgspec.structs
 import result
 
 from citrondeal import errors
@@ -140,8 +141,8 @@
 def _parse(model, request):
     """Return the validated body as `result.Result`."""
     try:
-        return result.Ok(model.model_validate_json(request.body))
-    except pydantic.ValidationError as exc:
+        return result.Ok(msgspec.json.decode(request.body, type=model))
+    except msgspec.DecodeError as exc:
         message = _models.reason_of(exc)
         return result.Err(errors.Failure(errors.Kind.MALFORMED, message))
 
@@ -236,7 +237,7 @@
     parsed = _parse(_models.JobBody, request)
     if parsed.is_err():
         return web.failure_response(parsed.unwrap_err())
-    fields = parsed.unwrap().model_dump()
+    fields = msgspec.structs.asdict(parsed.unwrap())
     fields["id"] = fields["id"] or uuid.uuid4().hex
     job = _backend.JobRequest(**fields)
     outcome = await backend.submit(job)
--- a/src/citrondeal/operators/tests/operators.feature
+++ b/src/citrondeal/operators/tests/operators.feature
@@ -69,6 +69,9 @@
       | {"path": "/teams/t", "base": 0} | 400 | edit_id |
       | {"edit_id": "a", "path": "/teams/t", "base": 0, "set": {"weight": [1]}} | 400 | set |
       | {"edit_id": "a", "path": "/teams/t", "base": 0, "delete": "yes"} | 400 | delete |
+      | {"edit_id": "a\n", "path": "/teams/t", "base": 0} | 400 | edit_id |
+      | {"edit_id": "a", "path": "/teams/t", "base": 1.0} | 400 | base |
+      | {"edit_id": "a", "path": "/teams/t", "base": 9007199254740993} | 400 | base |
       | {"edit_id": "a", | 400 | JSON |
 
   Scenario: operators a node shows values with their origins
@@ -113,6 +116,9 @@
       | {"path": "/batch/b", "cores": 0} | 400 | cores 0.01 |
       | {"path": "/batch/b", "tasks": 1.5} | 400 | tasks |
       | {"path": "/batch/b", "tasks": true} | 400 | tasks |
+      | {"path": "/batch/b", "tasks": 1.0} | 400 | tasks |
+      | {"path": "/batch/b", "cores": "1"} | 400 | cores |
+      | {"path": "/batch/b", "cores": 0, "kind": "crowd"} | 400 | cores kind |
       | {"path": "/batch/b", "kind": "crowd"} | 400 | kind gang |
       | {"path": "/batch/b", "id": "a/b"} | 400 | id |
       | {"path": "/batch/b", "cores": 101} | 422 | larger |
