config: validate settings with plain checks; remove pydantic

Cause: loading one settings file loaded pydantic_core into each daemon. The checks are now functions driven by the metadata of the dataclasses.

Ruled out: msgspec in its lax mode, since its messages do not say "number", "integer" or "finite" as the tests demand.

--- a/bench/tree.py
+++ b/bench/tree.py
@@ -35,24 +35,10 @@
     "from citrondeal import config\n"
     "config.GatewayConfig.from_file(config.sample_path('gateway'))\n"
 )
-_MODEL = (
-    "import pydantic\nclass Model(pydantic.BaseModel):\n    value: int = 1\n"
-)
 _PROGRAMS = {
     "bare interpreter": "",
     "citrondeal.config imported": "import citrondeal.config",
     "file loaded": _LOAD,
-    "file loaded, then one pydantic model defined": _LOAD + _MODEL,
-    "the same, modules of pydantic dropped": (
-        _LOAD
-        + _MODEL
-        + "import gc\n"
-        + "del Model, pydantic\n"
-        + "for name in list(sys.modules):\n"
-        + "    if name.startswith('pydantic'):\n"
-        + "        del sys.modules[name]\n"
-        + "gc.collect()"
-    ),
     "citrondeal.tree imported": "import citrondeal.tree",
     "citrondeal.operators.api imported": "import citrondeal.operators.api",
 }
--- a/src/citrondeal/config/_load.py
+++ b/src/citrondeal/config/_load.py
@@ -8,6 +8,7 @@
 import sys
 
 from citrondeal.config import _settings
+from citrondeal.config import _validation
 
 EXIT_STATUS = 2
 SAMPLES = pathlib.Path(__file__).parent / "samples"
@@ -75,9 +76,6 @@
         for section in dataclasses.fields(cls)
     }
     problems = _unknown(parser, shape)
-    # Loads pydantic's core, which a file that cannot be parsed does not need.
-    from citrondeal.config import _validation
-
     raw = {name: dict(parser[name]) for name in parser.sections()}
     known = {
         name: {key: raw[name][key] for key in raw.get(name, {}) if key in keys}
--- a/src/citrondeal/config/_validation.py
+++ b/src/citrondeal/config/_validation.py
@@ -1,20 +1,22 @@
-"""Validation of the settings with pydantic's core.
+"""Validation of the settings from the metadata of their dataclasses.
 
-The schemas are built from the dataclasses.  They are given to `pydantic_core`
-directly: defining a model class loads another 12 MB into a daemon, and
-memory does not come back when the modules are dropped (bench/tree.py).
-Only `_load.load` imports this module, after a file has been parsed.
+The checks are plain functions: the validators of common libraries load
+several MB into a daemon, which needs them for this one file
+(docs/settings.md has figures).
 """
 
 import dataclasses
 import ipaddress
+import math
+import re
 import urllib.parse
 
-import pydantic_core
-from pydantic_core import core_schema
-
 from citrondeal.config import _settings
 
+# ASCII digits, with single underscores between them; a whole number may be
+# written with a zero fraction.
+_INTEGER = re.compile(r"([+-]?[0-9]+(?:_[0-9]+)*)(?:\.0+)?")
+
 
 def build(cls, raw):
     """Validate text values and return the dataclass.
@@ -36,52 +38,89 @@
     problems = []
     sections = {}
     for section in dataclasses.fields(cls):
-        validator = pydantic_core.SchemaValidator(_schema_of(section.type))
-        try:
-            values = validator.validate_python(raw[section.name])
-        except pydantic_core.ValidationError as exc:
-            problems += [
-                (section.name, str(error["loc"][0]), _message(error))
-                for error in exc.errors()
-            ]
-            continue
-        sections[section.name] = section.type(**values)
+        values, found = _section(section.type, raw[section.name])
+        problems += [(section.name, *problem) for problem in found]
+        if not found:
+            sections[section.name] = section.type(**values)
     if problems:
         return None, problems
     return cls(**sections), []
 
 
-def _schema_of(section):
-    fields = {}
-    for field in dataclasses.fields(section):
-        fields[field.name] = core_schema.typed_dict_field(
-            _value_schema(field, field.metadata["limits"]),
-            required=field.default is dataclasses.MISSING,
-        )
-    return core_schema.typed_dict_schema(fields, extra_behavior="forbid")
+def _section(cls, raw):
+    """Return the values of one section and the problems found in it."""
+    values = {}
+    problems = []
+    for field in dataclasses.fields(cls):
+        if field.name not in raw:
+            if field.default is dataclasses.MISSING:
+                problems.append((field.name, "is required"))
+            continue
+        text = raw[field.name]
+        try:
+            values[field.name] = _value(field, text)
+        except ValueError as exc:
+            problems.append((field.name, f"{exc}, not {text!r}"))
+    return values, problems
 
 
-def _value_schema(field, limits):
+def _value(field, text):
+    limits = field.metadata["limits"]
     if field.type is _settings.Address:
-        return core_schema.no_info_plain_validator_function(_address)
+        return _address(text)
     if field.type is float:
-        return core_schema.float_schema(allow_inf_nan=False, **limits)
+        return _in_range(_float(text), **limits)
     if field.type is int:
-        return core_schema.int_schema(**limits)
+        return _in_range(_integer(text), **limits)
     if "choices" in limits:
-        return core_schema.literal_schema(list(limits["choices"]))
+        return _choice(text, **limits)
     if field.name.endswith("_url"):
-        return core_schema.no_info_after_validator_function(
-            _url, core_schema.str_schema()
-        )
-    return core_schema.str_schema(**limits)
+        return _url(text)
+    return _text(text, **limits)
+
+
+def _float(text):
+    try:
+        # float() would also read digits of other scripts.
+        value = float(text if text.isascii() else "")
+    except ValueError:
+        raise ValueError("should be a valid number") from None
+    if not math.isfinite(value):
+        raise ValueError("should be a finite number")
+    return value
+
+
+def _integer(text):
+    found = _INTEGER.fullmatch(text.strip())
+    if found is None:
+        raise ValueError("should be a valid integer")
+    try:
+        return int(found[1])
+    except ValueError:
+        # Python converts at most 4300 digits.
+        raise ValueError("should be a valid integer") from None
+
+
+def _in_range(value, ge=-math.inf, le=math.inf):
+    if value < ge:
+        raise ValueError(f"should be greater than or equal to {ge}")
+    if value > le:
+        raise ValueError(f"should be less than or equal to {le}")
+    return value
+
+
+def _choice(text, choices):
+    if text not in choices:
+        *first, last = map(repr, choices)
+        raise ValueError(f"should be {', '.join(first)} or {last}")
+    return text
 
 
-def _message(error):
-    if error["type"] == "missing":
-        return "is required"
-    text = error["msg"].removeprefix("Value error, ")
-    return f"{text[0].lower()}{text[1:]}, not {error['input']!r}"
+def _text(text, pattern=""):
+    # fullmatch, since `$` would also match before a trailing line feed.
+    if pattern and not re.fullmatch(pattern, text):
+        raise ValueError(f"should match pattern {pattern!r}")
+    return text
 
 
 def _address(text):
--- a/src/citrondeal/config/tests/config.feature
+++ b/src/citrondeal/config/tests/config.feature
@@ -43,6 +43,9 @@
       | gateway | leases | ttl_s = | [leases] ttl_s: | number |
       | gateway | leases | margin_s = 0 | [leases] margin_s: | greater 0.01 |
       | gateway | limits | ids = 1.5 | [limits] ids: | integer |
+      | gateway | limits | ids = ٣٣٣ | [limits] ids: | integer |
+      | gateway | limits | ids = 1__000 | [limits] ids: | integer |
+      | gateway | leases | ttl_s = ٣ | [leases] ttl_s: | number |
       | gateway | limits | body_bytes = 2097152 | [limits] body_bytes: | 2031616 |
       | gateway | logging | level = loud | [logging] level: | 'debug' 'loud' |
       | gateway | drain | limit_s = -1 | [drain] limit_s: | greater |
@@ -92,10 +95,9 @@
   Scenario: config a missing file ends the program with status 2
     Then config a program without its file exits with 2 and says why
 
-  Scenario: config loading a file defines no pydantic models
-    # A model class loads 12 MB that a daemon cannot give back.
-    Then config importing the package loads nothing of pydantic
-    And config loading a file loads only the core of pydantic
+  Scenario: config loading a file needs no validation library
+    # Such a library loads 5 to 17 MB that a daemon cannot give back.
+    Then config loading a file loads no validation library
 
   Scenario: config the documentation lists every key with its default
     Then config docs/settings.md has a row for every key
--- a/src/citrondeal/config/tests/steps.py
+++ b/src/citrondeal/config/tests/steps.py
@@ -157,19 +157,14 @@
     return set(done.stdout.split())
 
 
-@then("config importing the package loads nothing of pydantic")
-def no_pydantic(context):
-    loaded = _loaded_after("import citrondeal.config")
-    assert not loaded & {"pydantic", "pydantic_core"}, loaded
-
-
-@then("config loading a file loads only the core of pydantic")
-def only_core(context):
+@then("config loading a file loads no validation library")
+def no_library(context):
     loaded = _loaded_after(
         "from citrondeal import config as c; "
         "c.GatewayConfig.from_file(c.sample_path('gateway'))"
     )
-    assert "pydantic_core" in loaded and "pydantic" not in loaded, loaded
+    libraries = {"pydantic", "pydantic_core", "msgspec"}
+    assert not loaded & libraries, loaded
 
 
 @then("config docs/settings.md has a row for every key")
