--- a/src/citrondeal/gateway/_flow.py
+++ b/src/citrondeal/gateway/_flow.py
@@ -33,6 +33,8 @@
 TICK_S = 0.02  # bounds how late an expired request is refused
 ANSWER_OVERHEAD = 256  # bytes for headers of a kept answer
 
+_ATTACHING = (dedup.Proceed, dedup.Join, dedup.Answer)
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -91,7 +93,6 @@
             dedup.Dispatch: lambda action: None,
             dedup.Answer: self._answer,
             dedup.Refuse: self._refuse,
-            dedup.RejectForward: self._reject,
             dedup.Drop: self._drop,
             dedup.SendIntent: self._send_intent,
             dedup.SendClaims: self._send_claims,
@@ -161,16 +162,23 @@
 
     async def handle_forward(self, work, message):
         """Handle a request that another gateway forwards to this one."""
-        now = anyio.current_time()
         waiter = _work.Waiter(origin=message.origin)
-        known = self._works.setdefault(work.request_id, work)
-        known.waiters.append(waiter)
-        permit = _messages.permit_in(message.permit)
-        self._perform(
-            self._ledger.on_forward(
-                work.request_id, message.number, permit, work.idempotent, now
-            )
+        actions = self._ledger.on_forward(
+            work.request_id,
+            message.number,
+            _messages.permit_in(message.permit),
+            work.idempotent,
+            anyio.current_time(),
         )
+        for action in actions:
+            if isinstance(action, dedup.RejectForward):
+                waiter.resolve(result.Err(action.failure))
+                continue
+            # A refusal before one of these belongs to earlier waiters.
+            if isinstance(action, _ATTACHING):
+                known = self._works.setdefault(work.request_id, work)
+                known.waiters.append(waiter)
+            self._perform([action])
         # The attempt itself is bounded; the origin stops to wait on its own.
         await waiter.done.wait()
         return waiter.outcome
@@ -245,10 +253,8 @@
         if not self._admitted(work, self._queues.offer(request, now), now):
             return
         if work.forwarded:
+            # The origin is the second gateway that knows of the request.
             work.ready.set()
-        else:
-            # The intent is sent while the request waits for a slot.
-            self._perform(self._ledger.prepare(work.request_id, now))
         self.pump(work.service)
 
     def _queue_again(self, work, now):
@@ -304,15 +310,6 @@
         for waiter in work.waiters:
             waiter.resolve(outcome)
 
-    def _reject(self, action):
-        work = self._works[action.request_id]
-        for waiter in list(work.waiters):
-            if waiter.origin == action.gateway:
-                work.waiters.remove(waiter)
-                waiter.resolve(result.Err(action.failure))
-        if not work.waiters:
-            self._works.pop(action.request_id, None)
-
     def _drop(self, action):
         failure = errors.Failure(
             errors.Kind.DEADLINE, "nobody waits for the request"
@@ -570,6 +567,11 @@
 
     async def _may_dispatch(self, work, endpoint):
         """Wait for the intent, then ask for the permission to send."""
+        if not work.ready.is_set():
+            # Only now, because an intent for a request that is still queued
+            # makes its outcome unknown if this process fails.
+            now = anyio.current_time()
+            self._perform(self._ledger.prepare(work.request_id, now))
         if not work.ready.is_set():
             left = work.deadline - anyio.current_time()
             with anyio.move_on_after(max(0.0, left)):
--- a/src/citrondeal/gateway/_messages.py
+++ b/src/citrondeal/gateway/_messages.py
@@ -8,6 +8,9 @@
 from citrondeal import errors
 from citrondeal.peers.gen.peers import ttypes
 
+HANDOVER_PART = 1024 * 1024  # bytes; fits a peer frame
+HANDOVER_PARTS = 64  # bounds the memory for records that are handed over
+
 _REPLY = "__reply__"  # marks an encoded answer in a handover
 
 
@@ -141,20 +144,66 @@
 
 
 def handover_out(state):
-    """Return the message of exported id records.
+    """Return the messages of exported id records.
 
     Parameters
     ----------
     state : dict
         Result of `dedup.Ledger.export`; its answers are `callers.Reply`.
-    """
-    text = json.dumps(state, default=_encode, separators=(",", ":"))
-    return ttypes.Handover(text.encode())
 
-
-def handover_in(message):
-    """Return the records of a `ttypes.Handover`."""
-    return json.loads(message.state, object_hook=_decode)
+    Returns
+    -------
+    list of ttypes.Handover
+        Parts, each of which fits into a frame.
+    """
+    text = json.dumps(state, default=_encode, separators=(",", ":")).encode()
+    parts = [
+        text[start : start + HANDOVER_PART]
+        for start in range(0, len(text), HANDOVER_PART)
+    ]
+    return [
+        ttypes.Handover(number, len(parts), part)
+        for number, part in enumerate(parts)
+    ]
+
+
+class Handovers:
+    """Collects the parts of records that other gateways hand over."""
+
+    def __init__(self):
+        self._parts = {}
+
+    def add(self, sender, message):
+        """Add one part.
+
+        Parameters
+        ----------
+        sender : str
+            Process that hands over.
+        message : ttypes.Handover
+            One of its parts, which come in order.
+
+        Returns
+        -------
+        dict or None
+            The records once all parts are there.
+
+        Raises
+        ------
+        ValueError
+            If a part is missing or the records are too large.
+        """
+        parts = self._parts.setdefault(sender, [])
+        if message.part == 0:
+            parts.clear()
+        if message.part != len(parts) or message.parts > HANDOVER_PARTS:
+            del self._parts[sender]
+            raise ValueError("unexpected part of a handover")
+        parts.append(message.state)
+        if len(parts) < message.parts:
+            return None
+        del self._parts[sender]
+        return json.loads(b"".join(parts), object_hook=_decode)
 
 
 def _encode(value):
--- a/src/citrondeal/gateway/main.py
+++ b/src/citrondeal/gateway/main.py
@@ -76,6 +76,7 @@
             )
         )
         self._configured = set()
+        self._handovers = _messages.Handovers()
         # Seeded by the name, so that a run can be repeated.
         self._table = routing.Table.from_config(
             routing.Config(),
@@ -293,7 +294,7 @@
         if isinstance(value, ttypes.Forward):
             return await self._on_forward(value)
         if isinstance(value, ttypes.Handover):
-            return self._on_handover(value)
+            return self._on_handover(peer, value)
         return ttypes.Fault(kind="protocol", message="unexpected message")
 
     async def _on_forward(self, message):
@@ -333,25 +334,33 @@
         )
         self._flow.pump_all()
 
-    def _on_handover(self, message):
-        state = _messages.handover_in(message)
-        self._ledger.import_records(state, anyio.current_time())
+    def _on_handover(self, peer, message):
+        try:
+            state = self._handovers.add(peer.process, message)
+        except ValueError as exc:
+            return ttypes.Fault(kind="malformed", message=str(exc))
+        if state is not None:
+            self._ledger.import_records(state, anyio.current_time())
         return ttypes.Ok()
 
     async def _hand_over_ids(self):
         state = self._ledger.export(anyio.current_time())
-        message = _messages.handover_out(state)
+        parts = _messages.handover_out(state)
         zone = self._identity.zone
         others = sorted(self._other_gateways(), key=lambda vm: vm.zone != zone)
         for vm in others:
+            if await self._send_parts(vm, parts):
+                return
+
+    async def _send_parts(self, vm, parts):
+        for part in parts:
             try:
-                reply = await self._links.call(
-                    vm.peer, message, HANDOVER_TIMEOUT
-                )
+                reply = await self._links.call(vm.peer, part, HANDOVER_TIMEOUT)
             except peers.PeerError:
-                continue
-            if isinstance(reply, ttypes.Ok):
-                return
+                return False
+            if not isinstance(reply, ttypes.Ok):
+                return False
+        return True
 
     async def _report_load(self):
         while True:
--- a/src/citrondeal/peers/gen/peers/ttypes.py
+++ b/src/citrondeal/peers/gen/peers/ttypes.py
@@ -2008,16 +2008,22 @@
 class Handover(object):
     """
     Attributes:
+     - part
+     - parts
      - state
 
     """
 
     __slots__ = (
+        'part',
+        'parts',
         'state',
     )
 
 
-    def __init__(self, state=None,):
+    def __init__(self, part=None, parts=None, state=None,):
+        self.part = part
+        self.parts = parts
         self.state = state
 
     def read(self, iprot):
@@ -2030,6 +2036,16 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
+                if ftype == TType.I32:
+                    self.part = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.parts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.STRING:
                     self.state = iprot.readBinary()
                 else:
@@ -2044,8 +2060,16 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('Handover')
+        if self.part is not None:
+            oprot.writeFieldBegin('part', TType.I32, 1)
+            oprot.writeI32(self.part)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.I32, 2)
+            oprot.writeI32(self.parts)
+            oprot.writeFieldEnd()
         if self.state is not None:
-            oprot.writeFieldBegin('state', TType.STRING, 1)
+            oprot.writeFieldBegin('state', TType.STRING, 3)
             oprot.writeBinary(self.state)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2775,7 +2799,9 @@
 all_structs.append(Handover)
 Handover.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'state', 'BINARY', None, ),  # 1
+    (1, TType.I32, 'part', None, None, ),  # 1
+    (2, TType.I32, 'parts', None, None, ),  # 2
+    (3, TType.STRING, 'state', 'BINARY', None, ),  # 3
 )
 all_structs.append(JobQuery)
 JobQuery.thrift_spec = (
--- a/src/citrondeal/peers/peers.thrift
+++ b/src/citrondeal/peers/peers.thrift
@@ -144,7 +144,9 @@
 
 // Records of a gateway that leaves, for the gateway that keeps them.
 struct Handover {
-  1: binary state
+  1: i32 part
+  2: i32 parts
+  3: binary state
 }
 
 // Asks the owner of a pool for the state of a job.
