Claim the pool only when the workers are known

Jobs submitted between the kill of an owner and the takeover waited 34 s, because the standby could not know that it had seen all workers.

--- a/src/citrondeal/scheduler/main.py
+++ b/src/citrondeal/scheduler/main.py
@@ -29,6 +29,7 @@
 USAGE = "usage: citrondeal-scheduler SETTINGS.ini"
 # Time for the release of the pool to be read back from the log.
 RELEASE_S = 3.0
+FIRST_CLAIM_S = 1.5  # longer than the period at which the VM list is read
 QUERY_S = 1.0  # for the owner's answer about a job
 
 _LOG = logging.getLogger(__name__)
@@ -125,7 +126,6 @@
             )
         )
         self._leases.listen(self._on_gained, self._on_lost, self._on_drain)
-        self._leases.group.want([self._resource], anyio.current_time())
         self._settings.on_changed(self._on_settings)
         self._jobs.on_changed(self._exchange.changed)
         self._lifecycle.set_ready_check(self._is_ready)
@@ -133,6 +133,7 @@
         start_soon(self._settings.run)
         start_soon(self._jobs.run)
         start_soon(self._exchange.run)
+        start_soon(self._claim_pool)
         start_soon(
             runtime.poll_vms,
             self._vm_client,
@@ -198,6 +199,17 @@
         if self._leases.is_unused(self._resource):
             self._owner.on_unused_pool(now)
 
+    async def _claim_pool(self):
+        """Want the pool once the workers are known.
+
+        The schedulers of a new zone then all know the workers before the
+        first of them starts a task, see `jobs.Owner.on_unused_pool`.
+        """
+        await anyio.sleep(FIRST_CLAIM_S)
+        while self._directory.updated_at is None:
+            await anyio.sleep(0.1)
+        self._leases.group.want([self._resource], anyio.current_time())
+
     def _on_vms(self):
         vms = self._directory.select("worker", self._zone)
         now = anyio.current_time()
