--- a/src/citrondeal/placement/_pool.py
+++ b/src/citrondeal/placement/_pool.py
@@ -152,6 +152,11 @@
         worker = self._workers.get(name)
         if worker is None:
             return
+        # A hold must not outlive the worker: its room would be taken from
+        # a worker with the same name that comes back.
+        for job, hold in list(self._holds.items()):
+            if name in hold.amounts:
+                self._unhold(self._items[job])
         for key in list(worker.allotted):
             self.release(name, key)
         worker.open = False
--- a/src/citrondeal/placement/tests/placement.feature
+++ b/src/citrondeal/placement/tests/placement.feature
@@ -127,6 +127,15 @@
     Then placement "now" runs 1 tasks
     And placement "old" runs 4 tasks
 
+  Scenario: placement forgets held room with the worker
+    # Guards against a worker that comes back with more room than it has.
+    Given placement 2 workers of 4 cores in 1 racks
+    When placement batch "old" asks for 8 tasks of 1 cores
+    And placement urgent batch "now" asks for 1 tasks of 2 cores
+    And placement every worker vanishes and comes back
+    And placement batch "new" asks for 20 tasks of 1 cores
+    Then placement 7 tasks run in all
+
   Scenario: placement leaves every priority its share
     # Guards against starvation by a flood of the most urgent work.
     Given placement 10 workers of 10 cores in 2 racks
--- a/src/citrondeal/placement/tests/steps.py
+++ b/src/citrondeal/placement/tests/steps.py
@@ -217,6 +217,17 @@
         place(context)
 
 
+@when("placement every worker vanishes and comes back")
+def workers_come_back(context):
+    context.running.clear()
+    for name, capacity in context.capacity.items():
+        context.pool.remove_worker(name)
+    context.pool.place(context.now)
+    for name, capacity in context.capacity.items():
+        rack = context.racks[name]
+        context.pool.set_worker(name, capacity, rack, True, context.now)
+
+
 @when("placement everything urgent is withdrawn")
 def withdraw_urgent(context):
     context.pool.withdraw("u")
