--- a/src/citrondeal/placement/tests/steps.py
+++ b/src/citrondeal/placement/tests/steps.py
@@ -220,9 +220,8 @@
 @when("placement every worker vanishes and comes back")
 def workers_come_back(context):
     context.running.clear()
-    for name, capacity in context.capacity.items():
+    for name in context.capacity:
         context.pool.remove_worker(name)
-    context.pool.place(context.now)
     for name, capacity in context.capacity.items():
         rack = context.racks[name]
         context.pool.set_worker(name, capacity, rack, True, context.now)
