peers, platform, workers: count traffic by address and with HTTP headers

Pool.traffic_by_address keeps the bytes of closed links by address; telemetry.http_bytes counts start lines and headers as well.

Ruled out: reading the kernel's counters per socket, which a process has for its own sockets only while they are open.

A scenario of operators now guards that importing a daemon loads neither fire nor pydantic.

--- a/src/citrondeal/gateway/main.py
+++ b/src/citrondeal/gateway/main.py
@@ -204,6 +204,7 @@
                 "log": self._log.traffic,
                 "vms": self._vm_client.traffic,
                 "peers": self._links.traffic,
+                "peers_by_address": self._links.traffic_by_address,
             },
             "vms": self._directory.dump(),
             "leases": self._leases.group.dump(),
--- a/src/citrondeal/operators/tests/operators.feature
+++ b/src/citrondeal/operators/tests/operators.feature
@@ -146,6 +146,10 @@
       | up | DELETE | /v1/jobs/none | | 404 | error.request_id | "none" |
       | up | POST | /debug/log-level | {"level": "loud"} | 400 | error.run | "not_run" |
 
+  Scenario: operators the daemons load no library of the command line
+    # Memory of a module that a daemon does not use is never given back.
+    Then operators importing each daemon loads neither fire nor pydantic
+
   Scenario: operators the logging level changes at run time
     When operators a request POST /debug/log-level is sent
       """
--- a/src/citrondeal/operators/tests/steps.py
+++ b/src/citrondeal/operators/tests/steps.py
@@ -6,6 +6,8 @@
 import logging
 import operator
 import shlex
+import subprocess
+import sys
 import threading
 
 from behave import given
@@ -184,6 +186,22 @@
     assert context.cell.drained == names.split(), context.cell.drained
 
 
+@then("operators importing each daemon loads neither fire nor pydantic")
+def imports_of_daemons(context):
+    code = (
+        "import sys, citrondeal.gateway.main, citrondeal.scheduler.main; "
+        "print(*{n.split('.')[0] for n in sys.modules})"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        capture_output=True,
+        check=True,
+        text=True,
+    )
+    unwanted = {"behave", "fire", "hypothesis", "pydantic", "pydantic_core"}
+    assert not unwanted & set(done.stdout.split()), done.stdout
+
+
 @then("operators the client sends over a real connection")
 def real_connection(context):
     cell = context.cell
--- a/src/citrondeal/peers/_pool.py
+++ b/src/citrondeal/peers/_pool.py
@@ -15,6 +15,7 @@
 # A link on which a call timed out while nothing was received for this long
 # is closed: something between both ends may have dropped its state.
 SILENT_AFTER = 2.0  # seconds
+TRAFFIC_LIMIT = 256  # addresses in the state dump
 
 # TimeoutError is an OSError.
 _CONNECT_ERRORS = (
@@ -36,6 +37,19 @@
         self.lock = anyio.Lock()
         self.failed_at = None
         self.last_received = 0.0
+        self.closed_out = 0  # bytes on links that are closed
+        self.closed_in = 0
+
+    @property
+    def traffic(self):
+        """Bytes sent and received on all links to the address so far."""
+        link = self.link
+        if link is None:
+            return self.closed_out, self.closed_in
+        return (
+            self.closed_out + link.bytes_out,
+            self.closed_in + link.bytes_in,
+        )
 
 
 class Pool:
@@ -57,15 +71,23 @@
         self._task_group = task_group
         self._silent_after = silent_after_s
         self._slots = {}
-        self._closed_bytes = [0, 0]
 
     @property
     def traffic(self):
         """Bytes sent and received on all links so far."""
-        links = [s.link for s in self._slots.values() if s.link is not None]
-        sent = self._closed_bytes[0] + sum(k.bytes_out for k in links)
-        received = self._closed_bytes[1] + sum(k.bytes_in for k in links)
-        return sent, received
+        counts = [slot.traffic for slot in self._slots.values()]
+        return sum(c[0] for c in counts), sum(c[1] for c in counts)
+
+    @property
+    def traffic_by_address(self):
+        """Bytes sent and received by address, for the state dump.
+
+        Links that peers opened are counted by the peers.  Only the
+        `TRAFFIC_LIMIT` addresses with the most traffic are listed.
+        """
+        counts = [(slot.traffic, name) for name, slot in self._slots.items()]
+        counts.sort(key=lambda item: (-sum(item[0]), item[1]))
+        return {name: list(pair) for pair, name in counts[:TRAFFIC_LIMIT]}
 
     def incarnation_of(self, address):
         """Return the incarnation at the other end of the open link.
@@ -188,6 +210,6 @@
     async def _drop(self, slot, link):
         if slot.link is link:
             slot.link = None
-            self._closed_bytes[0] += link.bytes_out
-            self._closed_bytes[1] += link.bytes_in
+            slot.closed_out += link.bytes_out
+            slot.closed_in += link.bytes_in
         await link.aclose()
--- a/src/citrondeal/peers/tests/peers.feature
+++ b/src/citrondeal/peers/tests/peers.feature
@@ -34,3 +34,7 @@
   Scenario: peers call on a silent connection may have been sent
     Given peers a server that never answers
     Then peers the call fails as sent and the next call uses a new connection
+
+  Scenario: peers traffic of closed connections is not forgotten
+    Given peers two servers
+    Then peers the traffic is counted by address across connections
--- a/src/citrondeal/peers/tests/steps.py
+++ b/src/citrondeal/peers/tests/steps.py
@@ -250,3 +250,36 @@
         assert slot_links == [None, None]
 
     _run(scenario)
+
+
+@given("peers two servers")
+def two_servers(context):
+    pass
+
+
+@then("peers the traffic is counted by address across connections")
+def traffic_by_address(context):
+    async def scenario(task_group):
+        async def handle(peer, value):
+            return ttypes.Ok()
+
+        addresses = [await _serve(task_group, handle) for _ in range(2)]
+        pool = peers.Pool(_identity("client"), task_group)
+        intent = ttypes.Intent("a")
+        seen = []
+        for number in range(3):
+            await pool.call(addresses[0], intent, 5)
+            seen.append(pool.traffic_by_address[addresses[0]])
+            slot = pool._slots[addresses[0]]
+            if number == 1:
+                await pool._drop(slot, slot.link)
+        await pool.call(addresses[1], intent, 5)
+        once = pool.traffic_by_address[addresses[1]]
+        assert seen[0] == once, (seen, once)
+        # The second call adds one frame each way, the third a handshake too.
+        assert seen[0] < seen[1] < seen[2], seen
+        assert seen[2][0] == seen[1][0] + once[0], seen
+        total = [a + b for a, b in zip(seen[2], once)]
+        assert tuple(total) == pool.traffic, (total, pool.traffic)
+
+    _run(scenario)
--- a/src/citrondeal/platform/_http.py
+++ b/src/citrondeal/platform/_http.py
@@ -4,6 +4,7 @@
 import result
 
 from citrondeal import errors
+from citrondeal import telemetry
 
 KEEP_ALIVE = 5.0  # seconds; shorter than common idle timeouts on the path
 CONNECT_TIMEOUT = 1.0  # seconds
@@ -29,6 +30,7 @@
 
     def __init__(self, base_url, connections=4):
         self._base_url = base_url.rstrip("/")
+        self._host = self._base_url.partition("://")[2]
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=connections, keepalive_expiry=KEEP_ALIVE
         )
@@ -37,7 +39,7 @@
 
     @property
     def traffic(self):
-        """Body bytes sent and received so far, without HTTP headers."""
+        """Bytes sent and received so far, with HTTP headers."""
         return self._bytes_out, self._bytes_in
 
     async def request(self, method, path, body=b"", headers=(), timeout_s=2.0):
@@ -70,8 +72,11 @@
             return _failure(errors.Kind.UNKNOWN_OUTCOME, exc)
         except httpcore.ProtocolError as exc:
             return _failure(errors.Kind.UNKNOWN_OUTCOME, exc)
-        self._bytes_out += len(body)
-        self._bytes_in += len(response.content)
+        sent, received = telemetry.http_bytes(
+            method, self._host, path, headers, body, response
+        )
+        self._bytes_out += sent
+        self._bytes_in += received
         return result.Ok(response)
 
     async def aclose(self):
--- a/src/citrondeal/platform/_log.py
+++ b/src/citrondeal/platform/_log.py
@@ -52,7 +52,7 @@
 
     @property
     def traffic(self):
-        """Body bytes sent and received so far."""
+        """Bytes sent and received so far, with HTTP headers."""
         return self._exchange.traffic
 
     async def append(self, stream, record, timeout_s=APPEND_TIMEOUT):
--- a/src/citrondeal/platform/_vms.py
+++ b/src/citrondeal/platform/_vms.py
@@ -164,7 +164,7 @@
 
     @property
     def traffic(self):
-        """Body bytes sent and received so far."""
+        """Bytes sent and received so far, with HTTP headers."""
         return self._exchange.traffic
 
     async def read(self):
--- a/src/citrondeal/scheduler/main.py
+++ b/src/citrondeal/scheduler/main.py
@@ -178,6 +178,7 @@
                 "vms": self._vm_client.traffic,
                 "workers": self._worker_client.traffic,
                 "peers": self._links.traffic,
+                "peers_by_address": self._links.traffic_by_address,
             },
             "vms": self._directory.dump(),
             "leases": self._leases.group.dump(),
--- /dev/null
+++ b/src/citrondeal/telemetry/tests/steps.py
@@ -0,0 +1,97 @@
+"""Steps for the counters of traffic."""
+
+import json
+import socket
+import threading
+
+import anyio
+from behave import then
+
+from citrondeal.platform import _http
+from citrondeal import workers
+
+
+class _Server:
+    """Answers every request with the same bytes and counts both ways."""
+
+    def __init__(self, body):
+        self._answer = (
+            b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n"
+            b"content-length: %d\r\n\r\n%b" % (len(body), body)
+        )
+        self.received = 0
+        self.sent = 0
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        port = self._listener.getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self):
+        connection, _ = self._listener.accept()
+        with connection:
+            pending = b""
+            while data := connection.recv(65536):
+                self.received += len(data)
+                pending += data
+                if self._is_complete(pending):
+                    pending = b""
+                    self.sent += len(self._answer)
+                    connection.sendall(self._answer)
+
+    def _is_complete(self, data):
+        head, separator, body = data.partition(b"\r\n\r\n")
+        if not separator:
+            return False
+        length = 0
+        for line in head.lower().split(b"\r\n"):
+            if line.startswith(b"content-length:"):
+                length = int(line.partition(b":")[2])
+        return len(body) >= length
+
+    def close(self):
+        self._listener.close()
+
+
+def _check(server, read_traffic, run):
+    try:
+        anyio.run(run)
+    finally:
+        server.close()
+    assert server.received > 0
+    assert tuple(read_traffic()) == (server.received, server.sent), (
+        read_traffic(),
+        server.received,
+        server.sent,
+    )
+
+
+@then("telemetry exchanges with the platform are counted exactly")
+def platform_traffic(context):
+    server = _Server(b"{}")
+    exchange = _http.Exchange(f"http://{server.address}", 1)
+
+    async def run():
+        headers = [("if-none-match", "abc")]
+        outcomes = [
+            await exchange.request("GET", "/v1/vms", headers=headers),
+            await exchange.request("POST", "/v1/streams/a/records", b"{}"),
+        ]
+        await exchange.aclose()
+        assert all(outcome.is_ok() for outcome in outcomes), outcomes
+
+    _check(server, lambda: exchange.traffic, run)
+
+
+@then("telemetry exchanges with a worker are counted exactly")
+def worker_traffic(context):
+    reply = {"boot_id": "1", "clock_s": 1.0, "tasks": []}
+    server = _Server(json.dumps(reply).encode())
+    client = workers.Client(2.0)
+
+    async def run():
+        for number in range(2):
+            outcome = await client.sync(server.address, {"ack": ["t"]})
+            assert outcome.is_ok(), outcome
+        await client.aclose()
+
+    _check(server, lambda: client.traffic, run)
--- a/src/citrondeal/workers/_client.py
+++ b/src/citrondeal/workers/_client.py
@@ -8,6 +8,7 @@
 import result
 
 from citrondeal import errors
+from citrondeal import telemetry
 
 CONNECT_TIMEOUT = 1.0  # seconds
 # Longer than the period of the exchange, so that one connection per worker
@@ -44,7 +45,7 @@
 
     @property
     def traffic(self):
-        """Body bytes sent and received so far."""
+        """Bytes sent and received so far, with HTTP headers."""
         return self._bytes_out, self._bytes_in
 
     async def sync(self, address, message):
@@ -65,13 +66,14 @@
             request may have taken effect.
         """
         body = json.dumps(message, separators=(",", ":")).encode()
+        headers = [("content-type", "application/json")]
         try:
             with anyio.fail_after(self._timeout):
                 response = await self._pool.request(
                     "POST",
                     f"http://{address}/v1/sync",
                     content=body,
-                    headers=[("content-type", "application/json")],
+                    headers=headers,
                     extensions={"timeout": {"connect": CONNECT_TIMEOUT}},
                 )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
@@ -83,8 +85,11 @@
             TimeoutError,
         ) as exc:
             return _err(errors.Kind.UNKNOWN_OUTCOME, exc)
-        self._bytes_out += len(body)
-        self._bytes_in += len(response.content)
+        sent, received = telemetry.http_bytes(
+            "POST", address, "/v1/sync", headers, body, response
+        )
+        self._bytes_out += sent
+        self._bytes_in += received
         if response.status != 200:
             return _err(
                 errors.Kind.UNKNOWN_OUTCOME,
