--- a/src/citrondeal/workers/_client.py
+++ b/src/citrondeal/workers/_client.py
@@ -1,5 +1,6 @@
 """The periodic exchange with a worker."""
 
+import collections
 import json
 import math
 
@@ -8,11 +9,14 @@
 import result
 
 from citrondeal import errors
+from citrondeal import telemetry
 
 CONNECT_TIMEOUT = 1.0  # seconds
 # Longer than the period of the exchange, so that one connection per worker
 # stays open.
 KEEP_ALIVE = 30.0  # seconds
+# An unused pool is closed after this time; its worker has probably gone.
+POOL_LIMIT = 120.0  # seconds
 REPLY_LIMIT = 4 * 1024 * 1024  # bytes
 
 _STATES = frozenset(
@@ -20,9 +24,25 @@
 )
 
 
+class _Worker:
+    """Connections to one worker."""
+
+    def __init__(self):
+        # One exchange is under way at a time; the second connection lets a
+        # new one begin while an abandoned one is being closed.
+        self.pool = httpcore.AsyncConnectionPool(
+            max_connections=2, keepalive_expiry=KEEP_ALIVE
+        )
+        self.used_at = 0.0
+
+
 class Client:
     """Connections to the workers of the pool.
 
+    Each worker has a connection pool of its own, because httpcore looks at
+    all connections of a pool, with a system call for each, at the start
+    and at the end of every exchange.
+
     Parameters
     ----------
     timeout_s : float
@@ -31,9 +51,8 @@
 
     def __init__(self, timeout_s):
         self._timeout = timeout_s
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=1024, keepalive_expiry=KEEP_ALIVE
-        )
+        # By address; the least recently used first.
+        self._workers = collections.OrderedDict()
         self._bytes_out = 0
         self._bytes_in = 0
 
@@ -44,7 +63,7 @@
 
     @property
     def traffic(self):
-        """Body bytes sent and received so far."""
+        """Bytes sent and received so far, with HTTP headers."""
         return self._bytes_out, self._bytes_in
 
     async def sync(self, address, message):
@@ -65,13 +84,15 @@
             request may have taken effect.
         """
         body = json.dumps(message, separators=(",", ":")).encode()
+        headers = [("content-type", "application/json")]
         try:
             with anyio.fail_after(self._timeout):
-                response = await self._pool.request(
+                pool = await self._pool_of(address)
+                response = await pool.request(
                     "POST",
                     f"http://{address}/v1/sync",
                     content=body,
-                    headers=[("content-type", "application/json")],
+                    headers=headers,
                     extensions={"timeout": {"connect": CONNECT_TIMEOUT}},
                 )
         except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
@@ -83,8 +104,11 @@
             TimeoutError,
         ) as exc:
             return _err(errors.Kind.UNKNOWN_OUTCOME, exc)
-        self._bytes_out += len(body)
-        self._bytes_in += len(response.content)
+        sent, received = telemetry.http_bytes(
+            "POST", address, "/v1/sync", headers, body, response
+        )
+        self._bytes_out += sent
+        self._bytes_in += received
         if response.status != 200:
             return _err(
                 errors.Kind.UNKNOWN_OUTCOME,
@@ -92,9 +116,23 @@
             )
         return _parse(response.content)
 
+    async def _pool_of(self, address):
+        worker = self._workers.get(address)
+        if worker is None:
+            worker = self._workers[address] = _Worker()
+        worker.used_at = anyio.current_time()
+        self._workers.move_to_end(address)
+        oldest, other = next(iter(self._workers.items()))
+        if worker.used_at - other.used_at > POOL_LIMIT:
+            del self._workers[oldest]
+            await other.pool.aclose()
+        return worker.pool
+
     async def aclose(self):
         """Close all connections."""
-        await self._pool.aclose()
+        while self._workers:
+            _, worker = self._workers.popitem()
+            await worker.pool.aclose()
 
 
 def _parse(content):
