Keep settings and jobs when the log starts anew; refuse unknown zones

Found by trying the operators' manual: an empty log made running daemons drop all settings, a job for an unknown zone was accepted and never ran, and three settings had no effect. The first two are refused now, log.level and silent_after_s take effect, endpoint.leaving_s is removed.

--- a/Makefile
+++ b/Makefile
@@ -5,6 +5,7 @@
 STAMP = $(VENV)/.requirements.stamp
 export PYTHONPATH = src:.
 export PYTHONHASHSEED = 0
+unexport PYTHONDONTWRITEBYTECODE
 
 .PHONY: test demo bench faults soak format lint env
 
--- a/src/citrondeal/endpoints/_client.py
+++ b/src/citrondeal/endpoints/_client.py
@@ -18,6 +18,9 @@
     {
         "connection",
         "content-length",
+        # The gateway's own server adds these two to each answer.
+        "date",
+        "server",
         "host",
         "keep-alive",
         "proxy-authenticate",
@@ -98,16 +101,22 @@
     ----------
     connect_timeout_s : float
         Seconds to open a connection.
+    silent_after_s : float
+        Seconds without any byte after which a connection is given up.
     """
 
-    def __init__(self, connect_timeout_s=1.0):
+    def __init__(self, connect_timeout_s=1.0, silent_after_s=10.0):
         self._connect_timeout = connect_timeout_s
+        self._silent_after = silent_after_s
         self._pools = {}
 
     @classmethod
     def from_config(cls, config):
         """Build from the ``[endpoints]`` settings of a gateway."""
-        return cls(config.endpoints.connect_timeout_s)
+        return cls(
+            config.endpoints.connect_timeout_s,
+            config.endpoints.silent_after_s,
+        )
 
     async def attempt(
         self, address, path, headers, body, timeout_s, connections, may_send
@@ -165,7 +174,10 @@
             if name not in _HOP_HEADERS
         ]
         sent_headers.append(("content-length", str(len(body))))
-        timeouts = {"connect": self._connect_timeout, "read": timeout_s}
+        timeouts = {
+            "connect": self._connect_timeout,
+            "read": min(timeout_s, self._silent_after),
+        }
         async with pool.stream(
             "POST",
             f"http://{address}{path}",
--- a/src/citrondeal/operators/ctl.py
+++ b/src/citrondeal/operators/ctl.py
@@ -655,3 +655,7 @@
     if reply.ok:
         return "yes"
     return "no" if reply.status else "no answer"
+
+
+if __name__ == "__main__":
+    main()
--- a/src/citrondeal/runtime/_tree.py
+++ b/src/citrondeal/runtime/_tree.py
@@ -30,6 +30,8 @@
         self._tree = tree_core.Tree()
         self._metrics = metrics
         self._changed = []
+        # A level in the settings file holds until the tree sets another.
+        self._log_level = self._tree.values("/")["log.level"]
         self._advanced = anyio.Event()
         self._replica = _replica.Replica(
             log,
@@ -74,8 +76,9 @@
 
     def _load(self, state):
         if state is None:
-            self._tree = tree_core.Tree()
-            return True
+            # A log that starts anew must not take the settings away; an
+            # operator has to append a snapshot to it.
+            return self._tree.version == 0
         try:
             loaded = tree_core.Tree.from_snapshot(state)
         except ValueError as exc:
@@ -93,9 +96,16 @@
         self._tree = loaded
         return True
 
+    def _apply_log_level(self):
+        level = self._tree.values("/")["log.level"]
+        if level != self._log_level:
+            self._log_level = level
+            logging.getLogger().setLevel(level.upper())
+
     def _after_batch(self, follower, sent_at):
         advanced, self._advanced = self._advanced, anyio.Event()
         advanced.set()
         if self.complete:
+            self._apply_log_level()
             for function in self._changed:
                 function()
--- a/src/citrondeal/scheduler/_jobs.py
+++ b/src/citrondeal/scheduler/_jobs.py
@@ -43,17 +43,20 @@
         Client of the log service.
     zone : str
         Availability zone of this process.
+    zones : callable
+        Returns the names of all zones with a scheduler.
     task_group : anyio.abc.TaskGroup
         Runs the appends.
     metrics : citrondeal.telemetry.Metrics
         Counts submissions and refusals.
     """
 
-    def __init__(self, owner, settings, log, zone, task_group, metrics):
+    def __init__(self, owner, settings, log, zone, zones, task_group, metrics):
         self._owner = owner
         self._settings = settings
         self._log = log
         self._zone = zone
+        self._zones = zones
         self._task_group = task_group
         self._metrics = metrics
         self._changed = []
@@ -104,6 +107,9 @@
             return self._refuse(errors.Kind.UNKNOWN_PATH, message)
         job = self._job_of(request, values)
         zone = request.zone or self._zone
+        if zone not in self._zones():
+            message = f"no scheduler is known in zone {zone}"
+            return self._refuse(errors.Kind.UNKNOWN_PATH, message)
         if zone == self._zone:
             failure = self._owner.refusal(job)
             if failure is not None:
@@ -169,6 +175,9 @@
 
     def _load(self, state):
         book = jobs.Book()
+        if state is None and self._owner.book.offset >= 0:
+            # A log that starts anew must not end the jobs known here.
+            return False
         if state is not None:
             try:
                 record = {"covers": state["offset"], "state": state}
--- a/src/citrondeal/scheduler/main.py
+++ b/src/citrondeal/scheduler/main.py
@@ -82,6 +82,7 @@
             self._settings,
             self._log,
             self._zone,
+            self._zones,
             task_group,
             self._metrics,
         )
@@ -107,6 +108,10 @@
         """State between start and exit."""
         return self._lifecycle
 
+    def _zones(self):
+        schedulers = self._directory.select("entry", role="scheduler")
+        return {self._zone, *(vm.zone for vm in schedulers)}
+
     def _valid_until(self, now):
         return self._leases.group.valid_until(self._resource, now)
 
--- a/src/citrondeal/tree/schema.py
+++ b/src/citrondeal/tree/schema.py
@@ -221,16 +221,6 @@
             "team of requests that name none; empty for no team",
             kinds=service,
         ),
-        Key(
-            "endpoint.leaving_s",
-            real,
-            30.0,
-            "s",
-            "time that the running requests of a leaving endpoint get",
-            0,
-            3600,
-            kinds=service,
-        ),
         Key(
             "job.kind",
             choice,
@@ -265,7 +255,7 @@
             "tasks",
             "number of tasks",
             1,
-            100_000,
+            10_000,
             kinds=batch,
         ),
         Key(
--- a/tools/run_faults.py
+++ b/tools/run_faults.py
@@ -11,6 +11,8 @@
 
 import fire
 
+from citrondeal.dedup.tests import machine as dedup_machine
+from citrondeal.jobs.tests import machine as jobs_machine
 from citrondeal.ownership.tests import machine as ownership_machine
 
 # name -> function that takes a seed and raises AssertionError on a failure.
@@ -21,6 +23,11 @@
     "ownership-forgetting": lambda seed: ownership_machine.run(
         ownership_machine.ForgettingMachine, examples=60, steps=30, seed=seed
     ),
+    "jobs": lambda seed: jobs_machine.run(seed, max_examples=100),
+    "dedup": lambda seed: dedup_machine.run(seed, max_examples=200),
+    "dedup-quiet": lambda seed: dedup_machine.run(
+        seed, max_examples=100, machine=dedup_machine.Quiet
+    ),
 }
 
 
