--- a/tests/cell.py
+++ b/tests/cell.py
@@ -6,6 +6,7 @@
 
 import collections
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
@@ -20,6 +21,8 @@
 
 HOST = "127.0.0.1"
 LOG_TAIL = 3000  # characters of a log shown after a failure
+FIRST_PORT = 15000
+PORT_COUNT = 15000
 START_LIMIT = 20.0  # seconds until a process must serve
 ENDPOINT_SLOTS = 8
 ENDPOINT_CONNECTIONS = 64
@@ -28,6 +31,10 @@
 RACK_SIZE = 8  # workers
 
 
+# Two runs at a time start at different ports.
+_PORTS = itertools.count(os.getpid() * 131)
+
+
 @dataclasses.dataclass(frozen=True)
 class Zone:
     """One availability zone of a cell and its sizes."""
@@ -48,15 +55,21 @@
 
 
 def free_ports(count):
-    """Return ports that were free a moment ago."""
-    sockets = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind((HOST, 0))
-        sockets.append(sock)
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Return ports that were free a moment ago.
+
+    They lie below the range from which the system takes the local ports of
+    outgoing connections; a port of that range may be taken again before
+    the daemon binds it.
+    """
+    ports = []
+    while len(ports) < count:
+        port = FIRST_PORT + next(_PORTS) % PORT_COUNT
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        ports.append(port)
     return ports
 
 
