--- a/demo/jobs.py
+++ b/demo/jobs.py
@@ -37,9 +37,9 @@
 }
 
 
-def edit(cell, path, values):
+def edit(cell, path, values, scheduler=None):
     """Set values of a branch and return the accepted edit."""
-    scheduler = cell.select("scheduler")[-1]
+    scheduler = scheduler or cell.select("scheduler")[-1]
     node = cell.get(scheduler.http, f"/v1/tree/node{path}")
     answer = cell.post(
         scheduler.http,
--- a/features/steps/system.py
+++ b/features/steps/system.py
@@ -219,6 +219,40 @@
         request.wait()
 
 
+@when(
+    'system zone "{zone}" is cut off from the log for {seconds:d} seconds'
+    " under load"
+)
+def cut_zone(context, zone, seconds):
+    system = context.system
+    system.cell.set_log(zones=[zone], outage=1)
+    running = system.stream(seconds)
+    answer = jobs.edit(
+        system.cell,
+        "/batch/meanwhile",
+        {},
+        system.scheduler(),
+    )
+    system.notes["version"] = answer["version"]
+    system.cell.set_log(zones=[zone], outage=0)
+    for request in running:
+        request.wait()
+
+
+@then('system zone "{zone}" has the edit that was made meanwhile')
+def zone_has_edit(context, zone):
+    system = context.system
+
+    def is_current():
+        return all(
+            system.cell.get(d.http, "/debug/state")["tree"]["version"]
+            >= system.notes["version"]
+            for d in system.cell.daemons.values()
+        )
+
+    until(is_current, SETTLE_S, "edit")
+
+
 @then("the system answered every request")
 def answered(context):
     figures = context.system.load.figures()
--- a/features/system.feature
+++ b/features/system.feature
@@ -31,6 +31,13 @@
     And the system kept its promises
     And a system edit is accepted again
 
+  Scenario: system a zone that is cut off from the log goes on and catches up
+    Given a system cell with endpoints 4 and workers 4 per zone
+    When system zone "cnx-a" is cut off from the log for 10 seconds under load
+    Then the system answered every request
+    And system zone "cnx-a" has the edit that was made meanwhile
+    And the system kept its promises
+
   Scenario: system a paused gateway harms nothing when it resumes
     Given a system cell with endpoints 4 and workers 0 per zone
     When a system gateway is paused for 8 seconds under load
