--- a/src/citrondeal/gateway/main.py
+++ b/src/citrondeal/gateway/main.py
@@ -14,6 +14,7 @@
 from citrondeal import dedup
 from citrondeal import endpoints
 from citrondeal import errors
+from citrondeal.gateway import _cores
 from citrondeal.gateway import _flow
 from citrondeal.gateway import _holdings
 from citrondeal.gateway import _messages
@@ -104,15 +105,17 @@
         )
         self._client = endpoints.Client.from_config(config)
         self._flow = _flow.Flow(
-            self._ledger,
-            self._queues,
-            self._table,
-            self._holdings,
-            self._directory,
-            self._client,
-            self._links,
-            task_group,
-            self._metrics,
+            _cores.Cores(
+                ledger=self._ledger,
+                queues=self._queues,
+                table=self._table,
+                holdings=self._holdings,
+                directory=self._directory,
+                client=self._client,
+                links=self._links,
+                task_group=task_group,
+                metrics=self._metrics,
+            )
         )
         self._app = callers.build_app(self._submit, config.limits.body_bytes)
         runtime.add_probes(
