Build what both daemons share in one place

Both programs repeated the construction, the start and the dump of clients, links, leases and settings.

--- a/src/citrondeal/gateway/main.py
+++ b/src/citrondeal/gateway/main.py
@@ -1,6 +1,5 @@
 """Entry point of ``citrondeal-gateway``."""
 
-import functools
 import itertools
 import random
 import sys
@@ -22,11 +21,8 @@
 from citrondeal.gateway import _work
 from citrondeal import peers
 from citrondeal.peers.gen.peers import ttypes
-from citrondeal import platform
 from citrondeal import routing
 from citrondeal import runtime
-from citrondeal import telemetry
-from citrondeal import web
 
 USAGE = "usage: citrondeal-gateway SETTINGS.ini"
 REPORT_TICK_S = 0.1  # bounds how late a load report is sent
@@ -52,23 +48,8 @@
         self._config = config
         self._task_group = task_group
         self._keys = itertools.count()
-        self._identity = runtime.identity_of(config, "gateway")
-        self._lifecycle = runtime.Lifecycle(self.dump)
-        self._metrics = telemetry.Metrics(config.process.name)
-        self._log = platform.LogClient.from_config(config)
-        self._vm_client = platform.VmClient.from_config(config)
-        self._directory = platform.Directory()
-        self._links = peers.Pool(self._identity, task_group)
-        self._leases = runtime.LeaseDriver.from_config(
-            config,
-            self._identity,
-            self._log,
-            self._links,
-            task_group,
-            self._metrics,
-        )
-        self._settings = runtime.TreeReplica(
-            self._log, task_group, self._metrics
+        self._shared = runtime.Shared.from_config(
+            config, "gateway", task_group, self.dump
         )
         self._queues = admission.Queues.from_config(
             admission.Config(
@@ -90,14 +71,14 @@
                 max_ids=config.limits.ids,
                 answer_bytes=config.limits.answer_cache_bytes,
             ),
-            self._identity.process,
-            self._identity.incarnation,
-            self._identity.zone,
+            self._shared.identity.process,
+            self._shared.identity.incarnation,
+            self._shared.identity.zone,
             anyio.current_time(),
         )
         self._holdings = _holdings.Holdings(
-            self._leases,
-            self._directory,
+            self._shared.leases,
+            self._shared.directory,
             self._table,
             config.process.zone,
             self._attempt_timeout,
@@ -110,16 +91,16 @@
                 queues=self._queues,
                 table=self._table,
                 holdings=self._holdings,
-                directory=self._directory,
+                directory=self._shared.directory,
                 client=self._client,
-                links=self._links,
+                links=self._shared.links,
                 task_group=task_group,
-                metrics=self._metrics,
+                metrics=self._shared.metrics,
             )
         )
         self._app = callers.build_app(self._submit, config.limits.body_bytes)
         runtime.add_probes(
-            self._app, self._lifecycle, self._metrics, self.dump
+            self._app, self._shared.lifecycle, self._shared.metrics, self.dump
         )
 
     @classmethod
@@ -130,49 +111,26 @@
     @property
     def lifecycle(self):
         """State between start and exit."""
-        return self._lifecycle
+        return self._shared.lifecycle
 
     async def start(self):
         """Start everything that runs in the background."""
-        start = self._task_group.start
         start_soon = self._task_group.start_soon
-        await start(self._lifecycle.handle_signals)
-        address = self._config.listen.peer
-        await start(
-            functools.partial(
-                peers.serve,
-                address.host,
-                address.port,
-                self._identity,
-                self._answer,
-            )
-        )
-        self._leases.listen(
+        self._shared.leases.listen(
             self._holdings.on_gained,
             self._holdings.on_lost,
             self._holdings.on_drain,
         )
-        self._settings.on_changed(self._on_settings)
-        self._lifecycle.set_ready_check(self._is_ready)
-        start_soon(self._leases.run)
-        start_soon(self._settings.run)
+        self._shared.settings.on_changed(self._on_settings)
+        self._shared.lifecycle.set_ready_check(self._is_ready)
+        await self._shared.start(self._answer, self._on_vms)
         start_soon(self._flow.run)
         start_soon(self._report_load)
         start_soon(self._watch_registration)
-        start_soon(
-            runtime.poll_vms, self._vm_client, self._directory, self._on_vms
-        )
 
     async def serve_http(self, *, task_status):
         """Serve callers until cancelled."""
-        address = self._config.listen.http
-        await web.run_server(
-            self._app,
-            address.host,
-            address.port,
-            self._config.drain.limit_s,
-            task_status=task_status,
-        )
+        await self._shared.serve_http(self._app, task_status=task_status)
 
     async def drain(self):
         """Finish callers' requests after readiness is withdrawn."""
@@ -185,49 +143,37 @@
     async def stop(self):
         """Hand endpoints and ids to the other gateways."""
         self._holdings.drain_all()
-        self._leases.group.want([], anyio.current_time())
+        self._shared.leases.group.want([], anyio.current_time())
         with anyio.move_on_after(self._config.drain.limit_s):
             while self._flow.active or self._holdings.held:
                 await anyio.sleep(0.05)
         await self._hand_over_ids()
         with anyio.move_on_after(RELEASE_S):
-            while self._leases.group.dump()["held"]:
+            while self._shared.leases.group.dump()["held"]:
                 await anyio.sleep(0.05)
         await self._client.aclose()
 
     def dump(self):
         """Return the JSON-ready state of the process."""
         return {
-            "process": self._identity.process,
-            "incarnation": self._identity.incarnation,
-            "zone": self._identity.zone,
-            "ready": self._lifecycle.ready,
-            "draining": self._lifecycle.draining,
-            "usage": runtime.usage(),
-            "traffic": {
-                "log": self._log.traffic,
-                "vms": self._vm_client.traffic,
-                "peers": self._links.traffic,
-                "peers_by_address": self._links.traffic_by_address,
-            },
-            "vms": self._directory.dump(),
-            "leases": self._leases.group.dump(),
-            "tree": self._settings.dump(),
+            **self._shared.dump(),
             "requests": self._flow.dump(),
         }
 
     async def _watch_registration(self):
-        while not self._leases.registered:
+        while not self._shared.leases.registered:
             await anyio.sleep(REPORT_TICK_S)
-        if self._leases.is_first:
+        if self._shared.leases.is_first:
             self._ledger.never_ran_before(anyio.current_time())
 
     # Callers.
 
     async def _submit(self, request):
-        if not self._leases.registered:
+        if not self._shared.leases.registered:
             return self._not_registered(request)
-        values = self._settings.tree.values(f"/services/{request.service}")
+        values = self._shared.settings.tree.values(
+            f"/services/{request.service}"
+        )
         if values is None:
             return self._no_service(request)
         work = self._work_of(request, values)
@@ -251,7 +197,7 @@
         return result.Err(errors.Failure(kind, message, 1.0))
 
     def _no_service(self, request):
-        if not self._settings.complete:
+        if not self._shared.settings.complete:
             kind = errors.Kind.UNAVAILABLE
             message = "the settings are not read yet"
         else:
@@ -288,8 +234,8 @@
             self._on_load(peer, value)
             return ttypes.Ok()
         if isinstance(value, ttypes.Promise):
-            return self._leases.answer_promise(value)
-        if not self._leases.registered:
+            return self._shared.leases.answer_promise(value)
+        if not self._shared.leases.registered:
             return _STARTING
         if isinstance(value, ttypes.Intent):
             return self._flow.answer_intent(value)
@@ -303,7 +249,7 @@
 
     async def _on_forward(self, message):
         service = message.service_name
-        values = self._settings.tree.values(f"/services/{service}")
+        values = self._shared.settings.tree.values(f"/services/{service}")
         if values is None:
             failure = errors.Failure(
                 errors.Kind.UNAVAILABLE, f"no service {service} here"
@@ -350,7 +296,7 @@
     async def _hand_over_ids(self):
         state = self._ledger.export(anyio.current_time())
         parts = _messages.handover_out(state)
-        zone = self._identity.zone
+        zone = self._shared.identity.zone
         others = sorted(self._other_gateways(), key=lambda vm: vm.zone != zone)
         for vm in others:
             if await self._send_parts(vm, parts):
@@ -359,7 +305,9 @@
     async def _send_parts(self, vm, parts):
         for part in parts:
             try:
-                reply = await self._links.call(vm.peer, part, HANDOVER_TIMEOUT)
+                reply = await self._shared.links.call(
+                    vm.peer, part, HANDOVER_TIMEOUT
+                )
             except peers.PeerError:
                 return False
             if not isinstance(reply, ttypes.Ok):
@@ -372,20 +320,22 @@
             now = anyio.current_time()
             free, queued = self._load(now)
             for report in self._table.reports(free, queued, now):
-                vm = self._directory.get(report.process)
+                vm = self._shared.directory.get(report.process)
                 if vm is not None:
                     message = ttypes.Load(
-                        report.free, report.queued, self._lifecycle.draining
+                        report.free,
+                        report.queued,
+                        self._shared.lifecycle.draining,
                     )
                     self._task_group.start_soon(
-                        self._links.notify, vm.peer, message
+                        self._shared.links.notify, vm.peer, message
                     )
 
     def _load(self, now):
         free, queued = {}, {}
         for service in self._configured:
             count = self._table.free(service, now)
-            if self._lifecycle.draining:
+            if self._shared.lifecycle.draining:
                 count = 0
             free[service] = count
             queued[service] = self._queues.queued(service)
@@ -398,16 +348,16 @@
 
     def _is_ready(self):
         return (
-            self._settings.complete
-            and self._leases.registered
-            and self._directory.updated_at is not None
+            self._shared.settings.complete
+            and self._shared.leases.registered
+            and self._shared.directory.updated_at is not None
         )
 
     def _other_gateways(self):
         return [
             vm
-            for vm in self._directory.select("entry", role="gateway")
-            if vm.id != self._identity.process
+            for vm in self._shared.directory.select("entry", role="gateway")
+            if vm.id != self._shared.identity.process
         ]
 
     def _on_vms(self):
@@ -418,7 +368,7 @@
         self._holdings.on_vms()
 
     def _on_settings(self):
-        tree = self._settings.tree
+        tree = self._shared.settings.tree
         weights = _service.team_weights(tree)
         now = anyio.current_time()
         for path in tree.paths("/services"):
@@ -438,9 +388,9 @@
         self._flow.pump_all()
 
     def _attempt_timeout(self, service):
-        values = self._settings.tree.values(f"/services/{service}")
+        values = self._shared.settings.tree.values(f"/services/{service}")
         if values is None:
-            values = self._settings.tree.values("/")
+            values = self._shared.settings.tree.values("/")
         return values["request.attempt_timeout_ms"] / 1000
 
 
--- a/src/citrondeal/runtime/__init__.py
+++ b/src/citrondeal/runtime/__init__.py
@@ -5,6 +5,7 @@
 from citrondeal.runtime import _probe
 from citrondeal.runtime import _process
 from citrondeal.runtime import _replica
+from citrondeal.runtime import _shared
 from citrondeal.runtime import _tree
 from citrondeal.runtime import _vms
 
@@ -12,6 +13,7 @@
     "LeaseDriver",
     "Lifecycle",
     "Replica",
+    "Shared",
     "TreeReplica",
     "UNREADY_S",
     "add_probes",
@@ -25,6 +27,7 @@
 LeaseDriver = _leases.LeaseDriver
 Lifecycle = _process.Lifecycle
 Replica = _replica.Replica
+Shared = _shared.Shared
 TreeReplica = _tree.TreeReplica
 UNREADY_S = _process.UNREADY_S
 add_probes = _probe.add_probes
--- a/src/citrondeal/scheduler/main.py
+++ b/src/citrondeal/scheduler/main.py
@@ -1,6 +1,5 @@
 """Entry point of ``citrondeal-scheduler``."""
 
-import functools
 import json
 import logging
 import math
@@ -17,13 +16,10 @@
 from citrondeal import peers
 from citrondeal.peers.gen.peers import ttypes
 from citrondeal import placement
-from citrondeal import platform
 from citrondeal import runtime
 from citrondeal.scheduler import _edits
 from citrondeal.scheduler import _exchange
 from citrondeal.scheduler import _jobs
-from citrondeal import telemetry
-from citrondeal import web
 from citrondeal import workers
 
 USAGE = "usage: citrondeal-scheduler SETTINGS.ini"
@@ -51,23 +47,8 @@
         self._task_group = task_group
         self._zone = config.process.zone
         self._resource = f"pool/{self._zone}"
-        self._identity = runtime.identity_of(config, "scheduler")
-        self._lifecycle = runtime.Lifecycle(self.dump)
-        self._metrics = telemetry.Metrics(config.process.name)
-        self._log = platform.LogClient.from_config(config)
-        self._vm_client = platform.VmClient.from_config(config)
-        self._directory = platform.Directory()
-        self._links = peers.Pool(self._identity, task_group)
-        self._leases = runtime.LeaseDriver.from_config(
-            config,
-            self._identity,
-            self._log,
-            self._links,
-            task_group,
-            self._metrics,
-        )
-        self._settings = runtime.TreeReplica(
-            self._log, task_group, self._metrics
+        self._shared = runtime.Shared.from_config(
+            config, "scheduler", task_group, self.dump
         )
         self._owner = jobs.Owner(
             jobs.Book(),
@@ -79,12 +60,12 @@
         )
         self._jobs = _jobs.JobService(
             self._owner,
-            self._settings,
-            self._log,
+            self._shared.settings,
+            self._shared.log,
             self._zone,
             self._zones,
             task_group,
-            self._metrics,
+            self._shared.metrics,
         )
         self._worker_client = workers.Client.from_config(config)
         self._exchange = _exchange.Exchange(
@@ -93,9 +74,11 @@
             self._valid_until,
             self._jobs.append,
             task_group,
-            self._metrics,
+            self._shared.metrics,
+        )
+        self._edits = _edits.EditService(
+            self._shared.settings, self._shared.log
         )
-        self._edits = _edits.EditService(self._settings, self._log)
         self._app = api.build_app(self._backend(), config.limits.body_bytes)
 
     @classmethod
@@ -106,57 +89,32 @@
     @property
     def lifecycle(self):
         """State between start and exit."""
-        return self._lifecycle
+        return self._shared.lifecycle
 
     def _zones(self):
-        schedulers = self._directory.select("entry", role="scheduler")
+        schedulers = self._shared.directory.select("entry", role="scheduler")
         return {self._zone, *(vm.zone for vm in schedulers)}
 
     def _valid_until(self, now):
-        return self._leases.group.valid_until(self._resource, now)
+        return self._shared.leases.group.valid_until(self._resource, now)
 
     async def start(self):
         """Start everything that runs in the background."""
-        start = self._task_group.start
         start_soon = self._task_group.start_soon
-        await start(self._lifecycle.handle_signals)
-        address = self._config.listen.peer
-        await start(
-            functools.partial(
-                peers.serve,
-                address.host,
-                address.port,
-                self._identity,
-                self._answer,
-            )
+        self._shared.leases.listen(
+            self._on_gained, self._on_lost, self._on_drain
         )
-        self._leases.listen(self._on_gained, self._on_lost, self._on_drain)
-        self._settings.on_changed(self._on_settings)
+        self._shared.settings.on_changed(self._on_settings)
         self._jobs.on_changed(self._exchange.changed)
-        self._lifecycle.set_ready_check(self._is_ready)
-        start_soon(self._leases.run)
-        start_soon(self._settings.run)
+        self._shared.lifecycle.set_ready_check(self._is_ready)
+        await self._shared.start(self._answer, self._on_vms, self._on_list)
         start_soon(self._jobs.run)
         start_soon(self._exchange.run)
         start_soon(self._claim_pool)
-        start_soon(
-            runtime.poll_vms,
-            self._vm_client,
-            self._directory,
-            self._on_vms,
-            self._on_list,
-        )
 
     async def serve_http(self, *, task_status):
         """Serve operators until cancelled."""
-        address = self._config.listen.http
-        await web.run_server(
-            self._app,
-            address.host,
-            address.port,
-            self._config.drain.limit_s,
-            task_status=task_status,
-        )
+        await self._shared.serve_http(self._app, task_status=task_status)
 
     async def drain(self):
         """Let running HTTP requests finish after readiness is withdrawn."""
@@ -165,44 +123,30 @@
 
     async def stop(self):
         """Hand the pool to another scheduler."""
-        self._leases.group.want([], anyio.current_time())
-        self._leases.release(self._resource)
+        self._shared.leases.group.want([], anyio.current_time())
+        self._shared.leases.release(self._resource)
         with anyio.move_on_after(RELEASE_S):
-            while self._leases.group.holder_of(self._resource) is not None:
-                holder = self._leases.group.holder_of(self._resource)
-                if holder[0] != self._identity.process:
+            while (
+                self._shared.leases.group.holder_of(self._resource) is not None
+            ):
+                holder = self._shared.leases.group.holder_of(self._resource)
+                if holder[0] != self._shared.identity.process:
                     break
                 await anyio.sleep(0.05)
 
     def dump(self):
         """Return the JSON-ready state of the process."""
-        return {
-            "process": self._identity.process,
-            "incarnation": self._identity.incarnation,
-            "zone": self._zone,
-            "ready": self._lifecycle.ready,
-            "draining": self._lifecycle.draining,
-            "usage": runtime.usage(),
-            "traffic": {
-                "log": self._log.traffic,
-                "vms": self._vm_client.traffic,
-                "workers": self._worker_client.traffic,
-                "peers": self._links.traffic,
-                "peers_by_address": self._links.traffic_by_address,
-            },
-            "vms": self._directory.dump(),
-            "leases": self._leases.group.dump(),
-            "tree": self._settings.dump(),
-            "jobs": self._owner.dump(),
-        }
+        shared = self._shared.dump()
+        shared["traffic"]["workers"] = self._worker_client.traffic
+        return {**shared, "jobs": self._owner.dump()}
 
     def _is_ready(self):
-        return self._settings.complete and self._jobs.complete
+        return self._shared.settings.complete and self._jobs.complete
 
     def _on_list(self):
         now = anyio.current_time()
         self._owner.on_list(now)
-        if self._leases.is_unused(self._resource):
+        if self._shared.leases.is_unused(self._resource):
             self._owner.on_unused_pool(now)
 
     async def _claim_pool(self):
@@ -212,19 +156,19 @@
         first of them starts a task, see `jobs.Owner.on_unused_pool`.
         """
         await anyio.sleep(FIRST_CLAIM_S)
-        while self._directory.updated_at is None:
+        while self._shared.directory.updated_at is None:
             await anyio.sleep(0.1)
-        self._leases.group.want([self._resource], anyio.current_time())
+        self._shared.leases.group.want([self._resource], anyio.current_time())
 
     def _on_vms(self):
-        vms = self._directory.select("worker", self._zone)
+        vms = self._shared.directory.select("worker", self._zone)
         now = anyio.current_time()
         self._owner.on_workers([_worker_info(vm) for vm in vms], now)
         self._exchange.set_workers({vm.id: vm.http for vm in vms})
         self._exchange.changed()
 
     def _on_settings(self):
-        tree = self._settings.tree
+        tree = self._shared.settings.tree
         quotas = {}
         for path in tree.paths("/teams"):
             values = tree.values(path)
@@ -233,7 +177,7 @@
         self._owner.pool.set_quotas(quotas)
 
     def _on_gained(self, resource, epoch, now):
-        previous = self._leases.group.previous_until(resource)
+        previous = self._shared.leases.group.previous_until(resource)
         if previous is None and epoch == 1:
             # Nobody has ever held the pool, so no task can be running.
             previous = -math.inf
@@ -246,11 +190,11 @@
     def _on_drain(self, resource, now):
         # Tasks keep running while their owner changes, so the pool can be
         # handed over at once.
-        self._leases.release(resource)
+        self._shared.leases.release(resource)
 
     async def _answer(self, peer, value):
         if isinstance(value, ttypes.Promise):
-            return self._leases.answer_promise(value)
+            return self._shared.leases.answer_promise(value)
         if isinstance(value, ttypes.JobQuery):
             return self._answer_query(value)
         return ttypes.Fault(kind="protocol", message="unexpected message")
@@ -266,12 +210,12 @@
         own = await self._jobs.status(job_id)
         if own.is_err() or self._owner.owned:
             return own
-        holder = self._leases.group.holder_of(self._resource)
-        vm = self._directory.get(holder[0]) if holder else None
+        holder = self._shared.leases.group.holder_of(self._resource)
+        vm = self._shared.directory.get(holder[0]) if holder else None
         if vm is None:
             return own
         try:
-            reply = await self._links.call(
+            reply = await self._shared.links.call(
                 vm.peer, ttypes.JobQuery(job_id), QUERY_S
             )
         except peers.PeerError:
@@ -281,7 +225,7 @@
         return own
 
     def _backend(self):
-        views = api.tree_views(lambda: self._settings.tree)
+        views = api.tree_views(lambda: self._shared.settings.tree)
         return operators.Backend(
             **views,
             edit=self._edits.edit,
@@ -297,19 +241,19 @@
         )
 
     async def _ready(self):
-        if self._lifecycle.ready:
+        if self._shared.lifecycle.ready:
             return result.Ok({"ready": True})
-        message = "draining" if self._lifecycle.draining else "starting"
+        message = "draining" if self._shared.lifecycle.draining else "starting"
         return result.Err(errors.Failure(errors.Kind.UNAVAILABLE, message))
 
     async def _collect(self):
-        return result.Ok(self._metrics.collect())
+        return result.Ok(self._shared.metrics.collect())
 
     async def _dump(self):
         return result.Ok(self.dump())
 
     async def _begin_drain(self):
-        self._lifecycle.drain()
+        self._shared.lifecycle.drain()
         return result.Ok({"draining": True})
 
 
