Read heartbeats in batches and hold reads of the tree longer

Cause: each heartbeat of a zone ended the long poll of each member, so that reads grew with the square of the daemons. Ruled out: a longer wait for the stream of jobs, because a job submitted after a takeover starts at once only if a recent read reached the end of the stream.

--- a/src/citrondeal/runtime/_leases.py
+++ b/src/citrondeal/runtime/_leases.py
@@ -13,6 +13,10 @@
 
 # Bounds how late a claim, a renewal or a request for promises is sent.
 TICK_S = 0.1
+# Each process of the zone writes a heartbeat a second; reading them together
+# saves most of the reads.  Short against the time after which a missing
+# heartbeat has consequences (1.5 s).
+READ_PAUSE_S = 0.4
 # A promise that comes later than this is of no use to its holder.
 PROMISE_TIMEOUT_S = 1.0
 
@@ -59,6 +63,7 @@
             load=self._load,
             snapshot=group.snapshot,
             task_group=task_group,
+            pause_s=READ_PAUSE_S,
             snapshot_of=ownership.snapshot_reader(identity.role),
             record_of=functools.partial(
                 ownership.snapshot_record, identity.role
--- a/src/citrondeal/runtime/_replica.py
+++ b/src/citrondeal/runtime/_replica.py
@@ -33,6 +33,8 @@
         Returns the JSON-ready state.
     task_group : anyio.abc.TaskGroup
         Runs the appends of snapshots.
+    wait_s, pause_s : float
+        Long-poll time of a read and pause between reads, in seconds.
     snapshot_of, record_of : callable, optional
         Reader and writer of snapshot records, for a stream in which
         replicas of several kinds keep their snapshots.
@@ -46,6 +48,8 @@
         load,
         snapshot,
         task_group,
+        wait_s=_streams.LONG_POLL_S,
+        pause_s=0.0,
         snapshot_of=replay.snapshot_of,
         record_of=_record_of,
     ):
@@ -54,6 +58,8 @@
         self._snapshot = snapshot
         self._task_group = task_group
         self._record_of = record_of
+        self._wait = wait_s
+        self._pause = pause_s
         self._follower = replay.Follower(apply, load, snapshot_of=snapshot_of)
 
     @property
@@ -92,6 +98,8 @@
             lambda: self._follower.position,
             on_batch,
             on_failed,
+            self._wait,
+            self._pause,
         )
 
     def _append_snapshot(self, covers):
--- a/src/citrondeal/runtime/_tree.py
+++ b/src/citrondeal/runtime/_tree.py
@@ -9,6 +9,9 @@
 from citrondeal import tree as tree_core
 
 STREAM = "tree"
+# Records end the wait at once; a silent connection is noticed 2 s later,
+# within the 5 s for a change to be in force.
+WAIT_S = 2.0
 
 _LOG = logging.getLogger(__name__)
 
@@ -40,6 +43,7 @@
             load=self._load,
             snapshot=lambda: self._tree.snapshot(),
             task_group=task_group,
+            wait_s=WAIT_S,
         )
 
     @property
