--- a/src/citrondeal/gateway/_service.py
+++ b/src/citrondeal/gateway/_service.py
@@ -42,9 +42,24 @@
     return weights
 
 
-def routing_config(values):
-    """Return the routing settings of the cell from the root's values."""
+def routing_config(values, services):
+    """Return the routing settings of a gateway.
+
+    Parameters
+    ----------
+    values : dict
+        Effective values of the root.
+    services : list of dict
+        Effective values of each service.
+
+    Returns
+    -------
+    citrondeal.routing.Config
+        With the longest time for an attempt of any service, since slots of
+        unknown attempts stay occupied for this time.
+    """
+    longest = max(v["request.attempt_timeout_ms"] for v in [values, *services])
     return routing.Config(
         region_price_ms=values["region.price_ms"],
-        attempt_timeout_s=values["request.attempt_timeout_ms"] / 1000,
+        attempt_timeout_s=longest / 1000,
     )
--- a/src/citrondeal/gateway/main.py
+++ b/src/citrondeal/gateway/main.py
@@ -371,14 +371,19 @@
         tree = self._shared.settings.tree
         weights = _service.team_weights(tree)
         now = anyio.current_time()
+        services = []
         for path in tree.paths("/services"):
             values = tree.values(path)
             if values is None:
                 continue
+            services.append(values)
             name = path.removeprefix("/services/")
             config = _service.service_config(values, weights)
             self._queues.configure(name, config, now)
             self._configured.add(name)
+        self._table.configure(
+            _service.routing_config(tree.values("/"), services)
+        )
         self._on_holdings()
 
     def _on_holdings(self):
--- a/src/citrondeal/routing/_endpoints.py
+++ b/src/citrondeal/routing/_endpoints.py
@@ -92,6 +92,10 @@
         self._timers = []
         self._orders = 0
 
+    def configure(self, config):
+        """Replace the settings."""
+        self._config = config
+
     def update(self, endpoints, now):
         """Replace the list of endpoints; attempts continue."""
         self.advance(now)
--- a/src/citrondeal/routing/_peers.py
+++ b/src/citrondeal/routing/_peers.py
@@ -54,6 +54,10 @@
         # only takes room, so the answer stays the same.
         self._without = set()
 
+    def configure(self, config):
+        """Replace the settings."""
+        self._config = config
+
     def update(self, peers):
         """Replace the list of peers: process to ``(zone, region)``."""
         self._without.clear()
--- a/src/citrondeal/routing/_table.py
+++ b/src/citrondeal/routing/_table.py
@@ -26,6 +26,11 @@
         """Return an empty table."""
         return cls(config, zone, region, rng)
 
+    def configure(self, config):
+        """Replace the settings; attempts in progress use the new ones."""
+        self._endpoints.configure(config)
+        self._peers.configure(config)
+
     def set_endpoints(self, endpoints, now):
         """Replace the list of endpoints that this gateway holds.
 
--- a/src/citrondeal/tree/schema.py
+++ b/src/citrondeal/tree/schema.py
@@ -185,7 +185,7 @@
         Key(
             "reserve.slots_share",
             real,
-            0.0,
+            0.15,
             "share",
             "share of the slots kept free for urgent requests",
             0,
@@ -205,7 +205,7 @@
         Key(
             "region.price_ms",
             real,
-            200.0,
+            60.0,
             "ms",
             "waiting time for which one crossing of the link between "
             "regions is worth paying",
