Spend less processor time on each request at a gateway

Cause, by profile: of 3.8 ms per request at one gateway (2,000 requests, 16 callers, half of them forwarded) most is spread over the HTTP libraries and the creation of four tasks. A task per attempt slept until its deadline, also after the answer; deadlines are in a heap now.

--- a/src/citrondeal/gateway/_attempts.py
+++ b/src/citrondeal/gateway/_attempts.py
@@ -71,7 +71,7 @@
             request_class=work.request_class,
         )
         work.tries += 1
-        self._flow.start(work.request_id, self._watch_deadline, work)
+        self._flow.watch_deadline(work)
         vm = self._cores.directory.get(endpoint)
         not_after = min(
             work.deadline, self._cores.holdings.valid_until(endpoint)
@@ -132,17 +132,6 @@
             self._flow.admitted(work, admitted, now)
         self.pump(work.service)
 
-    async def _watch_deadline(self, work):
-        """Tell callers at the deadline that the outcome is unknown."""
-        await anyio.sleep(max(0.0, work.deadline - anyio.current_time()))
-        if work.ended.is_set() or work.request_id not in self._flow.works:
-            return
-        message = "no answer before the deadline"
-        now = anyio.current_time()
-        self._flow.perform(
-            self._cores.ledger.unknown(work.request_id, message, now)
-        )
-
     def _attempt_ended(self, work, endpoint, key, outcome):
         now = anyio.current_time()
         sent = outcome.sent
--- a/src/citrondeal/gateway/_flow.py
+++ b/src/citrondeal/gateway/_flow.py
@@ -1,5 +1,6 @@
 """Carries out what the ledger decides on each request."""
 
+import heapq
 import json
 import logging
 import time
@@ -21,6 +22,9 @@
 # Added to the deadline before a caller is answered from here.
 DEADLINE_SLACK = 0.1  # seconds
 TICK_S = 0.02  # bounds how late an expired request is refused
+# A caller that leaves is noticed only after this time; watching each
+# connection from the start costs a task per request.
+WATCH_AFTER_S = 0.25
 IDLE_TICK_S = 0.2  # while no request is in progress
 
 _ATTACHING = (dedup.Proceed, dedup.Join, dedup.Answer)
@@ -40,6 +44,7 @@
     def __init__(self, cores):
         self._cores = cores
         self._works = {}
+        self._deadlines = []
         self._forwards = _forwards.Forwards(cores, self)
         self._attempts = _attempts.Attempts(cores, self, self._forwards)
         consultation = _consultation.Consultation(cores, self)
@@ -66,7 +71,7 @@
         """Number of requests in progress."""
         return len(self._works)
 
-    async def handle(self, work, attempt):
+    async def handle(self, work, attempt, disconnected):
         """Handle a caller's request and return its outcome.
 
         Parameters
@@ -76,6 +81,8 @@
             being handled here.
         attempt : int or None
             Attempt number that the caller states.
+        disconnected : callable
+            ``await disconnected()`` returns once the caller is gone.
 
         Returns
         -------
@@ -92,14 +99,28 @@
             )
         )
         left = work.deadline - now + DEADLINE_SLACK
-        with anyio.move_on_after(max(0.0, left)):
+        with anyio.move_on_after(min(WATCH_AFTER_S, left)):
             await waiter.done.wait()
+        if waiter.outcome is None:
+            with anyio.move_on_after(max(0.0, left - WATCH_AFTER_S)):
+                await self._wait_or_leave(work, waiter, disconnected)
         if waiter.outcome is None:
             self._give_up(known, waiter, attempt)
         return waiter.outcome
 
-    def leave(self, work):
-        """Drop a request whose caller has disconnected, if possible."""
+    async def _wait_or_leave(self, work, waiter, disconnected):
+        """Wait for the outcome; drop the request if the caller leaves."""
+
+        async def watch():
+            await disconnected()
+            self._leave(work)
+
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(watch)
+            await waiter.done.wait()
+            task_group.cancel_scope.cancel()
+
+    def _leave(self, work):
         known = self._works.get(work.request_id)
         if known is not None:
             now = anyio.current_time()
@@ -310,6 +331,7 @@
                 self.not_run(
                     refusal.request.payload.request_id, refusal.failure, now
                 )
+            self._end_overdue(now)
             wakeup = self._cores.table.next_wakeup()
             if wakeup is not None and wakeup <= now:
                 self.pump_all()
@@ -317,6 +339,25 @@
                 next_second = now + 1.0
                 self.perform(self._cores.ledger.tick(now))
 
+    def watch_deadline(self, work):
+        """Answer the callers of a dispatched request at its deadline."""
+        heapq.heappush(self._deadlines, (work.deadline, work.key, work))
+
+    def _end_overdue(self, now):
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, _, work = heapq.heappop(self._deadlines)
+            if not work.ended.is_set():
+                message = "no answer before the deadline"
+                self.perform(
+                    self._cores.ledger.unknown(work.request_id, message, now)
+                )
+        # Answered requests stay in the heap until they are the majority.
+        if len(self._deadlines) > 64 + 2 * len(self._works):
+            self._deadlines = [
+                item for item in self._deadlines if not item[2].ended.is_set()
+            ]
+            heapq.heapify(self._deadlines)
+
     def pump_all(self):
         """Dispatch for every service with queued requests."""
         services = {work.service for work in self._works.values()}
--- a/src/citrondeal/gateway/main.py
+++ b/src/citrondeal/gateway/main.py
@@ -177,15 +177,9 @@
         if values is None:
             return self._no_service(request)
         work = self._work_of(request, values)
-        async with anyio.create_task_group() as task_group:
-            task_group.start_soon(self._watch_caller, request, work)
-            outcome = await self._flow.handle(work, request.attempt)
-            task_group.cancel_scope.cancel()
-        return outcome
-
-    async def _watch_caller(self, request, work):
-        await request.disconnected()
-        self._flow.leave(work)
+        return await self._flow.handle(
+            work, request.attempt, request.disconnected
+        )
 
     def _not_registered(self, request):
         # A successor of this process relies on the log to know that it has
