--- a/features/steps/system.py
+++ b/features/steps/system.py
@@ -358,6 +358,28 @@
         request.wait()
 
 
+@when("a system gateway is killed while requests are running")
+def kill_abruptly(context):
+    system = context.system
+    victim = system.cell.select("gateway", "bkk-a")[0]
+    running = system.stream(3.0)
+    running.append(system.load.start("cut", 30))
+    time.sleep(0.02)
+    system.cell.kill(victim)
+    system.load.exclude(victim)
+    for request in running:
+        request.wait()
+
+
+@then("the system check of first attempts fails")
+def first_attempts_fail(context):
+    try:
+        answered_first(context)
+    except AssertionError:
+        return
+    raise AssertionError("the check did not notice the killed gateway")
+
+
 @when("system connections to endpoints go silent under load")
 def silent(context):
     system = context.system
--- a/features/system.feature
+++ b/features/system.feature
@@ -58,6 +58,11 @@
     And the system started no task of the service twice
     And the system kept its promises
 
+  Scenario: system an abrupt replacement is noticed by the same check
+    Given a system cell with endpoints 4 and workers 0 per zone
+    When a system gateway is killed while requests are running
+    Then the system check of first attempts fails
+
   Scenario: system silent connections to endpoints are given up
     Given a system cell with endpoints 4 and workers 0 per zone
     When system connections to endpoints go silent under load
--- a/src/citrondeal/endpoints/tests/endpoints.feature
+++ b/src/citrondeal/endpoints/tests/endpoints.feature
@@ -30,3 +30,12 @@
   Scenario: endpoints connection is not reused after an error
     Given endpoints an endpoint that answers late on the first connection
     Then endpoints the next attempt gets its own answer
+
+  Scenario Outline: endpoints the check of outcomes notices <mutation>
+    Then endpoints some attempt ends otherwise with <mutation>
+
+    Examples:
+      | mutation                              |
+      | answers without a length as complete  |
+      | the first byte not noted              |
+      | a broken answer as not begun          |
--- a/src/citrondeal/endpoints/tests/steps.py
+++ b/src/citrondeal/endpoints/tests/steps.py
@@ -9,6 +9,7 @@
 from behave import then
 
 from citrondeal import endpoints
+from citrondeal.endpoints import _client
 
 _HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n"
 
@@ -115,22 +116,77 @@
 
 @then("endpoints the attempt ends as {outcome}")
 def attempt_ends(context, outcome):
+    check_outcome(context.behaviour, outcome)
+
+
+def check_outcome(behaviour, outcome):
     async def scenario(task_group, client):
-        if context.behaviour == "refuses connections":
+        if behaviour == "refuses connections":
             async with await anyio.create_tcp_listener(
                 local_host="127.0.0.1"
             ) as probe:
                 port = probe.extra(anyio.abc.SocketAttribute.local_port)
             address = f"127.0.0.1:{port}"
         else:
-            behave = _BEHAVIOURS[context.behaviour]
-            address = await _start(task_group, behave)
+            address = await _start(task_group, _BEHAVIOURS[behaviour])
         got = await _attempt(client, address, b"hello")
         assert got.sent.value == outcome, got
 
     _run(scenario)
 
 
+class _NoFirstByte(_client._Progress):
+    """Does not note that the request was sent."""
+
+    async def trace(self, name, info):
+        await super().trace(name, info)
+        self.sent = False
+
+
+class _NoAnswerBegun(_client._Progress):
+    """Does not note that an answer has begun."""
+
+    async def trace(self, name, info):
+        await super().trace(name, info)
+        self.answered = False
+
+
+# Name of the mutation -> replaced name, replacement, and a case of the
+# table that must notice it.
+_MUTATIONS = {
+    "answers without a length as complete": (
+        "_is_delimited",
+        lambda response: True,
+        ("answers without a length", "incomplete"),
+    ),
+    "the first byte not noted": (
+        "_Progress",
+        _NoFirstByte,
+        ("closes before the answer", "unknown"),
+    ),
+    "a broken answer as not begun": (
+        "_Progress",
+        _NoAnswerBegun,
+        ("sends half of the answer", "incomplete"),
+    ),
+}
+
+
+@then("endpoints some attempt ends otherwise with {mutation}")
+def mutation_noticed(context, mutation):
+    name, replacement, case = _MUTATIONS[mutation]
+    original = getattr(_client, name)
+    setattr(_client, name, replacement)
+    try:
+        check_outcome(*case)
+        noticed = False
+    except* AssertionError:
+        noticed = True
+    finally:
+        setattr(_client, name, original)
+    assert noticed, mutation
+
+
 @then("endpoints an attempt whose lease has ended writes nothing")
 def withdrawn(context):
     async def scenario(task_group, client):
--- a/src/citrondeal/gateway/main.py
+++ b/src/citrondeal/gateway/main.py
@@ -98,6 +98,9 @@
                 metrics=self._shared.metrics,
             )
         )
+        gauge = self._shared.metrics.gauge
+        gauge("citrondeal.requests.active", lambda: self._flow.active)
+        gauge("citrondeal.requests.queued", self._queued)
         self._app = callers.build_app(self._submit, config.limits.body_bytes)
         runtime.add_probes(
             self._app, self._shared.lifecycle, self._shared.metrics, self.dump
@@ -166,6 +169,9 @@
         if self._shared.leases.is_first:
             self._ledger.never_ran_before(anyio.current_time())
 
+    def _queued(self):
+        return sum(self._queues.queued(name) for name in self._configured)
+
     # Callers.
 
     async def _submit(self, request):
--- a/src/citrondeal/runtime/_shared.py
+++ b/src/citrondeal/runtime/_shared.py
@@ -48,12 +48,32 @@
             self.metrics,
         )
         self.settings = _tree.TreeReplica(self.log, task_group, self.metrics)
+        self._add_gauges()
 
     @classmethod
     def from_config(cls, config, role, task_group, dump):
         """Build the shared parts from the settings of a daemon."""
         return cls(config, role, task_group, dump)
 
+    def _add_gauges(self):
+        gauge = self.metrics.gauge
+        gauge("citrondeal.process.cpu", lambda: _probe.usage()["cpu_s"], "s")
+        gauge(
+            "citrondeal.process.memory",
+            lambda: _probe.usage()["rss_bytes"],
+            "By",
+        )
+        for name, source in (
+            ("log", self.log),
+            ("vms", self.vm_client),
+            ("peers", self.links),
+        ):
+            gauge(
+                f"citrondeal.traffic.{name}",
+                functools.partial(_total_traffic, source),
+                "By",
+            )
+
     async def start(self, answer, on_vms, on_list=None):
         """Start signals, the server for peers, leases, settings, VM list.
 
@@ -107,3 +127,7 @@
             "leases": self.leases.group.dump(),
             "tree": self.settings.dump(),
         }
+
+
+def _total_traffic(source):
+    return sum(source.traffic)
--- a/src/citrondeal/scheduler/main.py
+++ b/src/citrondeal/scheduler/main.py
@@ -79,6 +79,14 @@
         self._edits = _edits.EditService(
             self._shared.settings, self._shared.log
         )
+        gauge = self._shared.metrics.gauge
+        gauge("citrondeal.tasks.queued", lambda: self._owner.pool.queued)
+        gauge("citrondeal.pool.allotted", self._allotted)
+        gauge(
+            "citrondeal.traffic.workers",
+            lambda: sum(self._worker_client.traffic),
+            "By",
+        )
         self._app = api.build_app(self._backend(), config.limits.body_bytes)
 
     @classmethod
@@ -91,6 +99,12 @@
         """State between start and exit."""
         return self._shared.lifecycle
 
+    def _allotted(self):
+        """Return the part of the pool's cores that tasks hold."""
+        pool = self._owner.pool.dump()
+        used = sum(size[0] for size in pool["used"].values())
+        return used / max(1, pool["total"][0])
+
     def _zones(self):
         schedulers = self._shared.directory.select("entry", role="scheduler")
         return {self._zone, *(vm.zone for vm in schedulers)}
