--- a/tests/standins/_common.py
+++ b/tests/standins/_common.py
@@ -52,6 +52,8 @@
         Told the server of each application, in the same order.
     """
     logging.basicConfig(level=logging.WARNING)
+    # Requests that a fault keeps without an answer are cancelled at the end.
+    logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async with anyio.create_task_group() as task_group:
             for index, (address, app) in enumerate(apps):
