Share entry points and health checks between the daemons

Both programs had their own main, usage and probes, and a gateway and a scheduler answered /readyz in different forms. One definition of each remains; both daemons answered /readyz, /metrics and the log level alike in a trial, and exit with 2 on a bad command line or settings file.

--- a/src/citrondeal/gateway/main.py
+++ b/src/citrondeal/gateway/main.py
@@ -2,7 +2,6 @@
 
 import itertools
 import random
-import sys
 
 import anyio
 import result
@@ -19,12 +18,13 @@
 from citrondeal.gateway import _messages
 from citrondeal.gateway import _service
 from citrondeal.gateway import _work
+from citrondeal import operators
+from citrondeal.operators import api
 from citrondeal import peers
 from citrondeal.peers.gen.peers import ttypes
 from citrondeal import routing
 from citrondeal import runtime
 
-USAGE = "usage: citrondeal-gateway SETTINGS.ini"
 REPORT_TICK_S = 0.1  # bounds how late a load report is sent
 HANDOVER_TIMEOUT = 3.0  # seconds for the records of the ids
 RELEASE_S = 3.0  # seconds for releases to be read back from the log
@@ -102,9 +102,10 @@
         gauge("citrondeal.requests.active", lambda: self._flow.active)
         gauge("citrondeal.requests.queued", self._queued)
         self._app = callers.build_app(self._submit, config.limits.body_bytes)
-        runtime.add_probes(
-            self._app, self._shared.lifecycle, self._shared.metrics, self.dump
+        probes = runtime.probes_of(
+            self._shared.lifecycle, self._shared.metrics, self.dump
         )
+        api.add_probes(self._app, operators.Probes(**probes))
 
     @classmethod
     def from_config(cls, config, task_group):
@@ -399,19 +400,9 @@
         return values["request.attempt_timeout_ms"] / 1000
 
 
-async def serve(config):
-    """Run a gateway until its graceful shutdown has ended."""
-    await runtime.serve_until_drained(Gateway, config)
-
-
-@settings.main_guard
 def main():
-    """Run the program; exits with 2 if the settings are invalid."""
-    if len(sys.argv) != 2:
-        print(USAGE, file=sys.stderr)
-        sys.exit(2)
-    config = settings.GatewayConfig.from_file(sys.argv[1])
-    sys.exit(runtime.run(serve, config))
+    """Run ``citrondeal-gateway``."""
+    runtime.run_program(Gateway, settings.GatewayConfig, "citrondeal-gateway")
 
 
 if __name__ == "__main__":
--- a/src/citrondeal/operators/__init__.py
+++ b/src/citrondeal/operators/__init__.py
@@ -7,8 +7,9 @@
 
 from citrondeal.operators import _backend
 
-__all__ = ["Backend", "JobQuery", "JobRequest"]
+__all__ = ["Backend", "JobQuery", "JobRequest", "Probes"]
 
 Backend = _backend.Backend
 JobQuery = _backend.JobQuery
 JobRequest = _backend.JobRequest
+Probes = _backend.Probes
--- a/src/citrondeal/operators/_backend.py
+++ b/src/citrondeal/operators/_backend.py
@@ -70,6 +70,17 @@
     after: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probes:
+    """The part of `Backend` that every daemon offers."""
+
+    live: _Call
+    ready: _Call
+    metrics: _Call
+    dump: _Call
+    drain: _Call
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Backend:
     """Async callables of a program; each returns a `result.Result`.
--- a/src/citrondeal/operators/api.py
+++ b/src/citrondeal/operators/api.py
@@ -17,7 +17,7 @@
 from citrondeal.tree import schema
 from citrondeal import web
 
-__all__ = ["build_app", "decided_before_append", "tree_views"]
+__all__ = ["add_probes", "build_app", "decided_before_append", "tree_views"]
 
 JOBS_LIMIT = 1000  # jobs in one answer
 
@@ -57,6 +57,23 @@
         ("GET", "/v1/jobs", _list_jobs),
         ("GET", "/v1/jobs/{id}", _show_job),
         ("DELETE", "/v1/jobs/{id}", _cancel),
+    ]
+    _add(app, routes, backend)
+    add_probes(app, backend)
+    return app
+
+
+def add_probes(app, probes):
+    """Add the paths that every daemon serves.
+
+    Parameters
+    ----------
+    app : citrondeal.web.App
+        Application to extend.
+    probes : citrondeal.operators.Probes
+        What the daemon answers; a `Backend` will do.
+    """
+    routes = [
         ("GET", "/livez", _live),
         ("GET", "/readyz", _ready),
         ("GET", "/metrics", _metrics),
@@ -64,9 +81,12 @@
         ("POST", "/debug/log-level", _set_level),
         ("POST", "/v1/drain", _drain),
     ]
+    _add(app, routes, probes)
+
+
+def _add(app, routes, backend):
     for method, pattern, handler in routes:
         app.add(method, pattern, functools.partial(handler, backend))
-    return app
 
 
 def tree_views(current):
--- a/src/citrondeal/runtime/_probe.py
+++ b/src/citrondeal/runtime/_probe.py
@@ -1,14 +1,12 @@
-"""Health checks, metrics, state dump and log level over HTTP."""
+"""Health, metrics, state dump and resource usage of a daemon."""
 
-import json
-import logging
 import os
 import resource
 
+import result
+
 from citrondeal import errors
-from citrondeal import web
 
-_LEVELS = ("debug", "info", "warning", "error")
 _PAGE = os.sysconf("SC_PAGE_SIZE")  # bytes
 
 
@@ -29,64 +27,47 @@
     }
 
 
-def add_probes(app, lifecycle, metrics, dump):
-    """Add the paths that every daemon serves.
+def probes_of(lifecycle, metrics, dump):
+    """Return what every daemon answers about itself.
 
     Parameters
     ----------
-    app : citrondeal.web.App
-        Application to extend.
     lifecycle : Lifecycle
-        Answers for readiness.
+        Answers for readiness; told to drain.
     metrics : citrondeal.telemetry.Metrics
-        Collected on ``GET /metrics``.
+        Collected on each call.
     dump : callable
         Returns the JSON-ready state dump.
+
+    Returns
+    -------
+    dict
+        Fields of `citrondeal.operators.Probes`.
     """
 
-    async def live(request):
-        return web.json_response({"live": True})
-
-    async def ready(request):
-        is_ready = lifecycle.ready
-        return web.json_response(
-            {"ready": is_ready, "draining": lifecycle.draining},
-            200 if is_ready else 503,
-        )
-
-    async def collect(request):
-        body = metrics.collect().encode()
-        return web.Response(200, body, {"content-type": "application/json"})
-
-    async def state(request):
-        body = json.dumps(dump(), default=str).encode()
-        return web.Response(200, body, {"content-type": "application/json"})
-
-    async def set_level(request):
-        level = _requested_level(request.body)
-        if level is None:
-            message = f"level must be one of {', '.join(_LEVELS)}"
-            return web.failure_response(
-                errors.Failure(errors.Kind.MALFORMED, message)
-            )
-        logging.getLogger().setLevel(level.upper())
-        return web.json_response({"level": level})
-
-    async def drain(request):
+    async def live():
+        return result.Ok({"live": True})
+
+    async def ready():
+        if lifecycle.ready:
+            return result.Ok({"ready": True})
+        message = "draining" if lifecycle.draining else "starting"
+        return result.Err(errors.Failure(errors.Kind.UNAVAILABLE, message))
+
+    async def collect():
+        return result.Ok(metrics.collect())
+
+    async def state():
+        return result.Ok(dump())
+
+    async def drain():
         lifecycle.drain()
-        return web.json_response({"draining": True}, 202)
-
-    app.add("GET", "/livez", live)
-    app.add("GET", "/readyz", ready)
-    app.add("GET", "/metrics", collect)
-    app.add("GET", "/debug/state", state)
-    app.add("POST", "/debug/log-level", set_level)
-    app.add("POST", "/v1/drain", drain)
-
-
-def _requested_level(body):
-    try:
-        level = json.loads(body)["level"]
-    except (ValueError, KeyError, TypeError):
-        return None
-    return level if level in _LEVELS else None
+        return result.Ok({"draining": True})
+
+    return {
+        "live": live,
+        "ready": ready,
+        "metrics": collect,
+        "dump": state,
+        "drain": drain,
+    }
--- a/src/citrondeal/runtime/_process.py
+++ b/src/citrondeal/runtime/_process.py
@@ -8,6 +8,7 @@
 
 import anyio
 
+from citrondeal import config as settings
 from citrondeal import telemetry
 
 # Time for the balancer to see that the process is unready, before it stops
@@ -100,21 +101,30 @@
     telemetry.event(_LOG, logging.INFO, "graceful shutdown complete")
 
 
-def run(serve, config):
-    """Run a daemon until it has shut down.
+@settings.main_guard
+def run_program(program, config_class, name):
+    """Run a daemon with the settings file that the command line names.
+
+    Exits with 0 after a graceful shutdown, 1 after a failure and 2 if the
+    command line or the settings are invalid.
 
     Parameters
     ----------
-    serve : callable
-        ``async serve(config)``.
-    config : object
-        Settings of the daemon with a ``process`` and a ``logging`` part.
-
-    Returns
-    -------
-    int
-        Exit status: 0 after a graceful shutdown, 1 after a failure.
+    program : type
+        See `serve_until_drained`.
+    config_class : type
+        Class with ``from_file(path)``.
+    name : str
+        Name of the command.
     """
+    if len(sys.argv) != 2:
+        print(f"usage: {name} SETTINGS.ini", file=sys.stderr)
+        sys.exit(2)
+    config = config_class.from_file(sys.argv[1])
+    sys.exit(_run(program, config))
+
+
+def _run(program, config):
     telemetry.configure_logging(
         config.process.name, config.process.zone, config.logging.level
     )
@@ -125,7 +135,7 @@
         sys.modules["sniffio"] = None
     status = 0
     try:
-        anyio.run(serve, config)
+        anyio.run(serve_until_drained, program, config)
     except* OSError as group:
         status = 1
         telemetry.event(
--- a/src/citrondeal/scheduler/main.py
+++ b/src/citrondeal/scheduler/main.py
@@ -3,13 +3,11 @@
 import json
 import logging
 import math
-import sys
 
 import anyio
 import result
 
 from citrondeal import config as settings
-from citrondeal import errors
 from citrondeal import jobs
 from citrondeal import operators
 from citrondeal.operators import api
@@ -22,7 +20,6 @@
 from citrondeal.scheduler import _jobs
 from citrondeal import workers
 
-USAGE = "usage: citrondeal-scheduler SETTINGS.ini"
 # Time for the release of the pool to be read back from the log.
 RELEASE_S = 3.0
 FIRST_CLAIM_S = 1.5  # longer than the period at which the VM list is read
@@ -240,6 +237,9 @@
 
     def _backend(self):
         views = api.tree_views(lambda: self._shared.settings.tree)
+        probes = runtime.probes_of(
+            self._shared.lifecycle, self._shared.metrics, self.dump
+        )
         return operators.Backend(
             **views,
             edit=self._edits.edit,
@@ -247,33 +247,9 @@
             jobs=self._jobs.listing,
             job=self._job_status,
             cancel=self._jobs.cancel,
-            live=_live,
-            ready=self._ready,
-            metrics=self._collect,
-            dump=self._dump,
-            drain=self._begin_drain,
+            **probes,
         )
 
-    async def _ready(self):
-        if self._shared.lifecycle.ready:
-            return result.Ok({"ready": True})
-        message = "draining" if self._shared.lifecycle.draining else "starting"
-        return result.Err(errors.Failure(errors.Kind.UNAVAILABLE, message))
-
-    async def _collect(self):
-        return result.Ok(self._shared.metrics.collect())
-
-    async def _dump(self):
-        return result.Ok(self.dump())
-
-    async def _begin_drain(self):
-        self._shared.lifecycle.drain()
-        return result.Ok({"draining": True})
-
-
-async def _live():
-    return result.Ok({"live": True})
-
 
 def _worker_info(vm):
     return jobs.WorkerInfo(
@@ -295,19 +271,11 @@
     )
 
 
-async def serve(config):
-    """Run a scheduler until its graceful shutdown has ended."""
-    await runtime.serve_until_drained(Scheduler, config)
-
-
-@settings.main_guard
 def main():
-    """Run the program; exits with 2 if the settings are invalid."""
-    if len(sys.argv) != 2:
-        print(USAGE, file=sys.stderr)
-        sys.exit(2)
-    config = settings.SchedulerConfig.from_file(sys.argv[1])
-    sys.exit(runtime.run(serve, config))
+    """Run ``citrondeal-scheduler``."""
+    runtime.run_program(
+        Scheduler, settings.SchedulerConfig, "citrondeal-scheduler"
+    )
 
 
 if __name__ == "__main__":
