--- a/src/citrondeal/config/_settings.py
+++ b/src/citrondeal/config/_settings.py
@@ -106,12 +106,12 @@
     )
     answer_cache_bytes: int = _setting(
         "answers kept for resubmissions",
-        4 * 1024 * 1024,
+        2 * 1024 * 1024,
         ge=0,
         le=1024**3,
     )
     ids: int = _setting(
-        "request ids remembered at once", 100_000, ge=100, le=10_000_000
+        "request ids remembered at once", 30_000, ge=100, le=10_000_000
     )
 
 
