Make the time bounds of the system scenarios independent of load

The bound for a job submitted during a takeover was 15 s. It is 30 s now, still below the 34.5 s that the job waits without the rule it checks, so that a busy machine does not change the verdict.

--- a/features/steps/system.py
+++ b/features/steps/system.py
@@ -15,7 +15,7 @@
 
 CALLERS = 12
 LOAD_PAUSE_S = 0.02  # between two requests of one stream
-SETTLE_S = 15.0
+SETTLE_S = 30.0  # generous, for a busy machine
 
 
 class System:
--- a/features/system.feature
+++ b/features/system.feature
@@ -1,13 +1,15 @@
 Feature: system
   # Real processes against the stand-ins.  Every figure is read from the
   # stand-ins and the callers.  Guards against faults of the shells, which
-  # the scenarios of the cores do not see.
+  # the scenarios of the cores do not see.  The bound of 30 s for a job that
+  # is submitted during a takeover lies below the 34.5 s that it waits if
+  # lost tasks are released only after the longest lease.
 
   Scenario: system a killed pool owner is replaced and its tasks run on
     Given a system cell with endpoints 0 and workers 4 per zone
     And system jobs "service" with 6 tasks are running
     When the system owner of the pool is killed
-    Then a system urgent job ends within 15 seconds
+    Then a system urgent job ends within 30 seconds
     And the system started no task of the service twice
     And the system kept its promises
 
@@ -15,7 +17,7 @@
     Given a system cell with endpoints 0 and workers 4 per zone
     And system jobs "service" with 6 tasks are running
     When the system owner of the pool is paused for 8 seconds
-    Then a system urgent job ends within 15 seconds
+    Then a system urgent job ends within 30 seconds
     And the system started no task of the service twice
     And the system kept its promises
 
