--- a/features/steps/system.py
+++ b/features/steps/system.py
@@ -14,6 +14,8 @@
 from tests import cell as cells
 
 CALLERS = 12
+# The list lags by 0.5 s and is polled each second.
+LEAVING_S = 5.0
 LOAD_PAUSE_S = 0.02  # between two requests of one stream
 SETTLE_S = 30.0  # generous, for a busy machine
 
@@ -358,6 +360,48 @@
         request.wait()
 
 
+def runs_after_mark(system, mark):
+    """Count runs on an endpoint from 5 s after the mark on."""
+    name, address = next(iter(system.cell.endpoints.items()))
+    running = system.stream(1.0)
+    if mark:
+        row = {"id": name, "state": "leaving"}
+        system.cell.post(system.cell.vms, "/rows", [row])
+    running += system.stream(LEAVING_S)
+    before = system.cell.get(address, "/stats")["counts"].get("runs", 0)
+    running += system.stream(3.0)
+    for request in running:
+        request.wait()
+    after = system.cell.get(address, "/stats")["counts"].get("runs", 0)
+    system.notes["runs"] = (before, after)
+
+
+@when("a system endpoint is marked as leaving under load")
+def endpoint_leaves(context):
+    runs_after_mark(context.system, mark=True)
+
+
+@when("a system endpoint stays unmarked under load")
+def endpoint_stays(context):
+    runs_after_mark(context.system, mark=False)
+
+
+@then("the system sent it no request from 5 seconds on")
+def no_new_work(context):
+    before, after = context.system.notes["runs"]
+    assert before > 0, "the endpoint got no work before the mark"
+    assert after == before, (before, after)
+
+
+@then("the system check of the leaving endpoint fails")
+def leaving_check_fails(context):
+    try:
+        no_new_work(context)
+    except AssertionError:
+        return
+    raise AssertionError("the check did not notice an unmarked endpoint")
+
+
 @when("a system gateway is killed while requests are running")
 def kill_abruptly(context):
     system = context.system
--- a/features/system.feature
+++ b/features/system.feature
@@ -60,6 +60,18 @@
     And the system started no task of the service twice
     And the system kept its promises
 
+  Scenario: system a leaving endpoint gets no new work
+    Given a system cell with endpoints 4 and workers 0 per zone
+    When a system endpoint is marked as leaving under load
+    Then the system sent it no request from 5 seconds on
+    And the system answered every request at the first attempt
+    And the system kept its promises
+
+  Scenario: system an endpoint that is not marked is noticed by that check
+    Given a system cell with endpoints 4 and workers 0 per zone
+    When a system endpoint stays unmarked under load
+    Then the system check of the leaving endpoint fails
+
   Scenario: system an abrupt replacement is noticed by the same check
     Given a system cell with endpoints 4 and workers 0 per zone
     When a system gateway is killed while requests are running
