--- a/src/citrondeal/operators/ctl.py
+++ b/src/citrondeal/operators/ctl.py
@@ -536,7 +536,11 @@
 
 def _show_job(session, job_id):
     body = session.read(f"/v1/jobs/{_client.quote(job_id)}", "id")
-    session.show(body, ("FIELD", "VALUE"), list(body.items()))
+    rows = [item for item in body.items() if item[0] != "task_states"]
+    for task in body.get("task_states") or []:
+        place = f" on {task['worker']}" if task.get("worker") else ""
+        rows.append((f"task {task['index']}", f"{task['state']}{place}"))
+    session.show(body, ("FIELD", "VALUE"), rows)
 
 
 def _list_jobs(session, limit, after):
@@ -580,6 +584,12 @@
             return
         if state in ENDED:
             raise _Stop(REFUSED, f"job {job_id}: {state}")
+        if state == "held":
+            text = (
+                f"job {job_id} is held ({reply.field('reason')}); correct it,"
+                " cancel it, and submit it under a new id"
+            )
+            raise _Stop(REFUSED, text)
         if state == "unknown":
             text = (
                 f"job {job_id}: a task may have run and is not run again; "
--- a/src/citrondeal/operators/tests/ctl.feature
+++ b/src/citrondeal/operators/tests/ctl.feature
@@ -169,6 +169,7 @@
       | queued failed | 1 | failed |
       | cancelled | 1 | cancelled |
       | running unknown | 3 | effects |
+      | running held | 1 | held new id |
       | running | 3 | ended running status |
 
   Scenario: operators ctl job commands
