--- a/src/citrondeal/peers/_pool.py
+++ b/src/citrondeal/peers/_pool.py
@@ -164,18 +164,23 @@
                 with anyio.fail_after(min(timeout_s, CONNECT_TIMEOUT)):
                     slot.link = await self._open(address, slot)
             except _CONNECT_ERRORS as exc:
-                slot.failed_at = anyio.current_time()
-                telemetry.event(
-                    _LOG,
-                    logging.INFO,
-                    "peer is unreachable",
-                    peer=address,
-                    reason=str(exc) or type(exc).__name__,
-                )
+                self._note_failure(address, slot, exc)
                 raise _link.PeerError(str(exc), sent=False) from exc
         slot.failed_at = None
         return slot.link
 
+    def _note_failure(self, address, slot, exc):
+        # Only the first failure is logged; later ones add nothing.
+        if slot.failed_at is None:
+            telemetry.event(
+                _LOG,
+                logging.INFO,
+                "peer is unreachable",
+                peer=address,
+                reason=str(exc) or type(exc).__name__,
+            )
+        slot.failed_at = anyio.current_time()
+
     async def _open(self, address, slot):
         host, _, port = address.rpartition(":")
         stream = await anyio.connect_tcp(host, int(port))
