--- a/src/citrondeal/jobs/__init__.py
+++ b/src/citrondeal/jobs/__init__.py
@@ -2,6 +2,7 @@
 
 from citrondeal.jobs import _book
 from citrondeal.jobs import _owner
+from citrondeal.jobs import _places
 
 __all__ = [
     "AppendRecord",
@@ -16,13 +17,13 @@
     "task_id",
 ]
 
-AppendRecord = _owner.AppendRecord
+AppendRecord = _places.AppendRecord
 Book = _book.Book
 Change = _book.Change
 Config = _book.Config
 Job = _book.Job
 Owner = _owner.Owner
-OwnerConfig = _owner.OwnerConfig
-WorkerInfo = _owner.WorkerInfo
+OwnerConfig = _places.OwnerConfig
+WorkerInfo = _places.WorkerInfo
 parse_task = _book.parse_task
 task_id = _book.task_id
--- a/src/citrondeal/jobs/_owner.py
+++ b/src/citrondeal/jobs/_owner.py
@@ -1,213 +1,13 @@
 """The pool owner's view of the workers and of the tasks on them."""
 
-import dataclasses
 import heapq
 import itertools
 import math
 
 from citrondeal.jobs import _book
+from citrondeal.jobs import _places
 from citrondeal import placement
 
-# Phases of a place.  INTENT waits for the read-back of the intent record,
-# READY waits for the next exchange with the worker, SENT waits for the
-# worker to list the task.
-INTENT, READY, SENT, RUNNING = "intent", "ready", "sent", "running"
-_ENDED = ("finished", "failed", "checkpointed", "expired")
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class OwnerConfig:
-    """Settings of the owner's view; all times in seconds.
-
-    Parameters
-    ----------
-    task_ttl_s : float
-        Length of a renewed task lease.  Longer than the validity of an
-        owner plus a takeover, so that the failure of an owner ends no
-        healthy task.
-    lease_margin_s : float
-        Added to every lease end before its task counts as ended; covers
-        the difference in rate between two clocks.
-    renew_after_s : float
-        Age of a lease at which it is renewed, in every second exchange
-        with a quiet worker.  At least 15 s of a lease are left when its
-        owner fails; a takeover takes about 6 s.
-    first_renewal_s : float
-        Age at which a new task is renewed for the first time.  Its first
-        lease ends with our validity; a task that is not renewed yet when
-        its owner fails is lost.
-    list_lag_s : float
-        Time within which all schedulers read a change of the list of VMs.
-    unlisted_hold_s : float
-        Time for which a worker that has left the list may still be renewed
-        by an owner that keeps an old list because it cannot read a new one.
-    min_lease_s : float
-        No start is sent with less of our own validity left; the first
-        renewal has to follow within this time.
-    poll_s, idle_poll_s : float
-        Period of the exchanges with a worker on which something happens,
-        and with the others.  The reply lists every task (about 115 bytes
-        each), so that one exchange per second with each of 203 workers is
-        about 340 KB/s.
-    busy_s : float
-        Time after a start, stop or end for which a worker counts as one
-        on which something happens; most faulty tasks fail within it.
-    clock_age_s : float
-        No start is sent on an older reading of the worker's clock, since
-        the difference in rate adds up.
-    append_retry_s : float
-        A record that is not read back is appended again after this time.
-    batch_tasks : int
-        Entries per ``finished`` record, about 100 bytes each.
-    restart_pause_s, restart_limit_s : float
-        First and longest pause before a failed task is started again.
-    refused_pause_s : float
-        Pause after a worker did not accept a start.
-    checkpoint_limit_s : float
-        Time for a checkpoint on a leaving worker before it is stopped.
-    move_share : float
-        Part of a service's tasks that may be on the move at once.
-    place_rounds : int
-        Calls of `placement.Pool.place` per tick (64 starts, a few
-        milliseconds each), so that a tick does not delay the event loop.
-    max_unrecorded : int
-        Ended tasks without a record (about 500 bytes each, also on the
-        workers) at which no further task is started; reached only if the
-        log is down for long.
-    """
-
-    task_ttl_s: float = 30.0
-    lease_margin_s: float = 0.5
-    renew_after_s: float = 9.0
-    first_renewal_s: float = 0.25
-    list_lag_s: float = 3.0
-    unlisted_hold_s: float = 600.0
-    min_lease_s: float = 1.0
-    poll_s: float = 1.0
-    idle_poll_s: float = 5.0
-    busy_s: float = 5.0
-    clock_age_s: float = 5.0
-    append_retry_s: float = 3.0
-    batch_tasks: int = 200
-    restart_pause_s: float = 1.0
-    restart_limit_s: float = 60.0
-    refused_pause_s: float = 1.0
-    checkpoint_limit_s: float = 10.0
-    move_share: float = 0.25
-    place_rounds: int = 4
-    max_unrecorded: int = 10_000
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WorkerInfo:
-    """One worker of the VM list.
-
-    Parameters
-    ----------
-    name : str
-        Id of the VM.
-    rack : str
-        Rack of the VM.
-    cores, memory_mb, accelerators : float
-        Capacity.
-    leaving : bool
-        Whether the VM is about to be taken away.
-    """
-
-    name: str
-    rack: str = ""
-    cores: float = 0
-    memory_mb: float = 0
-    accelerators: float = 0
-    leaving: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AppendRecord:
-    """`record` is to be appended to the zone's stream."""
-
-    record: dict
-
-
-class _Place:
-    """A task that runs, or may run, on a worker."""
-
-    __slots__ = (
-        "boot",
-        "job",
-        "key",
-        "lease_end",
-        "listed_at",
-        "phase",
-        "renewed_at",
-        "size",
-        "spot",
-        "stop",
-        "stop_at",
-        "task",
-        "throttled",
-        "unanswered_until",
-        "worker",
-    )
-
-    def __init__(self, task, job, spot, worker, key, size, phase):
-        self.task = task
-        self.job = job
-        # (job id, index); None for a second place of the same task.
-        self.spot = spot
-        self.worker = worker
-        self.key = key
-        self.size = size
-        self.phase = phase
-        self.boot = None
-        # Latest end, on our clock, of any lease that the task may hold.
-        self.lease_end = -math.inf
-        # Until then a start whose reply was lost may still arrive.
-        self.unanswered_until = -math.inf
-        self.renewed_at = -math.inf
-        self.listed_at = math.inf
-        self.stop = None
-        self.stop_at = 0.0
-        self.throttled = False
-
-
-class _Worker:
-    """What is known about one worker."""
-
-    __slots__ = (
-        "acks",
-        "answering",
-        "boot",
-        "busy_until",
-        "clock_at",
-        "clock_s",
-        "gone",
-        "info",
-        "outstanding",
-        "places",
-        "polled_at",
-        "read",
-        "read_sent",
-        "sent",
-    )
-
-    def __init__(self, info):
-        self.info = info
-        self.gone = False
-        self.boot = None
-        self.clock_s = 0.0
-        self.clock_at = 0.0
-        self.read = False
-        # Send time of the last request that was answered with a list.
-        self.read_sent = -math.inf
-        self.answering = False
-        self.places = {}
-        self.acks = set()
-        self.outstanding = None
-        self.sent = ()
-        self.polled_at = -math.inf
-        self.busy_until = -math.inf
-
 
 class Owner:
     """Connects the fold, the pool and the workers of one zone.
@@ -221,14 +21,14 @@
         Fold of the zone's jobs; `on_record` applies records to it.
     pool : placement.Pool
         Placement; its workers and allotments are managed here.
-    config : OwnerConfig, optional
+    config : _places.OwnerConfig, optional
         Settings.
     """
 
     def __init__(self, book, pool, config=None):
         self._book = book
         self._pool = pool
-        self._config = config or OwnerConfig()
+        self._config = config or _places.OwnerConfig()
         self._workers = {}
         # What this process has seen of the list of workers.
         self._listed_since = math.inf
@@ -290,7 +90,7 @@
 
         Parameters
         ----------
-        infos : iterable of WorkerInfo
+        infos : iterable of _places.WorkerInfo
             Complete list; a worker that is missing is gone.
         now : float
             Monotonic seconds.
@@ -301,7 +101,7 @@
         for name, info in named.items():
             worker = self._workers.get(name)
             if worker is None:
-                worker = self._workers[name] = _Worker(info)
+                worker = self._workers[name] = _places.Worker(info)
             worker.info = info
             worker.gone = False
             self._refresh(worker, now)
@@ -415,7 +215,7 @@
                 self._pool.remove_worker(name)
                 del self._workers[name]
                 continue
-            fresh = self._workers[name] = _Worker(worker.info)
+            fresh = self._workers[name] = _places.Worker(worker.info)
             self._refresh(fresh, now)
 
     def replace_book(self, book, now):
@@ -478,10 +278,10 @@
         starts, renewals, stops = [], [], []
         sent = []
         for place in list(worker.places.values()):
-            if place.phase in (INTENT, READY):
+            if place.phase in (_places.INTENT, _places.READY):
                 if not self._wanted(place):
                     self._remove(worker, place)
-                elif place.phase == READY and worker.answering:
+                elif place.phase == _places.READY and worker.answering:
                     left = valid_until - now
                     age = now - worker.clock_at
                     if (
@@ -495,7 +295,7 @@
                 place.stop = "stop"
             if place.stop is not None:
                 stops.append({"task": place.task, "how": place.stop})
-            if place.phase == RUNNING and worker.answering:
+            if place.phase == _places.RUNNING and worker.answering:
                 if place.stop != "stop":
                     self._renew(worker, place, renewals, now)
         worker.outstanding = now
@@ -516,7 +316,7 @@
         # receipt of the reply, so that this lease cannot end after our own
         # validity, however long the reply was under way.
         until = worker.clock_s + (valid_until - worker.clock_at)
-        place.phase = SENT
+        place.phase = _places.SENT
         place.boot = worker.boot
         place.lease_end = valid_until
         place.unanswered_until = valid_until
@@ -593,10 +393,10 @@
         if worker.boot != reply["boot_id"]:
             worker.boot = reply["boot_id"]
             for place in list(worker.places.values()):
-                if place.phase in (SENT, RUNNING):
+                if place.phase in (_places.SENT, _places.RUNNING):
                     # A start without reply may have run before the restart.
                     may_have_run = (
-                        place.phase == RUNNING
+                        place.phase == _places.RUNNING
                         or place.unanswered_until > -math.inf
                     )
                     self._gone(worker, place, may_have_run, now)
@@ -604,10 +404,13 @@
         worker.read_sent = sent_at
         worker.acks.intersection_update(tasks)
         for place in list(worker.places.values()):
-            if place.task not in tasks and place.phase in (SENT, RUNNING):
+            if place.task not in tasks and place.phase in (
+                _places.SENT,
+                _places.RUNNING,
+            ):
                 if sent_at <= place.unanswered_until + self._margin:
                     continue
-                self._gone(worker, place, place.phase == RUNNING, now)
+                self._gone(worker, place, place.phase == _places.RUNNING, now)
         for task in tasks.values():
             self._listed(worker, task, now)
         self._refresh(worker, now)
@@ -620,7 +423,7 @@
     def _listed(self, worker, listing, now):
         task = listing["task"]
         place = worker.places.get(task)
-        if listing["state"] in _ENDED:
+        if listing["state"] in _places.ENDED:
             self._listed_end(worker, place, listing, now)
             return
         size = placement.size_of(
@@ -634,7 +437,7 @@
             place = self._found(worker, listing, size, now)
         if place.listed_at == math.inf:
             place.listed_at = now
-        place.phase = RUNNING
+        place.phase = _places.RUNNING
         place.unanswered_until = -math.inf
         if not place.throttled:
             size = tuple(map(max, size, place.size))
@@ -654,7 +457,9 @@
         job = self._book.get(parts[0]) if parts else None
         if job is not None and parts[1] >= job.tasks:
             job = None
-        place = _Place(task, job, None, worker, task, size, RUNNING)
+        place = _places.Place(
+            task, job, None, worker, task, size, _places.RUNNING
+        )
         place.lease_end = (
             max(self._bound, self._gained_at) + self._config.task_ttl_s
         )
@@ -823,7 +628,7 @@
             place = self._at.get((job.id, index))
             if place is None:
                 continue
-            if place.phase in (INTENT, READY):
+            if place.phase in (_places.INTENT, _places.READY):
                 self._remove(place.worker, place)
                 continue
             alone = False
@@ -938,7 +743,7 @@
 
         Returns
         -------
-        list of AppendRecord
+        list of _places.AppendRecord
         """
         if not self._owned or valid_until is None or now >= valid_until:
             return []
@@ -977,7 +782,7 @@
             if worker.answering and not worker.gone:
                 continue
             for place in list(worker.places.values()):
-                if place.phase in (INTENT, READY):
+                if place.phase in (_places.INTENT, _places.READY):
                     if worker.gone:
                         self._gone(worker, place, False, now)
                 elif now > place.lease_end + self._margin:
@@ -994,7 +799,7 @@
             if not worker.info.leaving:
                 continue
             for place in list(worker.places.values()):
-                if place.phase in (INTENT, READY):
+                if place.phase in (_places.INTENT, _places.READY):
                     self._gone(worker, place, False, now)
                 elif place.stop is None and place.spot and place.job:
                     if moving is None:
@@ -1005,13 +810,13 @@
         """Return the number of tasks per service that are not running."""
         counts = {}
         for spot, place in self._at.items():
-            if place.stop is not None or place.phase != RUNNING:
+            if place.stop is not None or place.phase != _places.RUNNING:
                 counts[spot[0]] = counts.get(spot[0], 0) + 1
         return counts
 
     def _move_one(self, place, moving, now):
         job = place.job
-        if job.once or place.phase != RUNNING:
+        if job.once or place.phase != _places.RUNNING:
             return
         if job.work.kind == "service":
             allowed = max(1, int(job.tasks * self._config.move_share))
@@ -1037,9 +842,11 @@
             self._attempt += 1
             attempt = f"{self._epoch}.{self._attempt}"
         task = _book.task_id(job.id, action.index, attempt)
-        place = _Place(task, job, spot, worker, spot, job.work.size, READY)
+        place = _places.Place(
+            task, job, spot, worker, spot, job.work.size, _places.READY
+        )
         if job.once and spot not in self._own_intents:
-            place.phase = INTENT
+            place.phase = _places.INTENT
             self._intent_due[task] = (now, place)
         worker.places[task] = place
         self._at[spot] = place
@@ -1048,14 +855,14 @@
         spot = _book.parse_task(task)[:2]
         place = self._at.get(spot)
         if place is not None and place.task == task:
-            if place.phase == INTENT:
-                place.phase = READY
+            if place.phase == _places.INTENT:
+                place.phase = _places.READY
                 self._own_intents.add(spot)
                 self._intent_due.pop(task, None)
             return
         if not self._caught_up:
             return
-        if place is not None and place.phase != INTENT:
+        if place is not None and place.phase != _places.INTENT:
             return
         # A previous owner's record that came into the log after we had read
         # it to the end, hence after that owner's validity: the task was
@@ -1074,7 +881,7 @@
         for place in list(worker.places.values()):
             if place.key != action.key:
                 continue
-            if place.phase in (INTENT, READY):
+            if place.phase in (_places.INTENT, _places.READY):
                 self._gone(worker, place, False, now)
             elif place.stop != "stop":
                 worker.polled_at = -math.inf
@@ -1094,14 +901,14 @@
                 self._record_due[task] = now + retry
             entries = [self._records[task] for task in batch]
             record = {"kind": "finished", "tasks": entries}
-            actions.append(AppendRecord(record))
+            actions.append(_places.AppendRecord(record))
         for task, (at, place) in list(self._intent_due.items()):
             if not self._wanted(place):
                 self._remove(place.worker, place)
             elif at <= now:
                 self._intent_due[task] = (now + retry, place)
                 actions.append(
-                    AppendRecord(
+                    _places.AppendRecord(
                         {
                             "kind": "intent",
                             "task": task,
@@ -1153,7 +960,7 @@
         for place in worker.places.values():
             if place.listed_at <= settled and place.renewed_at == -math.inf:
                 return True
-            if place.phase == READY:
+            if place.phase == _places.READY:
                 return True
             if place.stop is None and not self._wanted(place):
                 return True
@@ -1242,7 +1049,7 @@
         for task in reply["tasks"]:
             if not isinstance(task["task"], str):
                 return None
-            if task["state"] not in (*_ENDED, "running"):
+            if task["state"] not in (*_places.ENDED, "running"):
                 return None
             if not all(
                 math.isfinite(task[name]) and task[name] >= 0
