--- a/src/citrondeal/dedup/_ledger.py
+++ b/src/citrondeal/dedup/_ledger.py
@@ -1,13 +1,13 @@
 """The ledger of request ids at one gateway."""
 
 import collections
-import enum
 
 import xxhash
 
 from citrondeal.dedup import _answers
 from citrondeal.dedup import _idempotent
 from citrondeal.dedup import _model
+from citrondeal.dedup import _records
 from citrondeal import errors
 
 # Records looked at for one that can be forgotten; records in progress are
@@ -25,106 +25,10 @@
 )
 
 
-class _State(enum.IntEnum):
-    """State of an id at this gateway."""
-
-    NONE = 0  # known only through other gateways
-    CLAIMING = 1
-    QUEUED = 2
-    PREPARING = 3  # waits for the reply to an intent
-    READY = 4  # a second gateway holds the intent
-    FORWARDED = 5
-    RESOLVING = 6  # the forward broke; its receiver is asked
-    DISPATCHED = 7
-    DONE = 8
-    UNKNOWN = 9
-    REFUSED = 10  # answered "not run"
-    YIELDED = 11  # ended without a run here, not answered "not run"
-
-
-_WAITING = (_State.QUEUED, _State.PREPARING, _State.READY)
-_ELSEWHERE = (_State.FORWARDED, _State.RESOLVING)
-_STARTED = (*_ELSEWHERE, _State.DISPATCHED)
-
-
 # Age, in seconds, beyond that of any id: ten years.
 EVER_S = 3.2e8
 
 
-class _Live:
-    """The part of a record that exists only while a request is handled."""
-
-    __slots__ = (
-        "attempt",
-        "born",
-        "claim",
-        "denied",
-        "displaced",
-        "number",
-        "origin",
-        "over",
-        "provable",
-        "round",
-        "sent_at",
-        "settled",
-        "target",
-        "tried",
-        "waiters",
-    )
-
-    def __init__(self, attempt, born, provable, now):
-        self.attempt = attempt  # highest attempt that waits here
-        self.waiters = 1
-        self.born = born  # latest time at which the id can be created
-        self.provable = provable  # whether the id itself shows its age
-        # All attempts up to this number are handled here or have ended.
-        self.settled = 0
-        self.claim = 0  # number of the claim of this attempt
-        self.over = {}  # ended claims: (process, incarnation) -> number
-        self.denied = False  # a claim was denied since the last intent
-        self.round = None
-        self.origin = None  # (process, incarnation, number) of the forward
-        self.target = None  # (process, incarnation) of our own forward
-        self.sent_at = now  # time of that forward
-        self.number = 0  # of the intent, forward or claim in progress
-        self.displaced = 0  # attempt that claimed the id while forwarded
-        self.tried = None  # witnesses that did not accept
-
-
-class _Round:
-    """Replies to the claims of one attempt."""
-
-    __slots__ = ("asked", "failed", "replies", "since", "started")
-
-    def __init__(self, asked, started):
-        self.asked = asked
-        self.started = started
-        self.replies = {}
-        self.since = {}  # times since which the memories are complete
-        self.failed = set()
-
-    @property
-    def pending(self):
-        """Number of gateways that have neither replied nor failed."""
-        return len(self.asked) - len(self.replies) - len(self.failed)
-
-
-class _Record:
-    """What is known of one id; kept small, since there are many."""
-
-    __slots__ = ("attempt", "claims", "holders", "live", "refused", "state")
-    __slots__ += ("touched",)
-
-    def __init__(self, now):
-        self.state = _State.NONE
-        self.attempt = 0  # highest attempt handled here
-        self.refused = 0  # highest attempt answered "not run" here
-        self.touched = now
-        self.live = None
-        self.claims = None  # (process, incarnation) -> (number, attempt)
-        self.holders = None  # (process, incarnation) -> Seen
-
-
 class Ledger:
     """Request ids that one gateway handled, witnessed or barred.
 
@@ -278,9 +182,9 @@
             return self._join(request_id, record, attempt or 2)
         if idempotent or request_id in self._idempotent:
             return self._idempotent.begin(request_id)
-        if record is not None and record.state == _State.DONE:
+        if record is not None and record.state == _records.State.DONE:
             return self._answer_kept(request_id)
-        if record is not None and record.state == _State.UNKNOWN:
+        if record is not None and record.state == _records.State.UNKNOWN:
             return [_refuse_unknown(request_id, "An earlier attempt")]
         created = _model.created_unix(request_id)
         age_s = None if created is None else now_unix - created
@@ -291,14 +195,14 @@
         provable = age_s is not None and age_s > -self._config.skew_s
         born = now - max(0.0, age_s) if provable else now
         number = attempt if attempt is not None else 2
-        live = _Live(number, born, provable, now)
+        live = _records.Live(number, born, provable, now)
         first = attempt == 1
         if self._has_left:
             kind = "UNAVAILABLE" if first else "UNKNOWN_OUTCOME"
             return [_refuse(request_id, kind, "The gateway is stopping.")]
         if first and record is None:
             record = self._new_record(request_id, now)
-            record.state = _State.QUEUED
+            record.state = _records.State.QUEUED
             record.attempt = live.settled = 1
             record.live = live
             return [_model.Proceed(request_id)]
@@ -327,11 +231,11 @@
         if record is None or record.live is None:
             return []
         record.live.waiters -= 1
-        stoppable = record.state in _WAITING
-        stoppable = stoppable or record.state == _State.CLAIMING
+        stoppable = record.state in _records.WAITING
+        stoppable = stoppable or record.state == _records.State.CLAIMING
         if record.live.waiters > 0 or not stoppable:
             return []
-        self._conclude(request_id, record, _State.YIELDED, now)
+        self._conclude(request_id, record, _records.State.YIELDED, now)
         return [_model.Drop(request_id)]
 
     # Dispatch to the gateway's own endpoints
@@ -354,19 +258,21 @@
         record = self._records.get(request_id)
         if record is None or record.live is None or self._has_left:
             return []
-        if record.state == _State.READY:
+        if record.state == _records.State.READY:
             return [_model.Ready(request_id)]
-        if record.state != _State.QUEUED:
+        if record.state != _records.State.QUEUED:
             return []
         return self._ask_witness(request_id, record, now)
 
     def intent_reply(self, request_id, number, reply, now):
         """Handle the reply to an intent."""
-        record = self._live_record(request_id, number, _State.PREPARING)
+        record = self._live_record(
+            request_id, number, _records.State.PREPARING
+        )
         if record is None:
             return []
         if reply.verdict == _model.Verdict.ACCEPTED:
-            record.state = _State.READY
+            record.state = _records.State.READY
             return [_model.Ready(request_id)]
         if reply.verdict == _model.Verdict.YOUNG:
             return self._ask_witness(request_id, record, now)
@@ -385,7 +291,9 @@
         Another witness is asked. The first one may hold the intent; this
         process remains the authority on whether it dispatched.
         """
-        record = self._live_record(request_id, number, _State.PREPARING)
+        record = self._live_record(
+            request_id, number, _records.State.PREPARING
+        )
         if record is None:
             return []
         until = now + self._config.suspect_s
@@ -407,9 +315,9 @@
         record = self._records.get(request_id)
         if record is None or record.live is None or self._has_left:
             return []
-        if record.state != _State.READY:
+        if record.state != _records.State.READY:
             return []
-        record.state = _State.DISPATCHED
+        record.state = _records.State.DISPATCHED
         self._touch(request_id, record, now)
         return [_model.Dispatch(request_id)]
 
@@ -436,10 +344,10 @@
             return []
         # An answer that arrives after the attempt was given up as unknown
         # still settles the id for later attempts.
-        if record.state not in (*_STARTED, _State.UNKNOWN):
+        if record.state not in (*_records.STARTED, _records.State.UNKNOWN):
             return []
         waited_for = record.live is not None
-        self._conclude(request_id, record, _State.DONE, now)
+        self._conclude(request_id, record, _records.State.DONE, now)
         self._answers.put(request_id, answer, size_bytes)
         return [_model.Answer(request_id, answer)] if waited_for else []
 
@@ -470,12 +378,12 @@
         record = self._records.get(request_id)
         if record is None or record.live is None:
             return []
-        if record.state == _State.DISPATCHED:
-            record.state = _State.READY
-        if record.state == _State.CLAIMING:
+        if record.state == _records.State.DISPATCHED:
+            record.state = _records.State.READY
+        if record.state == _records.State.CLAIMING:
             message = f"Not all gateways answered; {failure.message}"
             return self._end_unknown(request_id, record, message, now)
-        if record.state not in _WAITING:
+        if record.state not in _records.WAITING:
             return []
         if retry:
             return [_model.Proceed(request_id)]
@@ -500,9 +408,9 @@
         if request_id in self._idempotent:
             return self._idempotent.unknown(request_id, failure, retry)
         record = self._records.get(request_id)
-        if record is None or record.state != _State.DISPATCHED:
+        if record is None or record.state != _records.State.DISPATCHED:
             return []
-        self._conclude(request_id, record, _State.UNKNOWN, now)
+        self._conclude(request_id, record, _records.State.UNKNOWN, now)
         return [_model.Refuse(request_id, failure)]
 
     def answer_lost(self, request_id, message, now):
@@ -511,9 +419,9 @@
         if request_id in self._idempotent:
             return self._idempotent.finish(request_id, failure)
         record = self._records.get(request_id)
-        if record is None or record.state not in _STARTED:
+        if record is None or record.state not in _records.STARTED:
             return []
-        self._conclude(request_id, record, _State.DONE, now)
+        self._conclude(request_id, record, _records.State.DONE, now)
         return [_model.Refuse(request_id, failure)]
 
     # Forwarding to the gateway that holds the endpoint
@@ -547,12 +455,12 @@
         record = self._records.get(request_id)
         if record is None or record.live is None or self._has_left:
             return []
-        if record.state not in _WAITING:
+        if record.state not in _records.WAITING:
             return []
         if record.live.origin is not None:
             raise ValueError("a forwarded request is not forwarded again")
         self._number += 1
-        record.state = _State.FORWARDED
+        record.state = _records.State.FORWARDED
         record.live.number = self._number
         record.live.target = (gateway, incarnation)
         record.live.sent_at = now
@@ -629,11 +537,11 @@
             failure = errors.Failure(errors.Kind.UNKNOWN_OUTCOME, message)
             return self._idempotent.unknown(request_id, failure, retry)
         record = self._records[request_id]
-        if record.state != _State.FORWARDED:
+        if record.state != _records.State.FORWARDED:
             return []
         if not sent:
             return self._forward_not_run(request_id, record, None, now)
-        record.state = _State.RESOLVING
+        record.state = _records.State.RESOLVING
         claim = _model.Claim(
             self._process,
             self._incarnation,
@@ -668,9 +576,9 @@
             return [self._reject(request_id, permit, "UNAVAILABLE", message)]
         if idempotent:
             return self._idempotent.begin(request_id)
-        if record is not None and record.state == _State.DONE:
+        if record is not None and record.state == _records.State.DONE:
             return self._answer_kept(request_id)
-        if record is not None and record.state == _State.UNKNOWN:
+        if record is not None and record.state == _records.State.UNKNOWN:
             message = "An earlier attempt may have run."
             return [
                 self._reject(request_id, permit, "UNKNOWN_OUTCOME", message)
@@ -684,9 +592,11 @@
         if verdict == _model.Verdict.ACCEPTED:
             record = record or self._new_record(request_id, now)
             actions = self._make_way(request_id, record, permit, now)
-            record.state = _State.READY
+            record.state = _records.State.READY
             record.attempt = max(record.attempt, permit.attempt)
-            record.live = _Live(permit.attempt, now - permit.age_s, False, now)
+            record.live = _records.Live(
+                permit.attempt, now - permit.age_s, False, now
+            )
             record.live.settled = permit.attempt
             record.live.claim = permit.claim
             record.live.over = {(p, i): n for p, i, n in permit.over}
@@ -744,10 +654,12 @@
 
     def claim_reply(self, request_id, number, gateway, reply, now):
         """Handle the reply of one gateway to a claim."""
-        record = self._live_record(request_id, number, _State.RESOLVING)
+        record = self._live_record(
+            request_id, number, _records.State.RESOLVING
+        )
         if record is not None:
             return self._resolve(request_id, record, reply, now)
-        record = self._live_record(request_id, number, _State.CLAIMING)
+        record = self._live_record(request_id, number, _records.State.CLAIMING)
         if record is None or gateway not in record.live.round.asked:
             return []
         claim_round = record.live.round
@@ -761,10 +673,12 @@
 
     def claim_failed(self, request_id, number, gateway, now):
         """Handle a claim without a reply."""
-        record = self._live_record(request_id, number, _State.RESOLVING)
+        record = self._live_record(
+            request_id, number, _records.State.RESOLVING
+        )
         if record is not None:
             return self._forward_lost(request_id, record, now)
-        record = self._live_record(request_id, number, _State.CLAIMING)
+        record = self._live_record(request_id, number, _records.State.CLAIMING)
         if record is None or gateway not in record.live.round.asked:
             return []
         record.live.round.failed.add(gateway)
@@ -791,11 +705,11 @@
         for request_id, record in self._records.items():
             seen = self._own_seen(record)
             holders = dict(record.holders or {})
-            if record.live is not None and record.state in _ELSEWHERE:
+            if record.live is not None and record.state in _records.ELSEWHERE:
                 _learn(holders, record.live.target, _model.Seen.WITNESSED)
             if seen == _model.Seen.RUNNING:
                 seen = _model.Seen.UNKNOWN
-            if seen is None and record.state != _State.NONE:
+            if seen is None and record.state != _records.State.NONE:
                 seen = _model.Seen.REFUSED
             if seen is not None:
                 holders[(self._process, self._incarnation)] = seen
@@ -892,7 +806,7 @@
         return self._config.window_s + self._config.margin_s
 
     def _new_record(self, request_id, now):
-        self._records[request_id] = record = _Record(now)
+        self._records[request_id] = record = _records.Record(now)
         self._make_room(request_id)
         return record
 
@@ -935,7 +849,9 @@
         record = self._records.get(request_id)
         if record is None or record.live is None:
             return False
-        return record.state in _ELSEWHERE and record.live.number == number
+        return (
+            record.state in _records.ELSEWHERE and record.live.number == number
+        )
 
     # Ends of attempts
 
@@ -951,16 +867,16 @@
         if attempt > record.live.settled:
             # An attempt between the settled ones and the latest may still
             # arrive somewhere and run.
-            self._conclude(request_id, record, _State.YIELDED, now)
+            self._conclude(request_id, record, _records.State.YIELDED, now)
             message = f"Another attempt is pending; here: {failure.message}"
             return [_refuse(request_id, "IN_PROGRESS", message)]
         record.refused = max(record.refused, attempt)
-        self._conclude(request_id, record, _State.REFUSED, now)
+        self._conclude(request_id, record, _records.State.REFUSED, now)
         return [_model.Refuse(request_id, failure)]
 
     def _displace(self, request_id, record, attempt, now):
         newer = attempt > record.live.attempt
-        self._conclude(request_id, record, _State.YIELDED, now)
+        self._conclude(request_id, record, _records.State.YIELDED, now)
         message = "Another attempt of the id has taken over."
         # "Not run" would be read as a statement on the id if the caller
         # sent no newer attempt.
@@ -968,12 +884,12 @@
         return [_refuse(request_id, kind, message)]
 
     def _yield_to_other(self, request_id, record, now):
-        self._conclude(request_id, record, _State.YIELDED, now)
+        self._conclude(request_id, record, _records.State.YIELDED, now)
         message = "The id is handled by another gateway."
         return [_refuse(request_id, "IN_PROGRESS", message)]
 
     def _end_unknown(self, request_id, record, message, now):
-        self._conclude(request_id, record, _State.YIELDED, now)
+        self._conclude(request_id, record, _records.State.YIELDED, now)
         return [_refuse(request_id, "UNKNOWN_OUTCOME", message)]
 
     def _forward_lost(self, request_id, record, now):
@@ -986,7 +902,7 @@
             attempt = record.live.displaced
             return self._displace(request_id, record, attempt, now)
         record.live.target = None
-        record.state = _State.QUEUED
+        record.state = _records.State.QUEUED
         if failure is None:
             return [_model.Proceed(request_id)]
         return self._refuse_not_run(request_id, record, failure, now)
@@ -1030,7 +946,7 @@
         live.denied = False
         self._number += 1
         live.number = self._number
-        record.state = _State.PREPARING
+        record.state = _records.State.PREPARING
         permit = self._permit(record, now)
         return [_model.SendIntent(request_id, gateway, self._number, permit)]
 
@@ -1062,13 +978,16 @@
         sender = (permit.process, permit.incarnation)
         if record is not None:
             busy = record.live is not None
-            if record.state == _State.CLAIMING:
+            if record.state == _records.State.CLAIMING:
                 # The claim made here is compared with the others below.
                 busy = False
-            elif record.state in _ELSEWHERE and permit.claim:
+            elif record.state in _records.ELSEWHERE and permit.claim:
                 # The claimant's round has resolved the forward.
                 busy = False
-            if busy or record.state in (_State.DONE, _State.UNKNOWN):
+            if busy or record.state in (
+                _records.State.DONE,
+                _records.State.UNKNOWN,
+            ):
                 return _model.IntentReply(verdict.SEEN, newest)
         over = {(p, i): n for p, i, n in permit.over}
         for key, (number, _) in claims.items():
@@ -1116,8 +1035,8 @@
         self._number += 1
         live = record.live
         live.number = live.claim = self._number
-        live.round = _Round(frozenset(self._gateways), now)
-        record.state = _State.CLAIMING
+        live.round = _records.Round(frozenset(self._gateways), now)
+        record.state = _records.State.CLAIMING
         record.claims = record.claims or {}
         key = (self._process, self._incarnation)
         record.claims[key] = (self._number, attempt)
@@ -1135,9 +1054,9 @@
         live = record.live
         if live is None:
             return False
-        if record.state == _State.DISPATCHED:
+        if record.state == _records.State.DISPATCHED:
             return True
-        if record.state in _ELSEWHERE:
+        if record.state in _records.ELSEWHERE:
             return False
         source = (claim.process, claim.incarnation)
         if live.over.get(source, 0) >= claim.number:
@@ -1145,7 +1064,7 @@
         # An attempt that waits gives way to any claim, also of an older
         # attempt. If numbers decided here and names between claims, three
         # concurrent attempts could end each other.
-        if record.state == _State.CLAIMING:
+        if record.state == _records.State.CLAIMING:
             return self._process < claim.process
         return False
 
@@ -1158,11 +1077,11 @@
             claims[key] = max(kept, (claim.number, claim.attempt))
         if record.live is None:
             return []
-        if record.state in _ELSEWHERE:
+        if record.state in _records.ELSEWHERE:
             displaced = max(record.live.displaced, claim.attempt)
             record.live.displaced = displaced
             return []
-        if record.state == _State.CLAIMING:
+        if record.state == _records.State.CLAIMING:
             return self._yield_to_other(request_id, record, now)
         return self._displace(request_id, record, claim.attempt, now)
 
@@ -1171,7 +1090,7 @@
         key = (claim.process, claim.incarnation, "fence")
         claims[key] = max(claims.get(key, (0, 0)), (claim.fence, 0))
         live = record.live
-        if live is None or record.state != _State.READY:
+        if live is None or record.state != _records.State.READY:
             return []
         if live.origin is None or live.origin[:2] != key[:2]:
             return []
@@ -1180,18 +1099,18 @@
         return self._yield_to_other(request_id, record, now)
 
     def _own_seen(self, record):
-        if record.state == _State.DONE:
+        if record.state == _records.State.DONE:
             return _model.Seen.DONE
-        if record.state == _State.UNKNOWN:
+        if record.state == _records.State.UNKNOWN:
             return _model.Seen.UNKNOWN
-        if record.state == _State.DISPATCHED:
+        if record.state == _records.State.DISPATCHED:
             return _model.Seen.RUNNING
         return None
 
     def _claim_reply(self, request_id, record, claim, denied, now):
         me = (self._process, self._incarnation)
         seen = dict(record.holders or {})
-        if record.live is not None and record.state in _ELSEWHERE:
+        if record.live is not None and record.state in _records.ELSEWHERE:
             _learn(seen, record.live.target, _model.Seen.WITNESSED)
         own = self._own_seen(record)
         if denied:
@@ -1241,14 +1160,14 @@
         flat = set().union(*sightings.values()) if sightings else set()
         for view in views:
             if view.answer is not None and _model.Seen.DONE in flat:
-                self._conclude(request_id, record, _State.YIELDED, now)
+                self._conclude(request_id, record, _records.State.YIELDED, now)
                 return [_model.Answer(request_id, view.answer)]
         if claim_round.pending:
             if _model.Seen.RUNNING in flat and _model.Seen.DONE not in flat:
                 return self._yield_to_other(request_id, record, now)
             return []
         if _model.Seen.DONE in flat:
-            self._conclude(request_id, record, _State.YIELDED, now)
+            self._conclude(request_id, record, _records.State.YIELDED, now)
             message = "The request ran; its answer is no longer kept."
             return [_refuse(request_id, "ANSWER_LOST", message)]
         if _model.Seen.RUNNING in flat:
@@ -1276,7 +1195,7 @@
         record.live.settled = attempt
         record.live.round = None
         record.holders = None
-        record.state = _State.QUEUED
+        record.state = _records.State.QUEUED
         return [_model.Proceed(request_id)]
 
     def _claim_view(self, request_id, record, now):
@@ -1367,7 +1286,7 @@
     def _answer_elsewhere(self, request_id, record, reply, now):
         # The receiver keeps the answer; this gateway refers to it.
         self._refer(record, _model.Seen.DONE)
-        self._conclude(request_id, record, _State.YIELDED, now)
+        self._conclude(request_id, record, _records.State.YIELDED, now)
         return [_model.Answer(request_id, reply.answer)]
 
 
--- a/src/citrondeal/dedup/tests/mutants.py
+++ b/src/citrondeal/dedup/tests/mutants.py
@@ -1,9 +1,9 @@
 """Ledgers with one rule removed, to show that the machine needs it."""
 
 from citrondeal import dedup
-from citrondeal.dedup import _ledger
+from citrondeal.dedup import _records
 
-_READY = _ledger._State.READY
+_READY = _records.State.READY
 
 
 class NoWitness(dedup.Ledger):
@@ -26,7 +26,7 @@
     """Bars an id, but lets an attempt that already waits go on."""
 
     def _displace(self, request_id, record, attempt, now):
-        if record.state in _ledger._WAITING:
+        if record.state in _records.WAITING:
             return []
         return super()._displace(request_id, record, attempt, now)
 
@@ -35,12 +35,12 @@
     """Answers "not seen" to a concurrent claim and goes on."""
 
     def _denies(self, record, claim):
-        if record.state == _ledger._State.CLAIMING:
+        if record.state == _records.State.CLAIMING:
             return False
         return super()._denies(record, claim)
 
     def _bar(self, request_id, record, claim, now):
-        if record.state != _ledger._State.CLAIMING:
+        if record.state != _records.State.CLAIMING:
             return super()._bar(request_id, record, claim, now)
         source = (claim.process, claim.incarnation)
         record.live.over[source] = claim.number
@@ -51,7 +51,7 @@
     """Lets a concurrent claim win whatever the names are."""
 
     def _denies(self, record, claim):
-        if record.state == _ledger._State.CLAIMING:
+        if record.state == _records.State.CLAIMING:
             return False
         return super()._denies(record, claim)
 
