Keep connections of the HTTP client open

Cause: the parser was asked whether to keep a connection after the message was complete, when it no longer knows, so each call opened a connection. Ruled out: servers that close (a plain loop on one socket was kept open).

--- a/src/citrondeal/web/_client.py
+++ b/src/citrondeal/web/_client.py
@@ -48,45 +48,52 @@
     """A kept connection ended before the first byte of the answer."""
 
 
-class _Answer:
-    """Collects the events of the parser for one answer."""
+class _Connection:
+    """One open connection, used by one call at a time.
+
+    Parameters
+    ----------
+    stream : anyio.abc.SocketStream
+    """
 
-    def __init__(self):
-        self.complete = False
-        self.chunks = []
+    def __init__(self, stream):
+        self.stream = stream
+        self.idle_since = 0.0
         self.keep = True
+        self._used = False
+        self._complete = False
+        self._chunks = []
+        self._parser = httptools.HttpResponseParser(self)
+
+    def on_headers_complete(self):
+        """Note whether the server keeps the connection open."""
+        # Once a message is complete the parser no longer knows.
+        self.keep = self._parser.should_keep_alive()
 
     def on_body(self, chunk):
-        self.chunks.append(chunk)
+        """Collect a part of the body."""
+        self._chunks.append(chunk)
 
     def on_message_complete(self):
-        self.complete = True
-
-
-class _Connection:
-    """One open connection, used by one call at a time."""
-
-    def __init__(self, stream):
-        self.stream = stream
-        self.used = False
-        self.idle_since = 0.0
+        """Note the end of the answer."""
+        self._complete = True
 
     async def exchange(self, data):
-        answer = _Answer()
-        parser = httptools.HttpResponseParser(answer)
+        """Send a request and return the `Reply`."""
+        self._complete = False
+        self._chunks = []
         try:
             await self.stream.send(data)
             chunk = await self.stream.receive(READ_BYTES)
         except _CLOSED as exc:
-            if self.used:
+            if self._used:
                 raise _Stale from exc
             raise
-        self.used = True
-        parser.feed_data(chunk)
-        while not answer.complete:
-            parser.feed_data(await self.stream.receive(READ_BYTES))
-        answer.keep = parser.should_keep_alive()
-        return Reply(parser.get_status_code(), b"".join(answer.chunks)), answer
+        self._used = True
+        self._parser.feed_data(chunk)
+        while not self._complete:
+            self._parser.feed_data(await self.stream.receive(READ_BYTES))
+        return Reply(self._parser.get_status_code(), b"".join(self._chunks))
 
 
 class Client:
@@ -177,14 +184,14 @@
             connection = await self._take_idle() or await self._open()
             self._calls += 1
             try:
-                reply, answer = await connection.exchange(data)
+                reply = await connection.exchange(data)
             except _Stale:
                 await _close(connection)
                 continue
             except BaseException:
                 await _close(connection)
                 raise
-            if answer.keep:
+            if connection.keep:
                 connection.idle_since = anyio.current_time()
                 self._idle.append(connection)
             else:
--- /dev/null
+++ b/src/citrondeal/web/tests/steps.py
@@ -0,0 +1,121 @@
+"""Steps for the HTTP client."""
+
+import contextlib
+import socket
+
+import anyio
+import anyio.abc
+from behave import then
+
+from citrondeal import errors
+from citrondeal import web
+
+OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class _Server:
+    """Answers each request with fixed bytes and counts connections."""
+
+    def __init__(self, answer=OK):
+        self.answer = answer
+        self.close_after = False
+        self.connections = 0
+        self.streams = []
+
+    async def handle(self, stream):
+        self.connections += 1
+        self.streams.append(stream)
+        with contextlib.suppress(
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            anyio.EndOfStream,
+        ):
+            while True:
+                await stream.receive()
+                if self.answer is None:
+                    await anyio.sleep_forever()
+                await stream.send(self.answer)
+                if self.close_after:
+                    return await stream.aclose()
+
+
+def _run(server, scenario):
+    async def run():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(listener.serve, server.handle)
+            await scenario(web.Client(f"127.0.0.1:{port}", 2))
+            task_group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+@then("web 20 calls in turn use one connection")
+def _(context):
+    server = _Server()
+
+    async def scenario(client):
+        for _ in range(20):
+            outcome = await client.request("POST", "/x", b"{}")
+            assert outcome.ok_value.body == b"ok", outcome
+        assert server.connections == 1, server.connections
+        assert client.connects == 1, client.connects
+
+    _run(server, scenario)
+
+
+@then("web a call after the server closed its connections succeeds")
+def _(context):
+    server = _Server()
+
+    async def scenario(client):
+        await client.request("GET", "/x")
+        for stream in server.streams:
+            await stream.aclose()
+        outcome = await client.request("GET", "/x")
+        assert outcome.is_ok(), outcome
+        assert server.connections == 2, server.connections
+
+    _run(server, scenario)
+
+
+@then("web a call to a closed port is unavailable")
+def _(context):
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        port = unused.getsockname()[1]
+
+        async def call():
+            client = web.Client(f"127.0.0.1:{port}")
+            return await client.request("GET", "/x")
+
+        outcome = anyio.run(call)
+    assert outcome.err_value.kind is errors.Kind.UNAVAILABLE, outcome
+
+
+def _assert_unknown(answer, close_after):
+    server = _Server(answer)
+    server.close_after = close_after
+
+    async def scenario(client):
+        outcome = await client.request("GET", "/x", timeout_s=0.2)
+        kind = outcome.err_value.kind
+        assert kind is errors.Kind.UNKNOWN_OUTCOME, outcome
+
+    _run(server, scenario)
+
+
+@then("web a call without an answer has an unknown outcome")
+def _(context):
+    _assert_unknown(None, False)
+
+
+@then("web a call whose answer breaks off has an unknown outcome")
+def _(context):
+    _assert_unknown(OK[:-1], True)
+
+
+@then("web a call with a broken answer has an unknown outcome")
+def _(context):
+    _assert_unknown(b"no HTTP at all\r\n\r\n", True)
