Respect later owners' barriers; share ticket calls by urgency

A submission that is sent again hides the position of the first one, so jobs that are read in a recovery now always count as possibly started. Found by histories with owners that overlap; the fault 'barriers of later owners are ignored' is new. - Calls to a member that had been removed queued for its connection, one timeout each (up to 14 s), and the steps that waited for their tickets did not start: LOST. 'peers calls to a silent address fail together' failed before. The list now drops it, a worker that is replaced at its address is dropped at once, and of a worker that does not answer the list tells which tasks may run there. - A claim was written although another one had come while witnesses were asked. - During an outage of the store each append was tried and became uncertain.

--- a/src/citrondeal/cell/_committer.py
+++ b/src/citrondeal/cell/_committer.py
@@ -14,8 +14,11 @@
 GROUP_S = 0.01
 GROUP_LIMIT = 200  # records in an append
 RETRY_S = 0.1
-# A request is refused when the store has rejected its record for this long.
-REJECTED_S = 0.6
+# A record that no process could append for this long is given up.
+GIVEN_UP_S = 0.5
+# After a failed append, records are refused without a try for this long,
+# as long as the store does not answer other calls.
+PAUSE_S = 0.5
 RETRY_AFTER_S = 1.0
 
 _LOG = logging.getLogger(__name__)
@@ -40,11 +43,15 @@
         ``await append(records)`` returns a `result.Result`.
     relay : callable
         The same by another process, tried when `append` fails.
+    store_answers : callable
+        Whether other calls to the store are answered.
     metrics : citrondeal.telemetry.Metrics
     """
 
-    def __init__(self, append, relay, metrics):
+    def __init__(self, append, relay, store_answers, metrics):
         self._append = append
+        self._store_answers = store_answers
+        self._failed_at = -PAUSE_S
         self._relay = relay
         self._metrics = metrics
         self._entries = []
@@ -80,7 +87,10 @@
 
     async def _commit(self, group):
         records = [entry.record for entry in group]
-        outcome = await self._append(records)
+        if self._pausing(_clock.now()):
+            outcome = _failed(errors.Kind.UNAVAILABLE)
+        else:
+            outcome = await self._append(records)
         if outcome.is_err():
             self._note_failure(group, outcome.err_value)
             outcome = await self._relay(records)
@@ -92,7 +102,13 @@
         self._retry(group, _clock.now())
         await anyio.sleep(RETRY_S)
 
+    def _pausing(self, now):
+        """Whether an append would probably have an unknown outcome."""
+        return now - self._failed_at < PAUSE_S and not self._store_answers()
+
     def _note_failure(self, group, failure):
+        if not self._pausing(_clock.now()):
+            self._failed_at = _clock.now()
         if failure.kind is not errors.Kind.UNAVAILABLE:
             for entry in group:
                 entry.uncertain = True
@@ -109,12 +125,11 @@
 
     def _retry(self, group, now):
         for entry in group:
-            if entry.uncertain and now < entry.deadline:
+            waited = now - entry.entered_at
+            if waited < GIVEN_UP_S and now < entry.deadline:
                 self._entries.append(entry)
             elif entry.uncertain:
                 _finish(entry, _failed(errors.Kind.UNKNOWN_OUTCOME))
-            elif now - entry.entered_at < REJECTED_S:
-                self._entries.append(entry)
             else:
                 _finish(entry, _failed(errors.Kind.UNAVAILABLE))
 
--- a/src/citrondeal/cell/_follower.py
+++ b/src/citrondeal/cell/_follower.py
@@ -49,6 +49,11 @@
         """Whether the newest records have been read once."""
         return self._answered_at is not None
 
+    @property
+    def failing(self):
+        """Whether the last read failed."""
+        return self._failing
+
     def age_s(self, now):
         """Return the seconds since the last answer; infinite before it."""
         if self._answered_at is None:
@@ -67,9 +72,9 @@
             return False
         self._position, records = outcome.ok_value
         self._end = self._position
-        self._note_answer()
         if records:
             self._on_records(records)
+        self._note_answer()
         return True
 
     async def run(self):
--- a/src/citrondeal/cell/_members.py
+++ b/src/citrondeal/cell/_members.py
@@ -167,7 +167,9 @@
                 continue  # a claim could not be written
             if await self._witnessed():
                 continue
-            await self._claim()
+            # Another process may have claimed while the witnesses answered.
+            if self._election.suspects(_clock.now()):
+                await self._claim()
 
     async def _witnessed(self):
         """Ask other members whether they hear the owner."""
--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -28,6 +28,7 @@
 FRESH_S = 1.2
 AGE_LIMIT_S = 60.0  # of a submission, in case that clocks differ
 RETRY_S = 0.2
+TICKET_WAY_S = 0.1  # from the ticket service through another member
 
 _LOG = logging.getLogger(__name__)
 
@@ -112,16 +113,16 @@
             return False
         config = workflow.Config(self._lease_s)
         now = _clock.now()
-        scheduler = workflow.Scheduler(config, self._epoch, barrier, now)
+        scheduler = workflow.Scheduler(config, self._epoch, now)
         state = await self._read_state()
         self._scheduler = scheduler
-        self._recover_workers(state)
         await self._work.load()
         for job, progress in state["job"].items():
             if job in scheduler.jobs:
                 scheduler.restore(job, progress)
             else:
                 scheduler.remember_ended(job, progress)
+        scheduler.recover_workers(list(state["worker"].values()), now)
         telemetry.event(
             _LOG,
             logging.INFO,
@@ -134,10 +135,6 @@
         )
         return True
 
-    def _recover_workers(self, state):
-        infos = list(state["worker"].values())
-        self._scheduler.recover_workers(infos, _clock.now())
-
     async def _read_state(self):
         while True:
             outcome = await self._store.newest_all(_records.STATE_TOPIC)
@@ -152,7 +149,9 @@
         unix = time.time()
         for record in records:
             kind, name = _records.split_key(record.key)
-            if kind == "cancel" and record.value:
+            if record.key == _records.BARRIER_KEY:
+                self._on_barrier(record)
+            elif kind == "cancel" and record.value:
                 self._scheduler.on_cancel(name, now)
             elif kind == "job" and record.value:
                 self._on_submission(record, now, unix)
@@ -165,7 +164,15 @@
             _warn("submission is skipped", key=record.key, reason=str(exc))
             return
         age = min(max(0.0, unix - submission.submitted_unix), AGE_LIMIT_S)
-        self._scheduler.on_submission(submission, record.offset, now, age)
+        # Of a job that was sent again only the newest record is left, so
+        # its position does not tell when an earlier owner read it first.
+        self._scheduler.on_submission(
+            submission, record.offset, now, not self._work.loaded, age
+        )
+
+    def _on_barrier(self, record):
+        if record.value.isdigit():
+            self._scheduler.on_barrier(int(record.value))
 
     def _on_workers(self, records):
         now = _clock.now()
@@ -266,27 +273,22 @@
         )
 
     async def _fetch_tickets(self, order):
-        sent_at = _clock.now()
+        asked_at = _clock.now()
         outcome = await self._tickets.fetch(
-            platform.step_name(order.step), order.workers, order.expected_s
+            platform.step_name(order.step), order
         )
-        granted, valid_s = None, 0.0
+        now = _clock.now()
+        granted, valid_until = None, now
         if outcome.is_ok():
             granted = outcome.ok_value.tickets
-            valid_s = outcome.ok_value.valid_s
-            # Tickets count from when they were made, near the answer.
-            sent_at = _clock.now() - _tickets_age(sent_at, order.expected_s)
-        self._metrics.record("citrondeal.tickets.time", _clock.now() - sent_at)
+            # Tickets are valid from when they were made, a moment ago.
+            valid_until += outcome.ok_value.valid_s - TICKET_WAY_S
+        self._metrics.record("citrondeal.tickets.time", now - asked_at)
         self._scheduler.on_tickets(
-            order.step, order.workers, granted, valid_s, sent_at, _clock.now()
+            order.step, order.workers, granted, valid_until, now
         )
 
 
-def _tickets_age(sent_at, expected_s):
-    """Return how old tickets may be that have just arrived."""
-    return min(_clock.now() - sent_at, 0.1)
-
-
 def _decode_state(records):
     state = {"job": {}, "worker": {}}
     for record in records:
--- a/src/citrondeal/cell/_writer.py
+++ b/src/citrondeal/cell/_writer.py
@@ -120,7 +120,10 @@
         for job, progress in jobs.items()
     ]
     records += [
-        platform.Record(_records.worker_key(worker), workflow.encode(info))
-        for worker, info in workers.items()
+        platform.Record(
+            _records.worker_key(worker),
+            b"" if stored is None else workflow.encode(stored),
+        )
+        for worker, stored in workers.items()
     ]
     return records
--- a/src/citrondeal/cell/main.py
+++ b/src/citrondeal/cell/main.py
@@ -69,7 +69,7 @@
             CONFIG_POLL_S,
         )
         self._committer = _committer.Committer(
-            self._append, self._relay, self._metrics
+            self._append, self._relay, self._store_answers, self._metrics
         )
         self._tickets = _tickets.TicketDesk(
             platform.TicketClient(settings.tickets),
@@ -217,6 +217,9 @@
     async def _append(self, records):
         return await self._store.append(_records.WORK_TOPIC, records)
 
+    def _store_answers(self):
+        return not self._config.failing
+
     async def _relay(self, records):
         """Append through other members, which the store may serve."""
         failure = errors.Failure(errors.Kind.UNAVAILABLE, "no member relays")
@@ -277,6 +280,10 @@
             platform.Record(key.decode("utf-8", "replace"), value)
             for key, value in zip(message.keys, message.values)
         ]
+        if not self._store_answers():
+            return ttypes.Fault(
+                kind=errors.Kind.UNAVAILABLE.value, message="no store here"
+            )
         outcome = await self._append(records)
         if outcome.is_ok():
             return ttypes.Ok()
--- a/src/citrondeal/peers/_pool.py
+++ b/src/citrondeal/peers/_pool.py
@@ -154,12 +154,12 @@
     async def _connected(self, address, slot, timeout_s):
         if slot.link is not None and not slot.link.closed:
             return slot.link
-        now = anyio.current_time()
-        if slot.failed_at is not None and now - slot.failed_at < RETRY_AFTER:
-            raise _link.PeerError("peer was unreachable just now", sent=False)
+        _check_reachable(slot)
         async with slot.lock:
             if slot.link is not None and not slot.link.closed:
                 return slot.link
+            # The call before in the queue may have failed to connect.
+            _check_reachable(slot)
             try:
                 with anyio.fail_after(min(timeout_s, CONNECT_TIMEOUT)):
                     slot.link = await self._open(address, slot)
@@ -218,3 +218,9 @@
             slot.closed_out += link.bytes_out
             slot.closed_in += link.bytes_in
         await link.aclose()
+
+
+def _check_reachable(slot):
+    now = anyio.current_time()
+    if slot.failed_at is not None and now - slot.failed_at < RETRY_AFTER:
+        raise _link.PeerError("peer was unreachable just now", sent=False)
--- a/src/citrondeal/peers/tests/peers.feature
+++ b/src/citrondeal/peers/tests/peers.feature
@@ -38,3 +38,8 @@
   Scenario: peers traffic of closed connections is not forgotten
     Given peers two servers
     Then peers the traffic is counted by address across connections
+
+  # Guards against calls that wait for each other's failing connections, so
+  # that the last of them takes many times its timeout.
+  Scenario: peers calls to a silent address fail together
+    Then peers 10 calls to an address that never answers fail within 2 s
--- a/src/citrondeal/peers/tests/steps.py
+++ b/src/citrondeal/peers/tests/steps.py
@@ -283,3 +283,30 @@
         assert tuple(total) == pool.traffic, (total, pool.traffic)
 
     _run(scenario)
+
+
+@then("peers {count:d} calls to an address that never answers fail within 2 s")
+def _(context, count):
+    async def silent(stream):
+        await anyio.sleep_forever()
+
+    async def scenario(task_group):
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        task_group.start_soon(listener.serve, silent)
+        pool = peers.Pool(_identity("client"), task_group)
+        failed = []
+
+        async def call():
+            try:
+                await pool.call(f"127.0.0.1:{port}", ttypes.Ok(), 1.5)
+            except peers.PeerError as exc:
+                failed.append(exc.sent)
+
+        with anyio.move_on_after(2.0):
+            async with anyio.create_task_group() as calls:
+                for _ in range(count):
+                    calls.start_soon(call)
+        assert failed == [False] * count, failed
+
+    _run(scenario)
--- a/src/citrondeal/workflow/__init__.py
+++ b/src/citrondeal/workflow/__init__.py
@@ -22,6 +22,7 @@
     "Step",
     "StepId",
     "Stop",
+    "StoredWorker",
     "Submission",
     "TaskId",
     "WorkerInfo",
@@ -45,6 +46,7 @@
 Step = _model.Step
 StepId = _model.StepId
 Stop = _model.Stop
+StoredWorker = _model.StoredWorker
 Submission = _model.Submission
 TaskId = _model.TaskId
 WorkerInfo = _model.WorkerInfo
--- a/src/citrondeal/workflow/_jobs.py
+++ b/src/citrondeal/workflow/_jobs.py
@@ -6,6 +6,8 @@
 from citrondeal.workflow import _model
 
 STATES = _model.JobState
+# Stands for the number of a run that only the worker knows.
+ANY_NUMBER = 0
 
 
 class RunState(enum.StrEnum):
@@ -123,14 +125,17 @@
     offset : int
         Position of the submission in the log.
     now : float
-        Seconds on the scheduler's clock at which the job became known.
+        Seconds on the scheduler's clock at which the job was accepted.
+    recovered : bool
+        Whether an earlier owner may have started tasks of it.
     """
 
-    def __init__(self, submission, offset, now):
+    def __init__(self, submission, offset, now, recovered=False):
         self.id = submission.job
         self.submission = submission
         self.offset = offset
         self.known_at = now
+        self.recovered = recovered
         self.state = STATES.QUEUED
         self.stored_state = STATES.QUEUED
         self.ended_unix = 0.0
--- a/src/citrondeal/workflow/_model.py
+++ b/src/citrondeal/workflow/_model.py
@@ -236,6 +236,22 @@
     clock_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredWorker:
+    """What the next owner has to know of a worker.
+
+    Attributes
+    ----------
+    info : WorkerInfo
+    runs : tuple of TaskId, or None
+        Tasks that may run there; None if any task may, as long as the
+        worker answers.
+    """
+
+    info: WorkerInfo
+    runs: tuple[TaskId, ...] | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunSeen:
     """A run that a worker lists.
@@ -334,8 +350,22 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FetchTickets:
-    """Ask the ticket service which workers may run a step."""
+    """Ask the ticket service which workers may run a step.
+
+    Attributes
+    ----------
+    step : StepId
+    workers : tuple of str
+    expected_s : float
+        How long the service takes.
+    priority : int
+        Of the job's queue; 0 comes first.
+    due_at : float
+        When the job should be completed.
+    """
 
     step: StepId
     workers: tuple[str, ...]
     expected_s: float
+    priority: int
+    due_at: float
--- a/src/citrondeal/workflow/_records.py
+++ b/src/citrondeal/workflow/_records.py
@@ -6,7 +6,7 @@
 
 _SUBMISSIONS = msgspec.msgpack.Decoder(_model.Submission)
 _PROGRESS = msgspec.msgpack.Decoder(_model.Progress)
-_WORKERS = msgspec.msgpack.Decoder(_model.WorkerInfo)
+_WORKERS = msgspec.msgpack.Decoder(_model.StoredWorker)
 _ENCODER = msgspec.msgpack.Encoder()
 
 
@@ -15,7 +15,7 @@
 
 
 def encode(record):
-    """Return the stored bytes of a `Submission`, `Progress`, `WorkerInfo`."""
+    """Return the stored bytes of a record."""
     return _ENCODER.encode(record)
 
 
@@ -42,7 +42,7 @@
 
 
 def decode_worker(data):
-    """Return the `WorkerInfo` in `data`.
+    """Return the `StoredWorker` in `data`.
 
     Raises
     ------
--- a/src/citrondeal/workflow/_scheduler.py
+++ b/src/citrondeal/workflow/_scheduler.py
@@ -14,6 +14,8 @@
 # over changes of the owner without a stored counter.
 RUNS_PER_EPOCH = 100_000
 STOP_RETRY_S = 0.4
+# An earlier owner may renew leases until it learns of the next one.
+RECOVERY_MARGIN_S = 1.5
 
 _LOG = logging.getLogger(__name__)
 
@@ -42,23 +44,20 @@
     config : Config
     epoch : int
         Number of the ownership; higher than any before.
-    barrier : int
-        Log position from which no earlier owner has seen submissions.
     now : float
         Seconds on the scheduler's clock, as in all methods.
     """
 
-    def __init__(self, config, epoch, barrier, now):
+    def __init__(self, config, epoch, now):
         self._config = config
         self._epoch = epoch
-        self._barrier = barrier
         self._next_run = epoch * RUNS_PER_EPOCH + 1
         self._jobs = {}
         self._active = {}
         self._workers = {}
         self._unresolved = set()
         self._dirty = {}
-        self._new_workers = {}
+        self._changed_workers = {}
         self._early_cancels = set()
         self.deposed = False
 
@@ -84,6 +83,11 @@
         """Whether the runs of earlier owners are all known."""
         return not self._unresolved
 
+    @property
+    def active(self):
+        """Jobs that have not ended, by id."""
+        return self._active
+
     def job_state(self, job_id):
         """Return the `JobState` for clients, or None if unknown."""
         job = self._jobs.get(job_id)
@@ -117,14 +121,35 @@
 
     # Recovery
 
-    def recover_workers(self, infos, now):
-        """Take over the workers that earlier owners have used."""
-        for info in infos:
-            worker = self._add_worker(info, now)
-            worker.stored = True
+    def recover_workers(self, stored, now):
+        """Take over the workers that earlier owners have used.
+
+        Parameters
+        ----------
+        stored : list of StoredWorker
+            After all submissions and progress.
+        now : float
+        """
+        for each in stored:
+            worker = self._add_worker(each.info, now)
+            worker.stored = each.runs is None
             worker.listed = False
-            self._new_workers.pop(info.worker, None)
-            self._unresolved.add(info.worker)
+            if each.runs is None:
+                self._changed_workers.pop(worker.id, None)
+                self._unresolved.add(worker.id)
+            else:
+                self._recover_runs(worker, each.runs, now)
+
+    def _recover_runs(self, worker, task_ids, now):
+        """Assume runs on a worker that an earlier owner did not reach."""
+        for task_id in task_ids:
+            task = self._task(task_id)
+            if task is None or task.done or task.run is not None:
+                continue
+            task.run = _jobs.Run(
+                task, _jobs.ANY_NUMBER, worker.id, _STATES.RUNNING, now, now
+            )
+            worker.add(task.run)
 
     def restore(self, job_id, progress):
         """Take over the stored progress of a job."""
@@ -148,11 +173,25 @@
 
     # Events from the log and from the list of workers
 
-    def on_submission(self, submission, offset, now, age_s=0.0):
-        """Note an accepted job; a repeated submission changes nothing."""
+    def on_submission(
+        self, submission, offset, now, recovered=False, age_s=0.0
+    ):
+        """Note an accepted job; a repeated submission changes nothing.
+
+        Parameters
+        ----------
+        submission : Submission
+        offset : int
+            Position in the log.
+        now : float
+        recovered : bool
+            Whether an earlier owner may have started tasks of it.
+        age_s : float
+            Time since it was accepted.
+        """
         if submission.job in self._jobs:
             return
-        job = _jobs.JobRecord(submission, offset, now - age_s)
+        job = _jobs.JobRecord(submission, offset, now - age_s, recovered)
         self._jobs[job.id] = job
         self._active[job.id] = job
         _event(
@@ -178,6 +217,15 @@
             return
         self._end_job(job, _model.JobState.CANCELLED, now)
 
+    def on_barrier(self, epoch):
+        """Note the barrier of an owner in the log of submissions.
+
+        An earlier owner may have started what comes before the barrier in
+        the log, but must not start what comes after it.
+        """
+        if epoch > self._epoch:
+            self.deposed = True
+
     def on_worker(self, info, now):
         """Note an entry of the list of workers."""
         worker = self._workers.get(info.worker)
@@ -192,6 +240,30 @@
         if info.draining and not worker.info.draining:
             _event(logging.INFO, "worker is draining", worker=worker.id)
         worker.info = info
+        self._replace_at(info, now)
+
+    def _replace_at(self, info, now):
+        """Drop workers whose address another one has taken over."""
+        for other in list(self._workers.values()):
+            if (
+                other.info.address == info.address
+                and other.id != info.worker
+                and other.info.born_ms < info.born_ms
+            ):
+                _event(
+                    logging.INFO,
+                    "worker is replaced",
+                    worker=other.id,
+                    by=info.worker,
+                    lost_runs=len(other.runs),
+                )
+                self._remove_worker(other, now)
+
+    def _remove_worker(self, worker, now):
+        self._forget_runs(worker)
+        del self._workers[worker.id]
+        self._changed_workers[worker.id] = worker
+        self._resolve(worker, now)
 
     def on_worker_unlisted(self, worker_id, now):
         """Note that the entry of a worker is gone from the list."""
@@ -202,11 +274,12 @@
 
     def _add_worker(self, info, now):
         lapses = now + self._config.lease_s * _workers.CLOCK_SLACK
+        lapses += RECOVERY_MARGIN_S
         worker = _workers.WorkerState(
             info, now, lapses + _workers.LEASE_MARGIN_S
         )
         self._workers[info.worker] = worker
-        self._new_workers[info.worker] = info
+        self._changed_workers[info.worker] = worker
         return worker
 
     # Reports of workers
@@ -230,7 +303,7 @@
                 return
             self._restarted(worker, report.born_ms, now)
         if not worker.reachable:
-            worker.reachable = True
+            self._set_reachable(worker, True)
             _event(logging.INFO, "worker answers", worker=worker_id)
         worker.reported_at = now
         for end in report.ended:
@@ -245,7 +318,7 @@
         """Note that a lease renewal of a worker got no answer."""
         worker = self._workers.get(worker_id)
         if worker is not None and worker.reachable:
-            worker.reachable = False
+            self._set_reachable(worker, False)
             _event(
                 logging.WARNING,
                 "worker does not answer",
@@ -253,12 +326,19 @@
                 reason=reason,
             )
 
+    def _set_reachable(self, worker, reachable):
+        # The next owner learns which tasks may run on a worker that it may
+        # not reach.  New tasks wait until this is stored.
+        worker.reachable = reachable
+        worker.stored = False
+        self._changed_workers[worker.id] = worker
+
     def _on_end(self, worker, end, now):
         if end.number <= worker.last_end:
             return
         worker.last_end = end.number
         run = worker.runs.get(end.task)
-        if run is not None and run.number == end.run:
+        if run is not None and run.number in (end.run, _jobs.ANY_NUMBER):
             self._release(worker, run)
         worker.orphans.pop(end.task, None)
         task = self._task(end.task)
@@ -310,7 +390,10 @@
         """Remove runs that a report proves to be gone."""
         for run in list(worker.runs.values()):
             seen = listed.get(run.task.id)
-            if seen is not None and seen.number == run.number:
+            if seen is not None and run.number in (
+                seen.number,
+                _jobs.ANY_NUMBER,
+            ):
                 continue
             if run.confirmed_at is None or run.confirmed_at >= sent_at:
                 continue
@@ -330,6 +413,8 @@
 
     def _on_running(self, worker, seen, now):
         run = worker.runs.get(seen.task)
+        if run is not None and run.number == _jobs.ANY_NUMBER:
+            run.number = seen.number
         if run is not None and run.number == seen.number:
             if run.state is _STATES.STARTING:
                 run.state = _STATES.RUNNING
@@ -384,8 +469,7 @@
         self._forget_runs(worker)
         worker.orphans.clear()
         worker.last_end = worker.acknowledged = 0
-        worker.reachable = False
-        self._new_workers[worker.id] = worker.info
+        self._set_reachable(worker, False)
 
     def _forget_runs(self, worker):
         for run in list(worker.runs.values()):
@@ -459,13 +543,25 @@
         if outcome is _OUTCOMES.OK:
             run.confirmed_at = now
 
-    def on_tickets(self, step_id, asked, granted, valid_s, sent_at, now):
-        """Take the answer of the ticket service; None if the call failed."""
+    def on_tickets(self, step_id, asked, granted, valid_until, now):
+        """Take the answer of the ticket service.
+
+        Parameters
+        ----------
+        step_id : StepId
+        asked : tuple of str
+            Workers that the call named.
+        granted : dict of str to str, or None
+            Tickets by worker; None if the call failed.
+        valid_until : float
+            End of the tickets.
+        now : float
+        """
         step = self._step(step_id)
         if step is None:
             return
         workers = [self._workers[i] for i in asked if i in self._workers]
-        _tickets.on_answer(step, workers, granted, sent_at + valid_s, now)
+        _tickets.on_answer(step, workers, granted, valid_until, now)
         _event(
             logging.INFO,
             "tickets answered",
@@ -473,7 +569,7 @@
             step=step_id.step,
             asked=len(asked),
             granted=-1 if granted is None else len(granted),
-            took_s=round(now - sent_at, 3),
+            valid_s=round(valid_until - now, 3),
         )
 
     # What is to be stored
@@ -484,31 +580,43 @@
         Returns
         -------
         jobs : dict of str to Progress
-        workers : dict of str to WorkerInfo
+        workers : dict of str to StoredWorker or None
+            None drops the record of a worker.
         ends : dict of str to (int, int)
             By worker, its incarnation and the end number up to which ends
             may be acknowledged once all of this is stored.
         """
         jobs = {job.id: job.progress() for job in self._dirty.values()}
-        workers = self._new_workers
+        workers = {
+            w.id: self._stored_worker(w)
+            for w in self._changed_workers.values()
+        }
         ends = {
             w.id: (w.info.born_ms, w.last_end)
             for w in self._workers.values()
             if w.last_end > w.acknowledged
         }
         self._dirty = {}
-        self._new_workers = {}
+        self._changed_workers = {}
         return jobs, workers, ends
 
+    def _stored_worker(self, worker):
+        if self._workers.get(worker.id) is not worker:
+            return None
+        if worker.reachable:
+            return _model.StoredWorker(worker.info)
+        return _model.StoredWorker(worker.info, tuple(worker.runs))
+
     def on_stored(self, jobs, workers, ends):
         """Note that what `take_stored` returned is stored."""
         for job_id, progress in jobs.items():
             job = self._jobs.get(job_id)
             if job is not None:
                 job.stored_state = progress.state
-        for worker_id in workers:
-            if worker_id in self._workers:
-                self._workers[worker_id].stored = True
+        for worker_id, stored in workers.items():
+            worker = self._workers.get(worker_id)
+            if worker is not None and worker_id not in self._changed_workers:
+                worker.stored = stored is not None and stored.runs is None
         for worker_id, (born_ms, number) in ends.items():
             worker = self._workers.get(worker_id)
             if worker is not None and worker.info.born_ms == born_ms:
@@ -544,9 +652,10 @@
                 )
                 self._forget_runs(worker)
             worker.orphans.clear()
-            self._resolve(worker, now)
-            if not worker.listed:
-                del self._workers[worker.id]
+            if worker.listed:
+                self._resolve(worker, now)
+            else:
+                self._remove_worker(worker, now)
 
     def _due_stops(self, now):
         stops = []
@@ -582,7 +691,7 @@
 
     def _may_start(self, step):
         """Whether no unknown run of an earlier owner can exist."""
-        return self.resolved or step.job.offset >= self._barrier
+        return self.resolved or not step.job.recovered
 
     def _plan_step(self, step, actions, now):
         waiting = step.waiting()
@@ -641,6 +750,8 @@
                 step.id,
                 tuple(w.id for w in workers),
                 policy.ticket_base_s + policy.ticket_each_s * len(workers),
+                policy.priority,
+                step.job.due_at,
             )
         )
 
--- a/src/citrondeal/workflow/tests/steps.py
+++ b/src/citrondeal/workflow/tests/steps.py
@@ -32,6 +32,11 @@
         return True
 
 
+class _IgnoresBarriers(workflow.Scheduler):
+    def on_barrier(self, epoch):
+        return
+
+
 class _AcknowledgesEarly(workflow.Scheduler):
     def on_report(self, worker_id, report, sent_at, now):
         super().on_report(worker_id, report, sent_at, now)
@@ -60,7 +65,7 @@
 
 
 class _IgnoresSpread(workflow.Scheduler):
-    def on_submission(self, submission, offset, now, age_s=0.0):
+    def on_submission(self, submission, offset, now, recovered=False):
         steps = tuple(
             _model.Step(s.tasks, s.size, s.estimate_s, s.after, s.gang)
             for s in submission.steps
@@ -68,12 +73,13 @@
         changed = _model.Submission(
             submission.job, submission.spec, steps, submission.policy
         )
-        super().on_submission(changed, offset, now, age_s)
+        super().on_submission(changed, offset, now, recovered)
 
 
 _FAULTS = {
     "room is free before the end is listed": _FreesEarly,
     "runs of earlier owners are ignored": _IgnoresEarlierRuns,
+    "barriers of later owners are ignored": _IgnoresBarriers,
     "ends are acknowledged before stored": _AcknowledgesEarly,
     "dependencies are ignored": _IgnoresOrder,
     "failures are not counted": _CountsNoFailures,
--- a/src/citrondeal/workflow/tests/workflow.feature
+++ b/src/citrondeal/workflow/tests/workflow.feature
@@ -13,6 +13,7 @@
       | name                                  |
       | room is free before the end is listed |
       | runs of earlier owners are ignored    |
+      | barriers of later owners are ignored  |
       | ends are acknowledged before stored   |
       | dependencies are ignored              |
       | failures are not counted              |
--- a/src/citrondeal/workflow/tests/world.py
+++ b/src/citrondeal/workflow/tests/world.py
@@ -61,7 +61,7 @@
         """Return the entry in the list of workers."""
         return workflow.WorkerInfo(
             self.name,
-            "127.0.0.1:1",
+            f"{self.name}:1",
             "service",
             "zone",
             ("kind", "rack"),
@@ -142,6 +142,19 @@
         return workflow.Outcome.OK
 
 
+@dataclasses.dataclass(eq=False)
+class Owner:
+    """One owner and how far it has read the log."""
+
+    scheduler: workflow.Scheduler
+    epoch: int
+    position: int
+    # Until when an owner goes on that does not know of the next one.
+    ends_at: float = float("inf")
+    # Until when a worker cannot be reached from it, by worker.
+    cut_until: dict = dataclasses.field(default_factory=dict)
+
+
 class World:
     """Workers, one owner after the other, and the checks.
 
@@ -167,8 +180,8 @@
         self.late = []
         self.epoch = 0
         self.owner = None
+        self.zombies = []
         self.owner_starts_at = self.now
-        self.position = 0
         self.store_down_until = 0.0
         self.done = collections.Counter()
         self.noted_done = set()
@@ -316,6 +329,10 @@
         if choose.random() < 0.08:
             self.hopeless.add(job)
         self.log.append(("job", job))
+        if choose.random() < 0.2:
+            # Clients may send a job again after it was accepted.
+            again = choose.choice(list(self.jobs))
+            self.log.append(("job", again))
         if choose.random() < 0.1:
             self.log.append(("cancel", job))
             self.cancelled_at[job] = self.now
@@ -323,30 +340,38 @@
     def start_owner(self):
         """Let the next owner recover."""
         self.epoch += 1
-        self.late = [x for x in self.late if x[1] == "order"]
-        barrier = len(self.log)
-        self.log.append(("barrier", ""))
+        self.log.append(("barrier", self.epoch))
         config = workflow.Config(LEASE_S)
-        self.owner = self.scheduler_class(
-            config, self.epoch, barrier, self.now
-        )
-        self.owner.recover_workers(
-            list(self.stored_workers.values()), self.now
-        )
-        self.position = 0
-        self.read_log()
+        scheduler = self.scheduler_class(config, self.epoch, self.now)
+        self.owner = Owner(scheduler, self.epoch, len(self.log))
+        if self.random.random() < 0.5:
+            self.owner.cut_until = {
+                name: self.now + self.random.uniform(0.0, 2.0)
+                for name in self.workers
+            }
+        for kind, job in dict.fromkeys(self.log):
+            if kind == "job":
+                scheduler.on_submission(self.jobs[job], 0, self.now, True)
+            elif kind == "cancel":
+                scheduler.on_cancel(job, self.now)
         for job, progress in self.stored_jobs.items():
-            self.owner.restore(job, progress)
-
-    def read_log(self):
-        """Let the owner read the log."""
-        for offset in range(self.position, len(self.log)):
-            kind, job = self.log[offset]
+            scheduler.restore(job, progress)
+        stored = [s for s in self.stored_workers.values() if s is not None]
+        scheduler.recover_workers(stored, self.now)
+
+    def read_log(self, owner):
+        """Let an owner read the log."""
+        for offset in range(owner.position, len(self.log)):
+            kind, value = self.log[offset]
             if kind == "job":
-                self.owner.on_submission(self.jobs[job], offset, self.now)
+                owner.scheduler.on_submission(
+                    self.jobs[value], offset, self.now
+                )
             elif kind == "cancel":
-                self.owner.on_cancel(job, self.now)
-        self.position = len(self.log)
+                owner.scheduler.on_cancel(value, self.now)
+            else:
+                owner.scheduler.on_barrier(value)
+        owner.position = len(self.log)
 
     def run(self, seconds):
         """Play with faults, then calmly until all jobs have ended."""
@@ -358,12 +383,19 @@
         limit = self.now + 120.0
         while self.now < limit:
             self.tick()
-            if self.owner is not None and not self.owner._active:
+            if self.idle():
                 self.check_end()
                 return
-        waiting = sorted(self.owner._active)
+        waiting = sorted(self.owner.scheduler.active)
         raise Broken(f"jobs do not end: {waiting[:5]}")
 
+    def idle(self):
+        """Return whether the owner knows of no job that has not ended."""
+        owner = self.owner
+        if owner is None or owner.position < len(self.log):
+            return False
+        return not owner.scheduler.active
+
     def calm_down(self):
         """End all faults."""
         for worker in self.workers.values():
@@ -373,7 +405,7 @@
     def check_end(self):
         """Check the final state of each job."""
         for job in self.jobs:
-            state = self.owner.jobs[job].state
+            state = self.owner.scheduler.jobs[job].state
             if job in self.cancelled_at:
                 continue
             if state is workflow.JobState.COMPLETED:
@@ -399,6 +431,9 @@
         elif roll < 0.008:
             worker.cut = worker.gone or not worker.cut
         elif roll < 0.012 and self.owner is not None:
+            if choose.random() < 0.5:
+                self.owner.ends_at = self.now + choose.uniform(1.0, 4.0)
+                self.zombies.append(self.owner)
             self.owner = None
             self.owner_starts_at = self.now + OWNER_GAP_S
         elif roll < 0.013:
@@ -415,61 +450,74 @@
     def tick(self):
         """Advance the time by one step."""
         self.now += STEP_S
-        for due, kind, call in [x for x in self.late if x[0] <= self.now]:
+        for _, call in [x for x in self.late if x[0] <= self.now]:
             call()
         self.late = [x for x in self.late if x[0] > self.now]
         for worker in self.workers.values():
             worker.tick(self.now)
         self.check_gangs()
-        if self.owner is None:
-            if self.now >= self.owner_starts_at:
-                self.start_owner()
-            return
-        self.act()
-
-    def act(self):
-        """Let the owner hear, decide and store."""
-        store_up = self.now >= self.store_down_until
-        if store_up:
-            self.read_log()
-            taken = self.owner.take_stored()
-            self.stored_jobs.update(taken[0])
-            self.stored_workers.update(taken[1])
-            self.owner.on_stored(*taken)
-        for worker in self.workers.values():
-            self.hear(worker)
-        for action in self.owner.plan(self.now):
-            self.carry_out(action)
+        if self.owner is None and self.now >= self.owner_starts_at:
+            self.start_owner()
+        elif self.owner is not None:
+            self.act(self.owner)
+        for zombie in self.zombies:
+            self.act(zombie)
+        self.zombies = [
+            z
+            for z in self.zombies
+            if z.ends_at > self.now and not z.scheduler.deposed
+        ]
 
-    def hear(self, worker):
-        """Let the owner renew the leases of a worker."""
+    def act(self, owner):
+        """Let an owner hear, decide and store."""
+        scheduler = owner.scheduler
+        if self.now >= self.store_down_until and self.random.random() < 0.5:
+            self.read_log(owner)
+            if owner.epoch == self.epoch:
+                taken = scheduler.take_stored()
+                self.stored_jobs.update(taken[0])
+                self.stored_workers.update(taken[1])
+                scheduler.on_stored(*taken)
+        workers = list(self.workers.values())
+        self.random.shuffle(workers)
+        for worker in workers:
+            if self.random.random() < 0.5:
+                self.hear(owner, worker)
+        for action in scheduler.plan(self.now):
+            self.carry_out(owner, action)
+
+    def hear(self, owner, worker):
+        """Let an owner renew the leases of a worker."""
+        scheduler = owner.scheduler
         if worker.gone:
-            self.owner.on_worker_unlisted(worker.name, self.now)
+            scheduler.on_worker_unlisted(worker.name, self.now)
         else:
-            self.owner.on_worker(worker.info(), self.now)
-        state = self.owner.workers.get(worker.name)
-        if worker.cut or self.random.random() < 0.05:
-            if worker.cut and state is not None:
-                self.owner.on_no_report(worker.name, "cut", self.now)
+            scheduler.on_worker(worker.info(), self.now)
+        state = scheduler.workers.get(worker.name)
+        cut = worker.cut or self.now < owner.cut_until.get(worker.name, 0.0)
+        if cut or self.random.random() < 0.05:
+            if cut and state is not None:
+                scheduler.on_no_report(worker.name, "cut", self.now)
             return
         state.note_lease(self.now, LEASE_S)
-        born_ms = state.info.born_ms
         report = worker.hold(
-            self.epoch, state.acknowledged, self.now + LEASE_S
+            owner.epoch, state.acknowledged, self.now + LEASE_S
         )
-        assert born_ms == worker.born_ms
-        self.owner.on_report(worker.name, report, self.now, self.now + 0.01)
+        if report is None:
+            scheduler.deposed = True
+            return
+        scheduler.on_report(worker.name, report, self.now, self.now + 0.01)
 
-    def carry_out(self, action):
+    def carry_out(self, owner, action):
         """Pass an order on; it may get lost or come late."""
+        scheduler, epoch = owner.scheduler, owner.epoch
         if isinstance(action, workflow.FetchTickets):
             granted = {w: "t" for w in action.workers}
-            self.owner.on_tickets(
-                action.step, action.workers, granted, 2.5, self.now, self.now
+            scheduler.on_tickets(
+                action.step, action.workers, granted, self.now + 2.5, self.now
             )
             return
         worker = self.workers[action.worker]
-        owner, epoch = self.owner, self.epoch
         until = self.now + 2.5
         is_start = isinstance(action, workflow.Start)
 
@@ -480,14 +528,14 @@
 
         roll = self.random.random()
         outcome = workflow.Outcome.UNKNOWN
-        if worker.cut:
+        if worker.cut or self.now < owner.cut_until.get(worker.name, 0.0):
             pass
         elif roll < 0.03 and not self.calm:
             delay = self.random.uniform(0.5, 8.0)
-            self.late.append((self.now + delay, "order", order))
+            self.late.append((self.now + delay, order))
         elif roll < 0.05:
             order()
         else:
             outcome = order()
-        report = owner.on_started if is_start else owner.on_stopped
+        report = scheduler.on_started if is_start else scheduler.on_stopped
         report(action.task, action.run, action.worker, outcome, self.now)
