Run cells of real processes beside a stand-in of the platform

Cause of the new scenario that failed first ('an owner that is stopped hands over at once'): the program never registered its signal handlers, so SIGTERM killed it without a hand-over.

--- a/src/citrondeal/cell/main.py
+++ b/src/citrondeal/cell/main.py
@@ -103,6 +103,7 @@
 
     async def start(self):
         """Start everything that runs in the background."""
+        await self._task_group.start(self._lifecycle.handle_signals)
         host, port = self._settings.ip, self._settings.first_port
         await self._task_group.start(
             peers.serve, host, port, self._identity(), self._answer
--- /dev/null
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -0,0 +1,48 @@
+Feature: cell
+
+  # Guards against a path that does not work from end to end.
+  Scenario: cell jobs are accepted, run and shown as completed
+    Given a cell of 3 members
+    When cell clients submit 12 jobs at all members
+    Then the cell completes all jobs within 15 seconds
+    And the cell answers 410 for a job that nobody submitted
+    And the cell answers 404 for a queue that does not exist
+    And the cell answers 400 for bodies that are no jobs
+    And the cell broke no promise
+
+  # Guards against lost jobs and double starts when the owner dies.
+  Scenario: cell a killed owner is replaced and no task runs twice
+    Given a cell of 3 members
+    When cell clients submit 12 jobs at all members
+    And the cell owner is killed
+    And cell clients submit 12 jobs at all members
+    Then the cell completes all jobs within 25 seconds
+    And the cell broke no promise
+
+  # Guards against a planned stop that takes as long as a failure.
+  Scenario: cell an owner that is stopped hands over at once
+    Given a cell of 3 members
+    When the cell owner is stopped
+    Then the cell has another owner within 4 seconds
+    And the cell owner that was stopped exited with status 0
+
+  # Guards against false refusals and lost work while the store is away.
+  Scenario: cell jobs go on while the store is away
+    Given a cell of 3 members
+    When cell clients submit 6 jobs at all members
+    And the cell store is away for 3 seconds
+    Then the cell refused jobs that never run
+    And the cell completes all jobs within 25 seconds
+    And the cell broke no promise
+
+  # Guards against jobs that run twice because an answer was lost.
+  Scenario: cell lost answers of the store change nothing
+    Given a cell of 3 members
+    And the cell store loses 30 percent of its answers
+    When cell clients submit 12 jobs at all members
+    Then the cell completes all jobs within 25 seconds
+    And the cell broke no promise
+
+  # Guards against a start with unusable settings.
+  Scenario: cell settings are checked
+    Then the cell program exits with status 2 and names the missing setting
--- /dev/null
+++ b/src/citrondeal/cell/tests/processes.py
@@ -0,0 +1,192 @@
+"""Cells of real processes beside the stand-in of the platform."""
+
+import json
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import httpcore
+
+from tests import cell as cells
+
+START_LIMIT_S = 30.0
+CALL_LIMIT_S = 5.0
+
+_SETTINGS = """
+node = "{name}"
+ip = "{ip}"
+zone = "z"
+region = "r"
+internal-port-range = [{port}, {last}]
+advice = "127.0.0.1:{tickets}"
+unknown-field = 1
+[listen]
+front = "{ip}:{front}"
+ready = "{ip}:{ready}"
+[limits]
+cpu-share = 0.5
+cores = 2
+[bounds]
+hold-max-ms = 10000
+grace-s = 6
+[platform]
+address = "127.0.0.1:{store}"
+writes-per-s = 600
+reads-per-s = 2000
+"""
+
+
+class Member:
+    """One process of the cell on a loopback address of its own."""
+
+    def __init__(self, folder, number, port, store):
+        self.name = f"edge-{number}"
+        self.ip = f"127.0.0.{number + 1}"
+        self.front = f"{self.ip}:{port}"
+        self.ready = f"{self.ip}:{port + 1}"
+        self.log = folder / f"{self.name}.log"
+        self.settings = folder / f"{self.name}.toml"
+        self.settings.write_text(
+            _SETTINGS.format(
+                name=self.name,
+                ip=self.ip,
+                port=port + 2,
+                last=port + 4,
+                front=port,
+                ready=port + 1,
+                store=store,
+                tickets=store + 1,
+            )
+        )
+        self.process = None
+
+    def start(self):
+        """Start the process."""
+        environment = cells._environment()
+        environment["CITRONDEAL_SETTINGS"] = str(self.settings)
+        with open(self.log, "ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "citrondeal.cell.main"],
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=environment,
+            )
+
+    def end(self, number):
+        """Send a signal and return the exit status."""
+        self.process.send_signal(number)
+        status = self.process.wait(20)
+        self.process = None
+        return status
+
+
+class Cell:
+    """Stand-ins and members of one cell."""
+
+    def __init__(self, members=3, runners=4):
+        self._folder = tempfile.TemporaryDirectory()
+        folder = pathlib.Path(self._folder.name)
+        ports = cells.free_ports(runners + 10)
+        self.store = min(ports)
+        self.control = f"http://127.0.0.1:{self.store + 1}"
+        self._platform = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "tests.standins.platform",
+                f"--first_port={self.store}",
+                f"--runners={runners}",
+            ],
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+            env=cells._environment(),
+        )
+        port = self.store + runners + 4
+        self.members = [
+            Member(folder, i, port, self.store) for i in range(members)
+        ]
+        for member in self.members:
+            member.start()
+        self.wait(lambda: all(self.is_ready(m) for m in self.members))
+        self.wait(self.owner)
+
+    def wait(self, condition, limit_s=START_LIMIT_S):
+        """Wait until a condition holds and return its value."""
+        limit = time.monotonic() + limit_s
+        while time.monotonic() < limit:
+            value = condition()
+            if value:
+                return value
+            time.sleep(0.05)
+        raise AssertionError("the condition did not come to hold")
+
+    def call(self, method, url, value=None, headers=()):
+        """Perform a request; returns status and decoded body, or None."""
+        body = b"" if value is None else json.dumps(value).encode()
+        timeouts = dict.fromkeys(
+            ("connect", "read", "write", "pool"), CALL_LIMIT_S
+        )
+        try:
+            response = httpcore.request(
+                method,
+                url,
+                content=body,
+                headers=list(headers),
+                extensions={"timeout": timeouts},
+            )
+        except (httpcore.NetworkError, httpcore.TimeoutException):
+            return None
+        except httpcore.ProtocolError:
+            return None
+        content = response.content
+        return response.status, json.loads(content) if content else None
+
+    def client(self, member, method, path, value=None):
+        """Perform a client's request at a member."""
+        headers = [("Host", "lanes.example"), ("X-Deadline-Ms", "3000")]
+        return self.call(
+            method, f"http://{member.front}{path}", value, headers
+        )
+
+    def is_ready(self, member):
+        """Return whether the balancer would send it connections."""
+        answer = self.call("GET", f"http://{member.ready}/v1/readiness")
+        return answer is not None and answer[0] == 200
+
+    def owner(self):
+        """Return the running member that owns the cell, or None."""
+        for member in self.members:
+            if member.process is None:
+                continue
+            answer = self.call("GET", f"http://{member.ready}/debug/state")
+            if answer and answer[1]["owner"] is not None:
+                return member
+        return None
+
+    def counts(self):
+        """Return what the stand-ins have counted."""
+        return self.call("GET", f"{self.control}/counts")[1]
+
+    def fault(self, **switches):
+        """Set fault switches of the stand-ins."""
+        self.call("POST", f"{self.control}/faults", switches)
+
+    def stop(self):
+        """End all processes that this cell started."""
+        for member in self.members:
+            if member.process is not None:
+                member.end(signal.SIGKILL)
+        self._platform.terminate()
+        self._platform.wait(20)
+        self._folder.cleanup()
+
+
+def job(tasks=2, work_s=0.3, cpu=1000, **fields):
+    """Return the body of a job with one step."""
+    step = {"count": tasks, "cpu": cpu, "mem-mb": 64, "estimate-ms": 300}
+    spec = json.dumps({"work_s": work_s, "cpu": cpu})
+    return {"spec": spec, "steps": [{**step, **fields}]}
--- /dev/null
+++ b/src/citrondeal/cell/tests/steps.py
@@ -0,0 +1,166 @@
+"""Steps for cells of real processes."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import uuid
+
+from behave import given
+from behave import then
+from behave import when
+
+from citrondeal.cell.tests import processes
+
+
+@given("a cell of {members:d} members")
+def _(context, members):
+    context.cell = processes.Cell(members)
+    context.add_cleanup(context.cell.stop)
+    context.accepted = []
+    context.refused = []
+
+
+@given("the cell store loses {percent:d} percent of its answers")
+def _(context, percent):
+    context.cell.fault(store_lost=percent / 100)
+
+
+def _submit(context, job_id, member):
+    path = f"/holds/{job_id}"
+    answer = context.cell.client(member, "POST", path, processes.job())
+    if answer is not None and answer[0] == 200:
+        context.accepted.append(job_id)
+    elif answer is not None and answer[0] in (429, 503):
+        context.refused.append(job_id)
+
+
+@when("cell clients submit {count:d} jobs at all members")
+def _(context, count):
+    for number in range(count):
+        job_id = uuid.uuid4().hex[:16]
+        running = [m for m in context.cell.members if m.process]
+        for attempt in range(8):
+            member = running[(number + attempt) % len(running)]
+            _submit(context, job_id, member)
+            if job_id in context.accepted:
+                break
+        else:
+            raise AssertionError(f"{job_id} was not accepted")
+
+
+@when("the cell owner is killed")
+def _(context):
+    owner = context.cell.wait(context.cell.owner)
+    owner.end(signal.SIGKILL)
+
+
+@when("the cell owner is stopped")
+def _(context):
+    owner = context.cell.wait(context.cell.owner)
+    owner.process.send_signal(signal.SIGTERM)
+    context.stopped = owner
+
+
+@when("the cell store is away for {seconds:d} seconds")
+def _(context, seconds):
+    context.cell.fault(store_down=1.0)
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        _submit(context, uuid.uuid4().hex[:16], context.cell.members[0])
+        time.sleep(0.2)
+    context.cell.fault(store_down=0.0)
+
+
+@then("the cell refused jobs that never run")
+def _(context):
+    assert context.refused, "no job was refused"
+    time.sleep(2.0)
+    for job_id in context.refused:
+        if job_id in context.accepted:
+            continue
+        state = context.cell.wait(lambda: _state(context, job_id), 5.0)
+        assert state[0] == 410, (job_id, state)
+
+
+def _state(context, job_id):
+    running = [m for m in context.cell.members if m.process]
+    answer = context.cell.client(running[0], "GET", f"/holds/{job_id}")
+    return answer if answer and answer[0] != 503 else None
+
+
+@then("the cell completes all jobs within {seconds:d} seconds")
+def _(context, seconds):
+    waiting = set(context.accepted)
+
+    def all_completed():
+        for job_id in list(waiting):
+            state = _state(context, job_id)
+            if state and state[1] and state[1]["state"] == "completed":
+                waiting.discard(job_id)
+        return not waiting
+
+    context.cell.wait(all_completed, seconds)
+
+
+@then("the cell broke no promise")
+def _(context):
+    counts = context.cell.counts()
+    wrong = {k: v for k, v in counts.items() if k != "starts" and v}
+    assert counts["starts"] > 0 and not wrong, counts
+
+
+@then("the cell answers 410 for a job that nobody submitted")
+def _(context):
+    state = context.cell.wait(lambda: _state(context, "0" * 16))
+    assert state[0] == 410, state
+
+
+@then("the cell answers 404 for a queue that does not exist")
+def _(context):
+    member = context.cell.members[0]
+    answer = context.cell.client(member, "POST", "/no/" + "0" * 16, {})
+    assert answer[0] == 404, answer
+
+
+@then("the cell answers 400 for bodies that are no jobs")
+def _(context):
+    member = context.cell.members[0]
+    path = "/holds/" + "0" * 16
+    for body in ([], {}, {"spec": 1, "steps": []}, {"spec": "", "steps": []}):
+        answer = context.cell.client(member, "POST", path, body)
+        assert answer[0] == 400, (body, answer)
+
+
+@then("the cell has another owner within {seconds:d} seconds")
+def _(context, seconds):
+    def other():
+        owner = context.cell.owner()
+        return owner is not None and owner is not context.stopped
+
+    context.cell.wait(other, seconds)
+
+
+@then("the cell owner that was stopped exited with status 0")
+def _(context):
+    assert context.stopped.process.wait(20) == 0
+    context.stopped.process = None
+
+
+@then("the cell program exits with status 2 and names the missing setting")
+def _(context):
+    with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+        file.write('node = "a"\nip = "127.0.0.1"\n')
+        file.flush()
+        environment = {**os.environ, "CITRONDEAL_SETTINGS": file.name}
+        done = subprocess.run(
+            [sys.executable, "-m", "citrondeal.cell.main"],
+            capture_output=True,
+            text=True,
+            timeout=60,
+            env=environment,
+        )
+    assert done.returncode == 2, done
+    assert "zone" in done.stderr, done.stderr
