--- a/src/citrondeal/workflow/_places.py
+++ b/src/citrondeal/workflow/_places.py
@@ -38,8 +38,40 @@
     return _choose(step, tasks, workers, now)
 
 
+def earmark(step, tasks, workers):
+    """Choose workers on which room is to be kept until the tasks fit.
+
+    The workers with most room come first, as these will be free first.
+
+    Returns
+    -------
+    list of (TaskState, WorkerState)
+        Empty if the tasks of a gang can never run at the same time.
+    """
+    size = step.spec.size
+    room = {w.id: w.room(step) for w in workers}
+    left = {w.id: w.info.capacity for w in workers}
+    counts = {w.id: w.count_of(step) for w in workers}
+    chosen = []
+    for task in tasks:
+        fitting = [
+            w
+            for w in workers
+            if size.fits(left[w.id])
+            and not (step.spec.spread and counts[w.id] >= step.spec.spread)
+        ]
+        if not fitting:
+            return [] if step.spec.gang else chosen
+        best = max(fitting, key=lambda w: (room[w.id].millicores, w.id))
+        room[best.id] = room[best.id].minus(size)
+        left[best.id] = left[best.id].minus(size)
+        counts[best.id] += 1
+        chosen.append((task, best))
+    return chosen
+
+
 def _choose(step, tasks, workers, now):
-    room = {w.id: w.room(step.id) for w in workers}
+    room = {w.id: w.room(step) for w in workers}
     size = step.spec.size
     fitting = [w for w in workers if size.fits(room[w.id])]
     if not fitting:
--- a/src/citrondeal/workflow/_scheduler.py
+++ b/src/citrondeal/workflow/_scheduler.py
@@ -14,6 +14,8 @@
 # over changes of the owner without a stored counter.
 RUNS_PER_EPOCH = 100_000
 STOP_RETRY_S = 0.4
+# A gang that does not fit gets room kept once it has waited this long.
+GANG_WAIT_S = 1.0
 # An earlier owner may renew leases until it learns of the next one.
 RECOVERY_MARGIN_S = 1.5
 
@@ -59,6 +61,7 @@
         self._dirty = {}
         self._changed_workers = {}
         self._early_cancels = set()
+        self._first_gang = None
         self.deposed = False
 
     # Properties and queries
@@ -635,6 +638,9 @@
             return []
         self._expire(now)
         actions = self._due_stops(now)
+        self._first_gang = None
+        for worker in self._workers.values():
+            worker.end_keeping()
         for step in self._ready_steps(now):
             self._plan_step(step, actions, now)
         return actions
@@ -712,10 +718,28 @@
             fresh = _tickets.unasked(step, usable)
             if step.job.policy.ticketed and fresh:
                 self._fetch(step, fresh, actions, now)
-        if not chosen:
-            self._reserve(step, [])
+        if chosen:
+            self._start_or_fetch(step, chosen, allowed, actions, now)
             return
-        self._start_or_fetch(step, chosen, allowed, actions, now)
+        self._reserve(step, [])
+        if self._may_earmark(step, now):
+            for _, worker in _places.earmark(step, waiting, allowed):
+                worker.keep(step.spec.size)
+
+    def _may_earmark(self, step, now):
+        """Whether room is kept for a step that does not fit now.
+
+        Urgent steps always get it.  Of the gangs only the first one does,
+        since the room that it waits for lies idle.
+        """
+        if step.job.policy.priority == 0:
+            return True
+        if not step.spec.gang or now - step.job.known_at < GANG_WAIT_S:
+            return False
+        if self._first_gang not in (None, step):
+            return False
+        self._first_gang = step
+        return True
 
     def _start_or_fetch(self, step, chosen, allowed, actions, now):
         ready = [
--- a/src/citrondeal/workflow/_workers.py
+++ b/src/citrondeal/workflow/_workers.py
@@ -32,6 +32,7 @@
         self.orphans = {}
         self.used = _model.Size()
         self.reserved = {}
+        self.kept = _model.Size()
         self.last_end = 0
         self.acknowledged = 0
         self.failed_at = -1e9
@@ -53,14 +54,22 @@
             and not self.orphans
         )
 
-    def room(self, step=None):
-        """Return what is free, apart from reservations of other steps."""
-        size = self.info.capacity.minus(self.used)
+    def room(self, step):
+        """Return what is free for a step: not used, reserved or kept."""
+        size = self.info.capacity.minus(self.used).minus(self.kept)
         for owner, reserved in self.reserved.items():
-            if owner != step:
+            if owner != step.id:
                 size = size.minus(reserved)
         return size
 
+    def keep(self, size):
+        """Keep room for a more urgent step during one pass of decisions."""
+        self.kept = self.kept.plus(size)
+
+    def end_keeping(self):
+        """Forget what was kept in the last pass."""
+        self.kept = _model.Size()
+
     def note_lease(self, now, lease_s):
         """Note that a renewal of `lease_s` may have reached the worker."""
         lapses = now + lease_s * CLOCK_SLACK + LEASE_MARGIN_S
--- a/src/citrondeal/workflow/tests/workflow.feature
+++ b/src/citrondeal/workflow/tests/workflow.feature
@@ -19,3 +19,24 @@
       | failures are not counted              |
       | leases never lapse                    |
       | spread is ignored                     |
+
+  # Guards against small tasks that take each freed core, so that a larger
+  # urgent task never finds room.
+  Scenario: workflow room is kept for urgent tasks that do not fit
+    Given a workflow worker with 4 cores and a backlog of 2-core tasks
+    When a workflow urgent task of 3 cores arrives
+    Then the workflow urgent task starts once both running tasks have ended
+
+  # Guards against gangs that never find room beside smaller tasks, although
+  # they are due first.
+  Scenario: workflow room is kept for a gang that has waited
+    Given a workflow worker with 4 cores and a backlog of 2-core tasks
+    When a workflow gang of 2 tasks with 2 cores waits for 5 seconds
+    Then the workflow gang starts once both running tasks have ended
+
+  # Guards against takeovers that wait for the lease of a worker which an
+  # earlier owner has already given up or which has been replaced.
+  Scenario: workflow a takeover blocks only tasks that may run unseen
+    Then workflow tasks of a silent worker wait and all others start
+    And workflow a worker that is replaced at its address frees its tasks
+    And workflow a worker that is gone is dropped from the stored list
