Claim at once when the owner is known to be gone

Cause: after a loss of power of all machines the claim of the last owner was suspected for 0.9 s, although that process had started again. The scenarios 'claims after its restart' and 'answers as another start' are new.

--- a/src/citrondeal/cell/main.py
+++ b/src/citrondeal/cell/main.py
@@ -177,7 +177,9 @@
             self._store,
             self._links,
             member,
-            election.Election(self._incarnation, delay_s, _clock.now()),
+            election.Election(
+                member.name, self._incarnation, delay_s, _clock.now()
+            ),
             self._incarnation,
             self._on_owner_change,
         )
@@ -271,7 +273,7 @@
         state = self._members.election
         return ttypes.ProbeReply(
             epoch=state.epoch,
-            owner=self._owner is not None,
+            owner=state.owned,
             store_age_s=min(self._members.store_age_s(now), 1e9),
             owner_age_s=0.0 if state.owned else state.owner_age_s(now),
         )
--- a/src/citrondeal/election/_election.py
+++ b/src/citrondeal/election/_election.py
@@ -17,7 +17,7 @@
 DELAY_ROUND_TRIPS = 15
 # Added for a machine with one core, and less for stronger machines.
 DELAY_PER_CORE_S = 0.15
-RELEASED_SHARE = 0.3  # of the delay, after a release
+RELEASED_SHARE = 0.3  # of the delay, once the owner is known to be gone
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,15 +62,16 @@
 
     Parameters
     ----------
-    incarnation : str
-        Start of this process.
+    name, incarnation : str
+        This process and its start.
     delay_s : float
         See `claim_delay_s`.
     now : float
         Seconds; all methods use the same clock.
     """
 
-    def __init__(self, incarnation, delay_s, now):
+    def __init__(self, name, incarnation, delay_s, now):
+        self._name = name
         self._incarnation = incarnation
         self._delay = delay_s
         self._claim = None
@@ -119,9 +120,10 @@
             return False
         self._claim = claim
         self._healthy_at = now
-        if claim.holder:
+        if claim.holder and (claim.holder != self._name or self.owned):
             self._due_at = now + SUSPECT_S + self._delay
         else:
+            # Released, or claimed by an earlier start of this process.
             self._due_at = now + self._delay * RELEASED_SHARE
         return True
 
@@ -137,7 +139,12 @@
             Seconds since it last heard from the store.
         now : float
         """
-        if epoch != self.epoch or not is_owner or store_age_s > SUSPECT_S:
+        if epoch != self.epoch or store_age_s > SUSPECT_S:
+            return
+        if not is_owner:
+            # It has been started again since it claimed.
+            soon = now + self._delay * RELEASED_SHARE
+            self._due_at = min(self._due_at, soon)
             return
         self._healthy_at = now
         self._due_at = now + SUSPECT_S + self._delay
--- /dev/null
+++ b/src/citrondeal/election/tests/election.feature
@@ -0,0 +1,26 @@
+Feature: election
+
+  # Guards against two claims of one epoch that both count, and against
+  # claims while the owner is well.
+  Scenario: election claims
+    Then an election process claims when there is no owner
+    And an election process does not claim while the owner answers
+    And an election process claims soon after the owner falls silent
+    And an election process claims when the owner has no contact to the store
+    And an election older claim changes nothing
+
+  # Guards against a takeover that waits although the owner is known to be
+  # gone.
+  Scenario: election an owner that is known to be gone is replaced at once
+    Then an election released ownership is claimed without suspicion
+    And an election process that was the owner claims after its restart
+    And an election owner that answers as another start is replaced at once
+
+  # Guards against claims by a process that alone cannot reach the owner.
+  Scenario: election a witness that hears the owner defers a claim
+    Then an election claim is deferred by a recent witness only
+
+  # Guards against owners far from the store or on weak machines.
+  Scenario: election processes near the store and strong ones claim first
+    Then an election delay grows with the way to the store
+    And an election delay shrinks with the processor
--- /dev/null
+++ b/src/citrondeal/election/tests/steps.py
@@ -0,0 +1,117 @@
+"""Steps for claims of the ownership."""
+
+from behave import then
+
+from citrondeal import election
+
+DELAY_S = 0.4
+# From the last answer of the owner to the claim of another process; the
+# target for a takeover leaves no more.
+DETECTION_S = 1.5
+
+
+def _election(name="a", now=0.0):
+    return election.Election(name, "1", DELAY_S, now)
+
+
+def _claim(epoch=1, holder="b", incarnation="2"):
+    return election.Claim(epoch, holder, incarnation, "b:1")
+
+
+def _due(state, start=0.0, limit=10.0):
+    """Return the seconds from `start` until a claim is due."""
+    now = start
+    while now < start + limit:
+        if state.suspects(now):
+            return now - start
+        now += 0.01
+    return float("inf")
+
+
+@then("an election process claims when there is no owner")
+def _(context):
+    assert _due(_election()) <= DELAY_S + 0.01
+
+
+@then("an election process does not claim while the owner answers")
+def _(context):
+    state = _election()
+    state.on_claim(_claim(), 0.0)
+    for step in range(100):
+        now = step * 0.25
+        state.on_probe(1, True, 0.3, now)
+        assert not state.suspects(now + 0.24)
+
+
+@then("an election process claims soon after the owner falls silent")
+def _(context):
+    state = _election()
+    state.on_claim(_claim(), 0.0)
+    state.on_probe(1, True, 0.3, 5.0)
+    assert 0.5 < _due(state, 5.0) <= DETECTION_S
+
+
+@then("an election process claims when the owner has no contact to the store")
+def _(context):
+    state = _election()
+    state.on_claim(_claim(), 0.0)
+    for step in range(20):
+        state.on_probe(1, True, 2.0, step * 0.25)
+    assert state.suspects(5.0)
+
+
+@then("an election older claim changes nothing")
+def _(context):
+    state = _election()
+    assert state.on_claim(_claim(epoch=5), 0.0)
+    assert not state.on_claim(_claim(epoch=4, holder="c"), 0.0)
+    assert state.epoch == 5 and state.claim.holder == "b"
+
+
+@then("an election released ownership is claimed without suspicion")
+def _(context):
+    state = _election()
+    state.on_claim(_claim(), 0.0)
+    state.on_claim(_claim(holder=""), 1.0)
+    assert _due(state, 1.0) <= DELAY_S
+
+
+@then("an election process that was the owner claims after its restart")
+def _(context):
+    state = _election(name="b")
+    state.on_claim(_claim(holder="b", incarnation="0"), 0.0)
+    assert not state.owned
+    assert _due(state) <= DELAY_S
+
+
+@then("an election owner that answers as another start is replaced at once")
+def _(context):
+    state = _election()
+    state.on_claim(_claim(), 0.0)
+    state.on_probe(1, False, 0.1, 0.2)
+    assert _due(state, 0.2) <= DELAY_S
+
+
+@then("an election claim is deferred by a recent witness only")
+def _(context):
+    state = _election()
+    state.on_claim(_claim(epoch=3), 0.0)
+    assert not state.on_witness(3, 5.0, 5.0)
+    assert not state.on_witness(2, 0.1, 5.0)
+    assert state.on_witness(3, 0.1, 5.0)
+    assert not state.suspects(5.1)
+    assert state.suspects(6.0)
+
+
+@then("an election delay grows with the way to the store")
+def _(context):
+    near = election.claim_delay_s(0.006, 1.0, 1.0)
+    far = election.claim_delay_s(0.045, 1.0, 0.0)
+    assert near < far, (near, far)
+
+
+@then("an election delay shrinks with the processor")
+def _(context):
+    strong = election.claim_delay_s(0.006, 2.0, 1.0)
+    weak = election.claim_delay_s(0.006, 0.5, 0.0)
+    assert strong < weak, (strong, weak)
