--- a/src/citrondeal/cell/_desk.py
+++ b/src/citrondeal/cell/_desk.py
@@ -1,5 +1,7 @@
 """What a process answers to clients and to the other members."""
 
+import logging
+
 import anyio
 import result
 
@@ -9,6 +11,7 @@
 from citrondeal import peers
 from citrondeal.peers.gen.peers import ttypes
 from citrondeal import platform
+from citrondeal import telemetry
 from citrondeal import workflow
 
 ASK_TIMEOUT_S = 0.5
@@ -16,6 +19,8 @@
 RETRY_S = 0.1
 RETRY_AFTER_S = 1.0
 
+_LOG = logging.getLogger(__name__)
+
 
 class Desk:
     """Answers clients, through the owner where needed.
@@ -44,12 +49,32 @@
         record = platform.Record(
             _records.job_key(submission.job), workflow.encode(submission)
         )
-        return await self._committer.put(record, deadline_s)
+        return await self._store(
+            "submission is answered", submission.job, record, deadline_s
+        )
 
     async def cancel(self, queue, job, deadline_s):
         """Store the cancellation of a job."""
         record = platform.Record(_records.cancel_key(job), b"\x01")
-        return await self._committer.put(record, deadline_s)
+        return await self._store(
+            "cancellation is answered", job, record, deadline_s
+        )
+
+    async def _store(self, message, job, record, deadline_s):
+        started = _clock.now()
+        outcome = await self._committer.put(record, deadline_s)
+        catalog = self.catalog()
+        telemetry.event(
+            _LOG,
+            logging.INFO,
+            message,
+            job=job,
+            outcome="ok" if outcome.is_ok() else outcome.err_value.kind.value,
+            took_s=round(_clock.now() - started, 3),
+            deadline_s=deadline_s,
+            config_version=catalog.version if catalog else 0,
+        )
+        return outcome
 
     async def state(self, queue, job, deadline_s):
         """Return ``Ok`` with the state of a job, None if there is none."""
@@ -74,6 +99,7 @@
                 message = "the owner of the cell does not answer"
                 if reply is not None:
                     message = reply.message
+                self._log_unanswered(query, message)
                 return result.Err(
                     errors.Failure(
                         errors.Kind.UNAVAILABLE, message, RETRY_AFTER_S
@@ -81,6 +107,20 @@
                 )
             await anyio.sleep(RETRY_S)
 
+    def _log_unanswered(self, query, reason):
+        now = _clock.now()
+        state = self._members.election
+        telemetry.event(
+            _LOG,
+            logging.WARNING,
+            "query of a client is refused",
+            queue=query.queue,
+            job=getattr(query, "job_id", ""),
+            reason=reason,
+            epoch=state.epoch,
+            owner_age_s=round(state.owner_age_s(now), 3),
+        )
+
     async def _ask_once(self, query):
         if self._members.election.owned:
             return self.answer_as_owner(query)
--- a/src/citrondeal/platform/_ingress.py
+++ b/src/citrondeal/platform/_ingress.py
@@ -1,11 +1,13 @@
 """HTTP interface for the platform's clients."""
 
+import logging
 import re
 import time
 
 import msgspec
 
 from citrondeal import errors
+from citrondeal import telemetry
 from citrondeal import web
 from citrondeal import workflow
 
@@ -13,9 +15,12 @@
 DEFAULT_DEADLINE_S = 3.0
 # Taken off the client's deadline, for the way of the answer.
 ANSWER_MARGIN_S = 0.1
+RETRY_AFTER_S = 1.0
 SPEC_LIMIT = 4000  # bytes
 TASK_LIMIT = 10_000  # tasks of a step
 
+_LOG = logging.getLogger(__name__)
+
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 
 # Fields of a step that are accepted by no module yet.
@@ -77,11 +82,15 @@
         catalog = api.catalog()
         if catalog is None:
             return _refusal(
-                errors.Kind.UNAVAILABLE, "there is no configuration yet"
+                request, errors.Kind.UNAVAILABLE, "no configuration yet"
             )
         queue = catalog.find(request.headers.get("host", ""), request.path)
         if queue is None:
-            return _refusal(errors.Kind.UNKNOWN_SERVICE, "no such queue")
+            return _refusal(
+                request,
+                errors.Kind.UNKNOWN_SERVICE,
+                f"no such queue in version {catalog.version}",
+            )
         return await handle(api, queue, request)
 
     return respond
@@ -90,15 +99,15 @@
 async def _submit(api, queue, request):
     job_id = request.path[len(queue.prefix) :]
     if not _JOB_ID.fullmatch(job_id):
-        return _refusal(errors.Kind.MALFORMED, "invalid job id")
+        return _refusal(request, errors.Kind.MALFORMED, "invalid job id")
     try:
         job = _JOB.decode(request.body)
         submission = _submission(job_id, job, queue.policy)
     except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
-        return _refusal(errors.Kind.MALFORMED, str(exc))
+        return _refusal(request, errors.Kind.MALFORMED, str(exc))
     unsupported = _unsupported(job)
     if unsupported:
-        return _refusal(errors.Kind.OVERLOADED, unsupported)
+        return _refusal(request, errors.Kind.OVERLOADED, unsupported)
     return _answer(await api.submit(submission, _deadline_s(request)))
 
 
@@ -172,8 +181,17 @@
     return web.json_response(convert(outcome.ok_value))
 
 
-def _refusal(kind, message):
-    retry = 1.0 if kind is not errors.Kind.UNKNOWN_SERVICE else None
-    if kind is errors.Kind.MALFORMED:
-        retry = None
-    return web.failure_response(errors.Failure(kind, message, retry))
+def _refusal(request, kind, message):
+    telemetry.event(
+        _LOG,
+        logging.INFO,
+        "request is refused",
+        method=request.method,
+        host=request.headers.get("host", ""),
+        path=request.path,
+        kind=kind.value,
+        reason=message,
+    )
+    may_retry = kind in (errors.Kind.UNAVAILABLE, errors.Kind.OVERLOADED)
+    retry_s = RETRY_AFTER_S if may_retry else None
+    return web.failure_response(errors.Failure(kind, message, retry_s))
