--- a/src/citrondeal/cell/_committer.py
+++ b/src/citrondeal/cell/_committer.py
@@ -91,6 +91,8 @@
             outcome = _failed(errors.Kind.UNAVAILABLE)
         else:
             outcome = await self._append(records)
+            if outcome.is_err():
+                self._failed_at = _clock.now()
         if outcome.is_err():
             self._note_failure(group, outcome.err_value)
             outcome = await self._relay(records)
@@ -100,15 +102,14 @@
             return
         self._note_failure(group, outcome.err_value)
         self._retry(group, _clock.now())
-        await anyio.sleep(RETRY_S)
+        if self._entries:
+            await anyio.sleep(RETRY_S)
 
     def _pausing(self, now):
         """Whether an append would probably have an unknown outcome."""
         return now - self._failed_at < PAUSE_S and not self._store_answers()
 
     def _note_failure(self, group, failure):
-        if not self._pausing(_clock.now()):
-            self._failed_at = _clock.now()
         if failure.kind is not errors.Kind.UNAVAILABLE:
             for entry in group:
                 entry.uncertain = True
@@ -124,9 +125,12 @@
         )
 
     def _retry(self, group, now):
+        # While the store is away, waiting here would help nobody: the client
+        # learns at once when to come back.
+        away = self._pausing(now)
         for entry in group:
-            waited = now - entry.entered_at
-            if waited < GIVEN_UP_S and now < entry.deadline:
+            limit = min(entry.deadline, entry.entered_at + GIVEN_UP_S)
+            if not away and now < limit:
                 self._entries.append(entry)
             elif entry.uncertain:
                 _finish(entry, _failed(errors.Kind.UNKNOWN_OUTCOME))
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -46,3 +46,11 @@
   # Guards against a start with unusable settings.
   Scenario: cell settings are checked
     Then the cell program exits with status 2 and names the missing setting
+
+  # Guards against refusals that say "not run" for records that may be
+  # stored, and against answers that are held back while the store is away.
+  Scenario: cell appends that fail are answered truthfully and at once
+    Then a cell record that the store rejects is refused
+    And a cell record that may be stored has an unknown outcome
+    And a cell record that another member stores is accepted
+    And cell records are refused at once while the store is away
--- /dev/null
+++ b/src/citrondeal/cell/tests/steps_committer.py
@@ -0,0 +1,95 @@
+"""Steps for the group commit of one process."""
+
+import anyio
+from behave import then
+import result
+
+from citrondeal.cell import _committer
+from citrondeal import errors
+from citrondeal import platform
+
+DEADLINE_S = 3.0
+# An answer that takes longer has been held back.
+AT_ONCE_S = 0.2
+
+
+class _Metrics:
+    def count(self, *args, **kwargs):
+        pass
+
+    def record(self, *args, **kwargs):
+        pass
+
+
+class _Store:
+    """Answers appends with the outcome that is set."""
+
+    def __init__(self, kind):
+        self.kind = kind
+        self.answers = True
+        self.calls = 0
+
+    async def append(self, records):
+        self.calls += 1
+        if self.kind is None:
+            return result.Ok(0)
+        return result.Err(errors.Failure(self.kind, "fault"))
+
+
+def _put(store, relay, count=1):
+    """Put records one after the other; returns outcomes and seconds."""
+
+    async def run():
+        committer = _committer.Committer(
+            store.append, relay.append, lambda: store.answers, _Metrics()
+        )
+        answers = []
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(committer.run)
+            for number in range(count):
+                started = anyio.current_time()
+                record = platform.Record(f"job/{number}", b"x")
+                outcome = await committer.put(record, DEADLINE_S)
+                answers.append((outcome, anyio.current_time() - started))
+            task_group.cancel_scope.cancel()
+        return answers
+
+    return anyio.run(run)
+
+
+@then("a cell record that the store rejects is refused")
+def _(context):
+    store = _Store(errors.Kind.UNAVAILABLE)
+    [(outcome, _)] = _put(store, _Store(errors.Kind.UNAVAILABLE))
+    assert outcome.err_value.kind is errors.Kind.UNAVAILABLE, outcome
+    assert outcome.err_value.retry_after_s is not None
+
+
+@then("a cell record that may be stored has an unknown outcome")
+def _(context):
+    for kinds in (
+        (errors.Kind.UNKNOWN_OUTCOME, errors.Kind.UNAVAILABLE),
+        (errors.Kind.UNAVAILABLE, errors.Kind.UNKNOWN_OUTCOME),
+    ):
+        store, relay = map(_Store, kinds)
+        [(outcome, _)] = _put(store, relay)
+        kind = outcome.err_value.kind
+        assert kind is errors.Kind.UNKNOWN_OUTCOME, outcome
+
+
+@then("a cell record that another member stores is accepted")
+def _(context):
+    [(outcome, _)] = _put(_Store(errors.Kind.UNKNOWN_OUTCOME), _Store(None))
+    assert outcome.is_ok(), outcome
+
+
+@then("cell records are refused at once while the store is away")
+def _(context):
+    store = _Store(errors.Kind.UNKNOWN_OUTCOME)
+    store.answers = False
+    answers = _put(store, _Store(errors.Kind.UNAVAILABLE), 3)
+    for outcome, seconds in answers:
+        assert outcome.is_err() and seconds < AT_ONCE_S, answers
+    kinds = [outcome.err_value.kind for outcome, _ in answers]
+    assert kinds[1:] == [errors.Kind.UNAVAILABLE] * 2, kinds
+    assert store.calls == 1, store.calls
