Accept a job again that is stored already while the store is away

The owner is now asked, and a process remembers appends with an unknown outcome. The scenario 'a job that is sent again while the store is away is accepted' failed before.

--- a/src/citrondeal/cell/_desk.py
+++ b/src/citrondeal/cell/_desk.py
@@ -1,5 +1,6 @@
 """What a process answers to clients and to the other members."""
 
+import dataclasses
 import logging
 
 import anyio
@@ -18,6 +19,8 @@
 ASK_LIMIT_S = 1.5  # of all tries together
 RETRY_S = 0.1
 RETRY_AFTER_S = 1.0
+# Jobs remembered of which an append may have been done.
+UNCERTAIN_LIMIT = 5000
 
 _LOG = logging.getLogger(__name__)
 
@@ -42,6 +45,7 @@
         self._links = links
         self._members = members
         self._owner = owner
+        self._uncertain = {}
         self.catalog = catalog
 
     async def submit(self, submission, deadline_s):
@@ -49,9 +53,38 @@
         record = platform.Record(
             _records.job_key(submission.job), workflow.encode(submission)
         )
-        return await self._store(
+        outcome = await self._store(
             "submission is answered", submission.job, record, deadline_s
         )
+        if outcome.is_ok():
+            return outcome
+        return await self._check_refusal(submission, outcome)
+
+    async def _check_refusal(self, submission, outcome):
+        """Make sure that a refusal is true of a job that was sent before."""
+        job = submission.job
+        failure = outcome.err_value
+        known = await self._ask_once(
+            ttypes.JobStateQuery(queue=submission.policy.queue, job_id=job)
+        )
+        if isinstance(known, ttypes.JobState) and known.state:
+            self._log_checked(job, "the job is stored already")
+            return result.Ok(None)
+        if failure.kind is errors.Kind.UNKNOWN_OUTCOME:
+            self._uncertain[job] = None
+            if len(self._uncertain) > UNCERTAIN_LIMIT:
+                del self._uncertain[next(iter(self._uncertain))]
+        elif job in self._uncertain:
+            self._log_checked(job, "an earlier append may have been done")
+            failure = dataclasses.replace(
+                failure, kind=errors.Kind.UNKNOWN_OUTCOME
+            )
+        return result.Err(failure)
+
+    def _log_checked(self, job, reason):
+        telemetry.event(
+            _LOG, logging.INFO, "refusal is corrected", job=job, reason=reason
+        )
 
     async def cancel(self, queue, job, deadline_s):
         """Store the cancellation of a job."""
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -54,3 +54,10 @@
     And a cell record that may be stored has an unknown outcome
     And a cell record that another member stores is accepted
     And cell records are refused at once while the store is away
+
+  # Guards against a refusal that says "never runs" of an accepted job.
+  Scenario: cell a job that is sent again while the store is away is accepted
+    Given a cell of 3 members
+    When cell clients submit 3 jobs at all members
+    And the cell store is away for 1 seconds
+    Then cell jobs sent again while the store is away are accepted
--- a/src/citrondeal/cell/tests/steps.py
+++ b/src/citrondeal/cell/tests/steps.py
@@ -164,3 +164,15 @@
         )
     assert done.returncode == 2, done
     assert "zone" in done.stderr, done.stderr
+
+
+@then("cell jobs sent again while the store is away are accepted")
+def _(context):
+    context.cell.fault(store_down=1.0)
+    for number, job_id in enumerate(context.accepted[:3]):
+        member = context.cell.members[number]
+        answer = context.cell.client(
+            member, "POST", f"/holds/{job_id}", processes.job()
+        )
+        assert answer[0] == 200, (job_id, answer)
+    context.cell.fault(store_down=0.0)
