Replace an owner soon whose calls to the store fail

It now says so in its answers to probes. The scenario 'an owner whose calls to the store fail is replaced soon' failed before.

--- a/src/citrondeal/cell/_follower.py
+++ b/src/citrondeal/cell/_follower.py
@@ -1,6 +1,7 @@
 """Follows a topic of the store from its newest records on."""
 
 import logging
+import math
 
 import anyio
 
@@ -9,6 +10,8 @@
 from citrondeal import telemetry
 
 RETRY_S = 0.15  # after a failed read
+# Reads that fail for this long are no passing fault of one connection.
+FAILING_S = 0.4
 
 _LOG = logging.getLogger(__name__)
 
@@ -38,6 +41,7 @@
         self._end = 0
         self._answered_at = None
         self._failing = False
+        self._failing_since = None
 
     @property
     def end(self):
@@ -55,9 +59,14 @@
         return self._failing
 
     def age_s(self, now):
-        """Return the seconds since the last answer; infinite before it."""
+        """Return the seconds since the last answer.
+
+        Infinite before the first answer and after `FAILING_S` of failures.
+        """
         if self._answered_at is None:
-            return float("inf")
+            return math.inf
+        if self._failing and now - self._failing_since > FAILING_S:
+            return math.inf
         return now - self._answered_at
 
     async def load(self):
@@ -119,6 +128,7 @@
     def _note_failure(self, failure):
         if not self._failing:
             self._failing = True
+            self._failing_since = _clock.now()
             telemetry.event(
                 _LOG,
                 logging.WARNING,
--- a/src/citrondeal/cell/main.py
+++ b/src/citrondeal/cell/main.py
@@ -274,7 +274,7 @@
         return ttypes.ProbeReply(
             epoch=state.epoch,
             owner=state.owned,
-            store_age_s=min(self._members.store_age_s(now), 1e9),
+            store_age_s=self._members.store_age_s(now),
             owner_age_s=0.0 if state.owned else state.owner_age_s(now),
         )
 
--- a/src/citrondeal/election/_election.py
+++ b/src/citrondeal/election/_election.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 
 # An owner that has not answered a probe, or whose own contact to the store
 # is older than this, is suspected.
@@ -136,10 +137,15 @@
         is_owner : bool
             Whether it still considers itself the owner.
         store_age_s : float
-            Seconds since it last heard from the store.
+            Seconds since it last heard from the store; infinite while its
+            calls to the store fail.
         now : float
         """
-        if epoch != self.epoch or store_age_s > SUSPECT_S:
+        if epoch != self.epoch:
+            return
+        if is_owner and store_age_s > SUSPECT_S:
+            if math.isinf(store_age_s):
+                self._due_at = min(self._due_at, now + self._delay)
             return
         if not is_owner:
             # It has been started again since it claimed.
--- a/src/citrondeal/election/tests/steps.py
+++ b/src/citrondeal/election/tests/steps.py
@@ -92,6 +92,15 @@
     assert _due(state, 0.2) <= DELAY_S
 
 
+@then("an election owner whose calls to the store fail is replaced soon")
+def _(context):
+    state = _election()
+    state.on_claim(_claim(), 0.0)
+    state.on_probe(1, True, 0.1, 5.0)
+    state.on_probe(1, True, float("inf"), 5.25)
+    assert _due(state, 5.25) <= DELAY_S + 0.01
+
+
 @then("an election claim is deferred by a recent witness only")
 def _(context):
     state = _election()
