--- a/src/citrondeal/cell/_leases.py
+++ b/src/citrondeal/cell/_leases.py
@@ -117,6 +117,6 @@
                 "worker knows a newer owner",
                 worker=self.worker_id,
             )
-            self._scheduler.deposed = True
+            self._scheduler.depose()
         self._scheduler.on_no_report(self.worker_id, failure.message, now)
         self._on_report()
--- a/src/citrondeal/cell/_members.py
+++ b/src/citrondeal/cell/_members.py
@@ -152,7 +152,7 @@
             )
         except peers.PeerError:
             return
-        if isinstance(reply, ttypes.ProbeReply) and reply.store_age_s >= 0:
+        if isinstance(reply, ttypes.ProbeReply):
             self._election.on_probe(
                 reply.epoch, reply.owner, reply.store_age_s, _clock.now()
             )
--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -10,7 +10,6 @@
 from citrondeal.cell import _leases
 from citrondeal.cell import _records
 from citrondeal.cell import _writer
-from citrondeal import errors
 from citrondeal import platform
 from citrondeal import telemetry
 from citrondeal import workflow
@@ -113,7 +112,7 @@
             return False
         config = workflow.Config(self._lease_s)
         now = _clock.now()
-        scheduler = workflow.Scheduler(config, self._epoch, now)
+        scheduler = workflow.Scheduler(config, self._epoch)
         state = await self._read_state()
         self._scheduler = scheduler
         await self._work.load()
@@ -219,7 +218,7 @@
     async def _write(self):
         await self._writer.run(self._scheduler)
         _warn("a newer owner writes to the store", epoch=self._epoch)
-        self._scheduler.deposed = True
+        self._scheduler.depose()
         self._changed.set()
 
     # Decisions
@@ -310,8 +309,3 @@
 
 def _warn(message, **fields):
     telemetry.event(_LOG, logging.WARNING, message, **fields)
-
-
-def is_deposed(failure):
-    """Return whether a failure tells that a newer owner exists."""
-    return failure.kind is errors.Kind.BARRED
--- a/src/citrondeal/cell/main.py
+++ b/src/citrondeal/cell/main.py
@@ -31,6 +31,7 @@
 # sends no more connections.
 UNREADY_S = 2.5
 DRAIN_S = 2.0
+LEAVE_S = 1.0  # to record that this process leaves
 RELAY_TIMEOUT_S = 1.0
 RELAYS = 2  # members asked to append for this one
 METRICS_PORT = 9464
@@ -61,7 +62,6 @@
         self._catalog = None
         self._owner = None
         self._owner_scope = None
-        self._members = None
         self._config = _follower.Follower(
             self._store,
             platform.OPERATOR_TOPIC,
@@ -76,7 +76,28 @@
             self._links,
             self._other_members,
         )
-        self._desk = None
+        self._member = _records.Member(
+            settings.name,
+            f"{settings.ip}:{settings.first_port}",
+            settings.zone,
+            settings.cores,
+        )
+        self._election = election.Election(settings.name, self._incarnation)
+        self._members = _members.Members(
+            self._store,
+            self._links,
+            self._member,
+            self._election,
+            self._incarnation,
+            self._on_owner_change,
+        )
+        self._desk = _desk.Desk(
+            self._committer,
+            self._links,
+            self._members,
+            lambda: self._owner,
+            lambda: self._catalog,
+        )
 
     @classmethod
     def from_config(cls, settings, task_group):
@@ -91,12 +112,11 @@
     def dump(self):
         """Return the JSON-ready state of the process."""
         owner = self._owner.scheduler if self._owner else None
-        election_state = self._members.election if self._members else None
         return {
             "process": self._settings.name,
             "usage": lifecycle.usage(),
             "config_version": self._catalog.version if self._catalog else 0,
-            "epoch": election_state.epoch if election_state else 0,
+            "epoch": self._election.epoch,
             "owner": owner.dump() if owner else None,
             "store_calls": self._store.calls,
         }
@@ -108,7 +128,6 @@
         await self._task_group.start(
             peers.serve, host, port, self._identity(), self._answer
         )
-        self._task_group.start_soon(self._follow_config)
         self._task_group.start_soon(self._committer.run)
         self._task_group.start_soon(self._join)
 
@@ -127,17 +146,13 @@
         )
 
     def _is_ready(self):
-        return self._catalog is not None and self._members is not None
+        return self._catalog is not None and self._members.loaded
 
     def _other_members(self):
-        return self._members.others if self._members else {}
+        return self._members.others
 
     # Configuration
 
-    async def _follow_config(self):
-        await self._config.load()
-        await self._config.run()
-
     def _on_operator(self, records):
         for record in records:
             if record.key != platform.CONFIG_KEY or not record.value:
@@ -162,43 +177,20 @@
     async def _join(self):
         started = _clock.now()
         await self._config.load()
+        self._task_group.start_soon(self._config.run)
         delay_s = election.claim_delay_s(
             _clock.now() - started,
             self._settings.cores,
             int(self._incarnation[:4], 16) / 65536,
         )
-        member = _records.Member(
-            self._settings.name,
-            f"{self._settings.ip}:{self._settings.first_port}",
-            self._settings.zone,
-            self._settings.cores,
-        )
-        self._members = _members.Members(
-            self._store,
-            self._links,
-            member,
-            election.Election(
-                member.name, self._incarnation, delay_s, _clock.now()
-            ),
-            self._incarnation,
-            self._on_owner_change,
-        )
-        self._desk = _desk.Desk(
-            self._committer,
-            self._links,
-            self._members,
-            lambda: self._owner,
-            lambda: self._catalog,
-        )
+        self._election.join(delay_s, _clock.now())
         await self._members.run()
 
     def _on_owner_change(self):
         if self._owner_scope is not None:
             self._owner_scope.cancel()
-        if self._members.election.owned:
-            self._task_group.start_soon(
-                self._own, self._members.election.epoch
-            )
+        if self._election.owned:
+            self._task_group.start_soon(self._own, self._election.epoch)
 
     async def _own(self, epoch):
         owner = _owner.Owner(
@@ -257,20 +249,14 @@
         if isinstance(value, ttypes.TicketQuery):
             return await self._tickets.answer(value)
         if isinstance(value, (ttypes.JobStateQuery, ttypes.BacklogQuery)):
-            if self._desk is None:
-                return ttypes.Fault(kind="unavailable", message="starting")
             return self._desk.answer_as_owner(value)
         if isinstance(value, ttypes.Relay):
             return await self._answer_relay(value)
         return ttypes.Fault(kind="protocol", message="unexpected message")
 
     def _answer_probe(self):
-        if self._members is None:
-            return ttypes.ProbeReply(
-                epoch=0, owner=False, store_age_s=-1.0, owner_age_s=1e9
-            )
         now = _clock.now()
-        state = self._members.election
+        state = self._election
         return ttypes.ProbeReply(
             epoch=state.epoch,
             owner=state.owned,
@@ -299,7 +285,10 @@
         """Serve clients, readiness checks and metrics until cancelled."""
         probes = self._probe_app()
         servers = [
-            (_join_apps(self), self._settings.front),
+            (
+                platform.build_app(self._desk, BODY_LIMIT),
+                self._settings.front,
+            ),
             (probes, self._settings.ready),
             (probes, f"{self._settings.ip}:{METRICS_PORT}"),
         ]
@@ -334,9 +323,8 @@
 
     async def drain(self):
         """Give up the ownership, then let running requests finish."""
-        if self._members is not None:
-            with anyio.move_on_after(UNREADY_S):
-                await self._members.leave()
+        with anyio.move_on_after(LEAVE_S):
+            await self._members.leave()
         if self._owner_scope is not None:
             self._owner_scope.cancel()
         await anyio.sleep(UNREADY_S)
@@ -346,22 +334,6 @@
         await self._store.aclose()
 
 
-class _Unavailable:
-    """Stands in for the desk until the process has joined the cell."""
-
-    @staticmethod
-    def catalog():
-        return None
-
-
-def _join_apps(cell):
-    class _Current:
-        def __getattr__(self, name):
-            return getattr(cell._desk or _Unavailable, name)
-
-    return platform.build_app(_Current(), BODY_LIMIT)
-
-
 def _event(message, **fields):
     telemetry.event(_LOG, logging.INFO, message, **fields)
 
--- a/src/citrondeal/election/_election.py
+++ b/src/citrondeal/election/_election.py
@@ -71,7 +71,7 @@
         Seconds; all methods use the same clock.
     """
 
-    def __init__(self, name, incarnation, delay_s, now):
+    def __init__(self, name, incarnation, delay_s=math.inf, now=0.0):
         self._name = name
         self._incarnation = incarnation
         self._delay = delay_s
@@ -99,6 +99,12 @@
             and claim.incarnation == self._incarnation
         )
 
+    def join(self, delay_s, now):
+        """Take part in elections from now on."""
+        self._delay = delay_s
+        self._healthy_at = now
+        self._due_at = now + delay_s
+
     def owner_address(self):
         """Return the address of the owner, or None."""
         if self._claim is None or not self._claim.holder:
--- a/src/citrondeal/peers/peers.thrift
+++ b/src/citrondeal/peers/peers.thrift
@@ -164,7 +164,7 @@
   1: i64 epoch
 }
 
-// store_age_s is negative before the store has answered for the first time.
+// store_age_s is infinite while calls to the store fail.
 struct ProbeReply {
   1: i64 epoch
   2: bool owner
--- a/src/citrondeal/workflow/__init__.py
+++ b/src/citrondeal/workflow/__init__.py
@@ -3,6 +3,7 @@
 from citrondeal.workflow import _model
 from citrondeal.workflow import _records
 from citrondeal.workflow import _scheduler
+from citrondeal.workflow import _state
 
 __all__ = [
     "Config",
@@ -50,7 +51,7 @@
 Submission = _model.Submission
 TaskId = _model.TaskId
 WorkerInfo = _model.WorkerInfo
-Config = _scheduler.Config
+Config = _state.Config
 RecordError = _records.RecordError
 Scheduler = _scheduler.Scheduler
 decode_progress = _records.decode_progress
--- /dev/null
+++ b/src/citrondeal/workflow/_answers.py
@@ -0,0 +1,102 @@
+"""Answers to orders and of the ticket service."""
+
+import logging
+
+from citrondeal.workflow import _events
+from citrondeal.workflow import _jobs
+from citrondeal.workflow import _model
+from citrondeal.workflow import _tickets
+
+
+class Answers:
+    """Takes the outcomes of starts, stops and ticket calls.
+
+    Parameters
+    ----------
+    state : State
+    """
+
+    def __init__(self, state):
+        self._state = state
+
+    def on_started(self, task_id, number, worker_id, outcome, now):
+        """Take the outcome of a start."""
+        worker = self._state.workers.get(worker_id)
+        run = worker and worker.runs.get(task_id)
+        if not run or run.number != number:
+            return
+        step = run.task.step
+        if outcome is _model.Outcome.OK:
+            run.confirmed_at = now
+            if run.state is _jobs.RunState.STARTING:
+                run.state = _jobs.RunState.RUNNING
+            return
+        _events.log(
+            logging.INFO,
+            "start failed",
+            job=task_id.job,
+            task=_events.task_name(task_id),
+            run=number,
+            worker=worker_id,
+            outcome=outcome.value,
+        )
+        if outcome is _model.Outcome.UNKNOWN:
+            self._state.stop(run, "start got no answer", now)
+            worker.failed_at = now
+        else:
+            self._state.release(worker, run)
+            if outcome is _model.Outcome.FENCED:
+                self._state.deposed = True
+            elif outcome is _model.Outcome.BAD_TICKET:
+                step.tickets.pop(worker_id, None)
+                step.asked.pop(worker_id, None)
+            else:
+                worker.failed_at = now
+        if step.spec.gang:
+            self._state.stop_gang(
+                step, number, "gang member did not start", now
+            )
+
+    def on_stopped(self, task_id, number, worker_id, outcome, now):
+        """Take the outcome of a stop."""
+        worker = self._state.workers.get(worker_id)
+        if worker is None:
+            return
+        if outcome is _model.Outcome.FENCED:
+            self._state.deposed = True
+        run = worker.runs.get(task_id)
+        if run is None or run.number != number:
+            return
+        if outcome is _model.Outcome.OK:
+            run.confirmed_at = now
+
+    def on_tickets(self, step_id, asked, granted, valid_until, now):
+        """Take the answer of the ticket service.
+
+        Parameters
+        ----------
+        step_id : StepId
+        asked : tuple of str
+            Workers that the call named.
+        granted : dict of str to str, or None
+            Tickets by worker; None if the call failed.
+        valid_until : float
+            End of the tickets.
+        now : float
+        """
+        step = self._state.step(step_id)
+        if step is None:
+            return
+        workers = [
+            self._state.workers[i] for i in asked if i in self._state.workers
+        ]
+        _tickets.on_answer(step, workers, granted, valid_until, now)
+        _events.log(
+            logging.INFO,
+            "tickets answered",
+            job=step_id.job,
+            step=step_id.step,
+            asked=len(asked),
+            granted=-1 if granted is None else len(granted),
+            valid_s=round(valid_until - now, 3),
+        )
--- /dev/null
+++ b/src/citrondeal/workflow/_storing.py
@@ -0,0 +1,66 @@
+"""What is to be stored for the next owner."""
+
+from citrondeal.workflow import _model
+
+
+class Storing:
+    """Collects changes and notes that they are stored.
+
+    Parameters
+    ----------
+    state : State
+    """
+
+    def __init__(self, state):
+        self._state = state
+
+    def take_stored(self):
+        """Return what waits to be stored.
+
+        Returns
+        -------
+        jobs : dict of str to Progress
+        workers : dict of str to StoredWorker or None
+            None drops the record of a worker.
+        ends : dict of str to (int, int)
+            By worker, its incarnation and the end number up to which ends
+            may be acknowledged once all of this is stored.
+        """
+        jobs = {job.id: job.progress() for job in self._state.dirty.values()}
+        workers = {
+            w.id: self._stored_worker(w)
+            for w in self._state.changed_workers.values()
+        }
+        ends = {
+            w.id: (w.info.born_ms, w.last_end)
+            for w in self._state.workers.values()
+            if w.last_end > w.acknowledged
+        }
+        self._state.dirty = {}
+        self._state.changed_workers = {}
+        return jobs, workers, ends
+
+    def _stored_worker(self, worker):
+        if self._state.workers.get(worker.id) is not worker:
+            return None
+        if worker.reachable:
+            return _model.StoredWorker(worker.info)
+        return _model.StoredWorker(worker.info, tuple(worker.runs))
+
+    def on_stored(self, jobs, workers, ends):
+        """Note that what `take_stored` returned is stored."""
+        for job_id, progress in jobs.items():
+            job = self._state.jobs.get(job_id)
+            if job is not None:
+                job.stored_state = progress.state
+        for worker_id, stored in workers.items():
+            worker = self._state.workers.get(worker_id)
+            if (
+                worker is not None
+                and worker_id not in self._state.changed_workers
+            ):
+                worker.stored = stored is not None and stored.runs is None
+        for worker_id, (born_ms, number) in ends.items():
+            worker = self._state.workers.get(worker_id)
+            if worker is not None and worker.info.born_ms == born_ms:
+                worker.acknowledged = max(worker.acknowledged, number)
--- a/src/citrondeal/workflow/tests/steps.py
+++ b/src/citrondeal/workflow/tests/steps.py
@@ -1,9 +1,14 @@
 """Steps for jobs of several steps."""
 
+import dataclasses
+
 from behave import then
 
 from citrondeal import workflow
-from citrondeal.workflow import _model
+from citrondeal.workflow import _intake
+from citrondeal.workflow import _planner
+from citrondeal.workflow import _reports
+from citrondeal.workflow import _state
 from citrondeal.workflow.tests import world
 
 HISTORY_S = 30.0  # with faults, in virtual time
@@ -19,80 +24,81 @@
             raise AssertionError(f"seed {seed}: {exc}") from exc
 
 
-class _FreesEarly(workflow.Scheduler):
-    def _stop(self, run, reason, now):
-        super()._stop(run, reason, now)
-        worker = self._workers.get(run.worker)
+class _FreesEarly(_state.State):
+    def stop(self, run, reason, now):
+        super().stop(run, reason, now)
+        worker = self.workers.get(run.worker)
         if worker is not None and run.task.id in worker.runs:
-            self._release(worker, run)
+            self.release(worker, run)
 
 
-class _IgnoresEarlierRuns(workflow.Scheduler):
+class _IgnoresEarlierRuns(_planner.Planner):
     def _may_start(self, step):
         return True
 
 
-class _IgnoresBarriers(workflow.Scheduler):
+class _IgnoresBarriers(_intake.Intake):
     def on_barrier(self, epoch):
         return
 
 
-class _AcknowledgesEarly(workflow.Scheduler):
+class _AcknowledgesEarly(_reports.Reports):
     def on_report(self, worker_id, report, sent_at, now):
         super().on_report(worker_id, report, sent_at, now)
-        worker = self._workers[worker_id]
+        worker = self._state.workers[worker_id]
         worker.acknowledged = worker.last_end
 
 
-class _IgnoresOrder(workflow.Scheduler):
+class _IgnoresOrder(_planner.Planner):
     def _ready_steps(self, now):
         return [
             step
-            for job in self._active.values()
+            for job in self._state.active.values()
             for step in job.steps
             if not step.done and self._may_start(step)
         ]
 
 
-class _CountsNoFailures(workflow.Scheduler):
+class _CountsNoFailures(_reports.Reports):
     def _on_failed(self, task, number, worker, now):
         worker.failed_at = now
 
 
-class _NeverLapses(workflow.Scheduler):
+class _NeverLapses(_planner.Planner):
     def _expire(self, now):
         return
 
 
-class _IgnoresSpread(workflow.Scheduler):
+class _IgnoresSpread(_intake.Intake):
     def on_submission(self, submission, offset, now, recovered=False):
         steps = tuple(
-            _model.Step(s.tasks, s.size, s.estimate_s, s.after, s.gang)
-            for s in submission.steps
-        )
-        changed = _model.Submission(
-            submission.job, submission.spec, steps, submission.policy
+            dataclasses.replace(step, spread=0) for step in submission.steps
         )
+        changed = dataclasses.replace(submission, steps=steps)
         super().on_submission(changed, offset, now, recovered)
 
 
 _FAULTS = {
-    "room is free before the end is listed": _FreesEarly,
-    "runs of earlier owners are ignored": _IgnoresEarlierRuns,
-    "barriers of later owners are ignored": _IgnoresBarriers,
-    "ends are acknowledged before stored": _AcknowledgesEarly,
-    "dependencies are ignored": _IgnoresOrder,
-    "failures are not counted": _CountsNoFailures,
-    "leases never lapse": _NeverLapses,
-    "spread is ignored": _IgnoresSpread,
+    "room is free before the end is listed": ("state", _FreesEarly),
+    "runs of earlier owners are ignored": ("planner", _IgnoresEarlierRuns),
+    "barriers of later owners are ignored": ("intake", _IgnoresBarriers),
+    "ends are acknowledged before stored": ("reports", _AcknowledgesEarly),
+    "dependencies are ignored": ("planner", _IgnoresOrder),
+    "failures are not counted": ("reports", _CountsNoFailures),
+    "leases never lapse": ("planner", _NeverLapses),
+    "spread is ignored": ("intake", _IgnoresSpread),
 }
 
 
 @then('workflow random histories find the fault "{name}"')
 def _(context, name):
+    part, faulty = _FAULTS[name]
+    scheduler = type(
+        "Faulty", (workflow.Scheduler,), {f"{part}_class": faulty}
+    )
     for seed in range(FAULT_SEEDS):
         try:
-            world.World(seed, _FAULTS[name]).run(HISTORY_S)
+            world.World(seed, scheduler).run(HISTORY_S)
         except world.Broken:
             return
     raise AssertionError(f"{FAULT_SEEDS} histories did not find it")
--- a/src/citrondeal/workflow/tests/steps_policy.py
+++ b/src/citrondeal/workflow/tests/steps_policy.py
@@ -14,9 +14,7 @@
 
     def __init__(self, cores=4, workers=("w0",)):
         self.now = 100.0
-        self.scheduler = workflow.Scheduler(
-            workflow.Config(LEASE_S), 1, self.now
-        )
+        self.scheduler = workflow.Scheduler(workflow.Config(LEASE_S), 1)
         self.infos = {
             name: workflow.WorkerInfo(
                 name,
--- a/src/citrondeal/workflow/tests/world.py
+++ b/src/citrondeal/workflow/tests/world.py
@@ -181,6 +181,7 @@
         self.epoch = 0
         self.owner = None
         self.zombies = []
+        self.next_cuts = {}
         self.owner_starts_at = self.now
         self.store_down_until = 0.0
         self.done = collections.Counter()
@@ -342,13 +343,10 @@
         self.epoch += 1
         self.log.append(("barrier", self.epoch))
         config = workflow.Config(LEASE_S)
-        scheduler = self.scheduler_class(config, self.epoch, self.now)
+        scheduler = self.scheduler_class(config, self.epoch)
         self.owner = Owner(scheduler, self.epoch, len(self.log))
-        if self.random.random() < 0.5:
-            self.owner.cut_until = {
-                name: self.now + self.random.uniform(0.0, 2.0)
-                for name in self.workers
-            }
+        self.owner.cut_until = self.next_cuts
+        self.next_cuts = {}
         for kind, job in dict.fromkeys(self.log):
             if kind == "job":
                 scheduler.on_submission(self.jobs[job], 0, self.now, True)
@@ -432,8 +430,7 @@
             worker.cut = worker.gone or not worker.cut
         elif roll < 0.012 and self.owner is not None:
             if choose.random() < 0.5:
-                self.owner.ends_at = self.now + choose.uniform(1.0, 4.0)
-                self.zombies.append(self.owner)
+                self.split()
             self.owner = None
             self.owner_starts_at = self.now + OWNER_GAP_S
         elif roll < 0.013:
@@ -441,6 +438,18 @@
         elif roll < 0.017:
             self.store_down_until = self.now + choose.uniform(0.2, 4.0)
 
+    def split(self):
+        """Let the owner go on with some workers that the next cannot reach."""
+        owner = self.owner
+        owner.ends_at = self.now + self.random.uniform(1.0, 4.0)
+        self.zombies.append(owner)
+        healed_at = self.now + OWNER_GAP_S + self.random.uniform(0.0, 2.0)
+        for name in self.workers:
+            if self.random.random() < 0.5:
+                owner.cut_until[name] = owner.ends_at
+            else:
+                self.next_cuts[name] = healed_at
+
     def lose(self, worker):
         """Let a worker vanish for good, unless it is one of the last two."""
         left = [w for w in self.workers.values() if not w.gone]
@@ -504,7 +513,7 @@
             owner.epoch, state.acknowledged, self.now + LEASE_S
         )
         if report is None:
-            scheduler.deposed = True
+            scheduler.depose()
             return
         scheduler.on_report(worker.name, report, self.now, self.now + 0.01)
 
