Drop records of ended jobs

Submissions are dropped once the end of the job is stored, its state after the time for which clients may ask.

--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -27,6 +27,7 @@
 FRESH_S = 1.2
 AGE_LIMIT_S = 60.0  # of a submission, in case that clocks differ
 RETRY_S = 0.2
+DROP_PERIOD_S = 2.0  # one call for all jobs that ended meanwhile
 TICKET_WAY_S = 0.1  # from the ticket service through another member
 
 _LOG = logging.getLogger(__name__)
@@ -41,15 +42,16 @@
     tickets : TicketDesk
         Fetches tickets through the members of the cell.
     epoch : int
-    lease_s : float
+    settings : citrondeal.platform.Settings
     metrics : citrondeal.telemetry.Metrics
     """
 
-    def __init__(self, store, tickets, epoch, lease_s, metrics):
+    def __init__(self, store, tickets, epoch, settings, metrics):
         self._store = store
         self._tickets = tickets
         self._epoch = epoch
-        self._lease_s = lease_s
+        self._lease_s = settings.lease_s
+        self._status_s = settings.status_s
         self._metrics = metrics
         self._scheduler = None
         self._changed = anyio.Event()
@@ -94,6 +96,7 @@
             task_group.start_soon(self._work.run)
             task_group.start_soon(self._follow_workers)
             task_group.start_soon(self._write)
+            task_group.start_soon(self._drop_ended)
             await self._plan()
             task_group.cancel_scope.cancel()
 
@@ -110,7 +113,7 @@
         barrier = await self._writer.fence()
         if barrier is None:
             return False
-        config = workflow.Config(self._lease_s)
+        config = workflow.Config(self._lease_s, self._status_s)
         now = _clock.now()
         scheduler = workflow.Scheduler(config, self._epoch)
         state = await self._read_state()
@@ -118,9 +121,9 @@
         await self._work.load()
         for job, progress in state["job"].items():
             if job in scheduler.jobs:
-                scheduler.restore(job, progress)
+                scheduler.restore(job, progress, now)
             else:
-                scheduler.remember_ended(job, progress)
+                scheduler.remember_ended(job, progress, now)
         scheduler.recover_workers(list(state["worker"].values()), now)
         telemetry.event(
             _LOG,
@@ -221,6 +224,29 @@
         self._scheduler.depose()
         self._changed.set()
 
+    async def _drop_ended(self):
+        """Drop records of ended jobs, so that the next recovery is short."""
+        while True:
+            await anyio.sleep(DROP_PERIOD_S)
+            self._scheduler.forget(_clock.now())
+            jobs = self._scheduler.take_droppable()
+            records = [
+                platform.Record(key(job), b"")
+                for job in jobs
+                for key in (_records.job_key, _records.cancel_key)
+            ]
+            if not records:
+                continue
+            outcome = await self._store.append(_records.WORK_TOPIC, records)
+            if outcome.is_err():
+                # Dropping a key twice is harmless.
+                self._scheduler.keep_submissions(jobs)
+                _warn(
+                    "ended jobs are not dropped",
+                    count=len(jobs),
+                    reason=outcome.err_value.message,
+                )
+
     # Decisions
 
     async def _plan(self):
--- a/src/citrondeal/cell/_writer.py
+++ b/src/citrondeal/cell/_writer.py
@@ -116,14 +116,16 @@
 
 def _to_records(jobs, workers):
     records = [
-        platform.Record(_records.job_key(job), workflow.encode(progress))
+        platform.Record(_records.job_key(job), _encode(progress))
         for job, progress in jobs.items()
     ]
     records += [
-        platform.Record(
-            _records.worker_key(worker),
-            b"" if stored is None else workflow.encode(stored),
-        )
+        platform.Record(_records.worker_key(worker), _encode(stored))
         for worker, stored in workers.items()
     ]
     return records
+
+
+def _encode(value):
+    """Return the stored bytes; none drop the key."""
+    return b"" if value is None else workflow.encode(value)
--- a/src/citrondeal/cell/main.py
+++ b/src/citrondeal/cell/main.py
@@ -197,7 +197,7 @@
             self._store,
             self._tickets,
             epoch,
-            self._settings.lease_s,
+            self._settings,
             self._metrics,
         )
         with anyio.CancelScope() as scope:
--- a/src/citrondeal/platform/_settings.py
+++ b/src/citrondeal/platform/_settings.py
@@ -36,6 +36,8 @@
         Processor that the process may use.
     lease_s : float
         Longest lease of a runner's tasks.
+    status_s : float
+        How long clients may ask for the state of an ended job.
     grace_s : float
         From SIGTERM to SIGKILL.
     """
@@ -55,6 +57,7 @@
     reads_per_s: float
     cores: float
     lease_s: float
+    status_s: float
     grace_s: float
 
 
@@ -71,6 +74,7 @@
 
 class _Bounds(msgspec.Struct, rename="kebab"):
     hold_max_ms: float
+    status_s: float = msgspec.field(default=120.0, name="status_s")
     grace_s: float = 6.0
 
 
@@ -137,6 +141,7 @@
         reads_per_s=raw.platform.reads_per_s,
         cores=raw.limits.cpu_share * raw.limits.cores,
         lease_s=raw.bounds.hold_max_ms / 1000.0,
+        status_s=raw.bounds.status_s,
         grace_s=raw.bounds.grace_s,
     )
 
--- a/src/citrondeal/workflow/_jobs.py
+++ b/src/citrondeal/workflow/_jobs.py
@@ -138,7 +138,8 @@
         self.recovered = recovered
         self.state = STATES.QUEUED
         self.stored_state = STATES.QUEUED
-        self.ended_unix = 0.0
+        self.ended_at = now
+        self.submission_dropped = False
         self.steps = [
             StepState(self, i, spec) for i, spec in enumerate(submission.steps)
         ]
@@ -182,7 +183,7 @@
             if task.failures
         }
         if self.ended:
-            return _model.Progress(self.state, (), failures, self.ended_unix)
+            return _model.Progress(self.state, (), failures)
         done = tuple(_bitmap(step) for step in self.steps)
         return _model.Progress(self.state, done, failures)
 
@@ -190,7 +191,6 @@
         """Take over the stored progress."""
         self.state = progress.state
         self.stored_state = progress.state
-        self.ended_unix = progress.ended_unix
         for step, bits in zip(self.steps, progress.done):
             value = int.from_bytes(bits, "little")
             for task in step.tasks:
--- a/src/citrondeal/workflow/_model.py
+++ b/src/citrondeal/workflow/_model.py
@@ -195,14 +195,11 @@
     failures : dict of str to list of int
         Run numbers that failed, by ``step.index``; a gang counts under
         its task 0.
-    ended_unix : float
-        Unix seconds of the end of the job; 0 while it has not ended.
     """
 
     state: JobState
     done: tuple[bytes, ...] = ()
     failures: dict[str, list[int]] = dataclasses.field(default_factory=dict)
-    ended_unix: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/citrondeal/workflow/_recovery.py
+++ b/src/citrondeal/workflow/_recovery.py
@@ -53,7 +53,7 @@
             )
             worker.add(task.run)
 
-    def restore(self, job_id, progress):
+    def restore(self, job_id, progress, now):
         """Take over the stored progress of a job."""
         job = self._state.jobs.get(job_id)
         if job is None:
@@ -66,11 +66,13 @@
             )
             return
         if job.ended:
+            job.ended_at = now
             self._state.active.pop(job_id, None)
 
-    def remember_ended(self, job_id, progress):
+    def remember_ended(self, job_id, progress, now):
         """Keep the end of a job whose submission is already dropped."""
         submission = _model.Submission(job_id, "", (), _model.Policy("", ""))
-        job = _jobs.JobRecord(submission, -1, 0.0)
+        job = _jobs.JobRecord(submission, -1, now)
         job.restore(progress)
+        job.submission_dropped = True
         self._state.jobs[job_id] = job
--- a/src/citrondeal/workflow/_scheduler.py
+++ b/src/citrondeal/workflow/_scheduler.py
@@ -6,6 +6,7 @@
 from citrondeal.workflow import _planner
 from citrondeal.workflow import _recovery
 from citrondeal.workflow import _reports
+from citrondeal.workflow import _retention
 from citrondeal.workflow import _state
 from citrondeal.workflow import _storing
 
@@ -50,6 +51,10 @@
         storing = _storing.Storing(state)
         self.take_stored = storing.take_stored
         self.on_stored = storing.on_stored
+        retention = _retention.Retention(state)
+        self.take_droppable = retention.take_droppable
+        self.keep_submissions = retention.keep
+        self.forget = retention.forget
         self.plan = self.planner_class(state).plan
 
     @property
--- a/src/citrondeal/workflow/_state.py
+++ b/src/citrondeal/workflow/_state.py
@@ -23,9 +23,12 @@
     ----------
     lease_s : float
         Longest lease of a worker's tasks.
+    status_s : float
+        How long clients may ask for the state of an ended job.
     """
 
     lease_s: float = 10.0
+    status_s: float = 120.0
 
 
 class State:
@@ -49,6 +52,7 @@
         self.dirty = {}
         self.changed_workers = {}
         self.early_cancels = set()
+        self.forgotten = []
         self.deposed = False
 
     @property
@@ -116,6 +120,7 @@
 
     def end_job(self, job, state, now):
         job.state = state
+        job.ended_at = now
         self.active.pop(job.id, None)
         self.mark_dirty(job)
         _events.log(
--- a/src/citrondeal/workflow/_storing.py
+++ b/src/citrondeal/workflow/_storing.py
@@ -19,7 +19,8 @@
 
         Returns
         -------
-        jobs : dict of str to Progress
+        jobs : dict of str to Progress or None
+            None drops the record of a job.
         workers : dict of str to StoredWorker or None
             None drops the record of a worker.
         ends : dict of str to (int, int)
@@ -27,6 +28,7 @@
             may be acknowledged once all of this is stored.
         """
         jobs = {job.id: job.progress() for job in self._state.dirty.values()}
+        jobs.update(dict.fromkeys(self._state.forgotten))
         workers = {
             w.id: self._stored_worker(w)
             for w in self._state.changed_workers.values()
@@ -37,6 +39,7 @@
             if w.last_end > w.acknowledged
         }
         self._state.dirty = {}
+        self._state.forgotten = []
         self._state.changed_workers = {}
         return jobs, workers, ends
 
@@ -51,7 +54,7 @@
         """Note that what `take_stored` returned is stored."""
         for job_id, progress in jobs.items():
             job = self._state.jobs.get(job_id)
-            if job is not None:
+            if job is not None and progress is not None:
                 job.stored_state = progress.state
         for worker_id, stored in workers.items():
             worker = self._state.workers.get(worker_id)
--- a/src/citrondeal/workflow/tests/steps_policy.py
+++ b/src/citrondeal/workflow/tests/steps_policy.py
@@ -7,6 +7,7 @@
 from citrondeal import workflow
 
 LEASE_S = 10.0
+STATUS_S = 120.0
 
 
 class Bench:
@@ -14,7 +15,9 @@
 
     def __init__(self, cores=4, workers=("w0",)):
         self.now = 100.0
-        self.scheduler = workflow.Scheduler(workflow.Config(LEASE_S), 1)
+        self.scheduler = workflow.Scheduler(
+            workflow.Config(LEASE_S, STATUS_S), 1
+        )
         self.infos = {
             name: workflow.WorkerInfo(
                 name,
@@ -165,3 +168,37 @@
     bench.plan()
     assert bench.store()[1]["w1"] is None
     assert "w1" not in bench.scheduler.workers
+
+
+def _with_ended_job():
+    bench = Bench()
+    bench.submit("job", 1.0)
+    bench.plan()
+    bench.end_one()
+    return bench
+
+
+@then("workflow the submission of a job is dropped once its end is stored")
+def _(context):
+    bench = _with_ended_job()
+    assert bench.scheduler.take_droppable() == []
+    bench.store()
+    assert bench.scheduler.take_droppable() == ["job"]
+    assert bench.scheduler.take_droppable() == []
+    bench.scheduler.keep_submissions(["job"])
+    assert bench.scheduler.take_droppable() == ["job"]
+
+
+@then("workflow the state of a job is kept for as long as clients may ask")
+def _(context):
+    bench = _with_ended_job()
+    bench.store()
+    bench.scheduler.take_droppable()
+    bench.now += STATUS_S
+    bench.scheduler.forget(bench.now)
+    state = bench.scheduler.job_state("job")
+    assert state is workflow.JobState.COMPLETED, state
+    bench.now += STATUS_S
+    bench.scheduler.forget(bench.now)
+    assert bench.scheduler.job_state("job") is None
+    assert bench.store()[0] == {"job": None}
--- a/src/citrondeal/workflow/tests/workflow.feature
+++ b/src/citrondeal/workflow/tests/workflow.feature
@@ -40,3 +40,9 @@
     Then workflow tasks of a silent worker wait and all others start
     And workflow a worker that is replaced at its address frees its tasks
     And workflow a worker that is gone is dropped from the stored list
+
+  # Guards against a store that grows for ever, and against the state of a
+  # job that is gone while clients may still ask for it.
+  Scenario: workflow records of ended jobs are dropped in time
+    Then workflow the submission of a job is dropped once its end is stored
+    And workflow the state of a job is kept for as long as clients may ask
--- a/src/citrondeal/workflow/tests/world.py
+++ b/src/citrondeal/workflow/tests/world.py
@@ -353,7 +353,7 @@
             elif kind == "cancel":
                 scheduler.on_cancel(job, self.now)
         for job, progress in self.stored_jobs.items():
-            scheduler.restore(job, progress)
+            scheduler.restore(job, progress, self.now)
         stored = [s for s in self.stored_workers.values() if s is not None]
         scheduler.recover_workers(stored, self.now)
 
