Keep uncertain starts uncertain; let leases of silent workers lapse

The new scenarios 'orders without an answer' and 'a call whose repeat cannot connect' failed before.

--- a/src/citrondeal/cell/_leases.py
+++ b/src/citrondeal/cell/_leases.py
@@ -87,7 +87,9 @@
         worker = self._worker
         sent_at = _clock.now()
         until_s = None
-        if self.clock_known:
+        # A worker that does not answer must be able to lose its leases: only
+        # then can its tasks start elsewhere.
+        if self.clock_known and worker.reachable:
             until_s = self.clock_s(sent_at) + self._lease_s
             worker.note_lease(sent_at, self._lease_s)
         # Ends that wait to be stored would end a waiting call at once.
--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -281,7 +281,9 @@
             outcome = await lease.client.start(order, self._epoch, until_s)
             if outcome is workflow.Outcome.UNKNOWN:
                 # The same run again: it is there once, whatever arrives.
-                outcome = await lease.client.start(order, self._epoch, until_s)
+                outcome = repeated_outcome(
+                    await lease.client.start(order, self._epoch, until_s)
+                )
         self._metrics.count("citrondeal.starts", 1, outcome=outcome.value)
         self._scheduler.on_started(
             order.task, order.run, order.worker, outcome, _clock.now()
@@ -314,6 +316,17 @@
         )
 
 
+def repeated_outcome(outcome):
+    """Return what is certain of a start whose first try got no answer.
+
+    The first try may still be carried out after the second was rejected,
+    unless the worker has started the task or has a newer owner.
+    """
+    if outcome in (workflow.Outcome.OK, workflow.Outcome.FENCED):
+        return outcome
+    return workflow.Outcome.UNKNOWN
+
+
 def _decode_state(records):
     state = {"job": {}, "worker": {}}
     for record in records:
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -61,3 +61,10 @@
     When cell clients submit 3 jobs at all members
     And the cell store is away for 1 seconds
     Then cell jobs sent again while the store is away are accepted
+
+  # Guards against workers that never count as lost, because renewals that
+  # may have reached them go on, and against orders that count as not done
+  # although an earlier try may have been.
+  Scenario: cell orders without an answer
+    Then cell renewals of a silent worker do not prolong its leases
+    And cell a start that was repeated counts as not done only if it is certain
--- /dev/null
+++ b/src/citrondeal/cell/tests/steps_orders.py
@@ -0,0 +1,52 @@
+"""Steps for leases and orders of one owner."""
+
+import socket
+
+import anyio
+from behave import then
+
+from citrondeal.cell import _leases
+from citrondeal.cell import _owner
+from citrondeal import workflow
+
+LEASE_S = 10.0
+OUTCOMES = workflow.Outcome
+
+
+def _closed_address():
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        return "127.0.0.1:{}".format(unused.getsockname()[1])
+
+
+@then("cell renewals of a silent worker do not prolong its leases")
+def _(context):
+    scheduler = workflow.Scheduler(workflow.Config(LEASE_S), 1)
+    info = workflow.WorkerInfo("w", _closed_address(), "service", "zone")
+    scheduler.on_worker(info, 0.0)
+    worker = scheduler.workers["w"]
+    scheduler.on_report("w", workflow.Report(0.0, 0, [], []), 0.0, 0.0)
+    lease = _leases.Lease(worker, scheduler, LEASE_S, lambda: None)
+    lease._clock_offset = 0.0
+
+    async def renew():
+        lapses = []
+        for _ in range(4):
+            await lease._renew()
+            lapses.append(worker.lapses_at)
+        return lapses
+
+    lapses = anyio.run(renew)
+    assert not worker.reachable
+    assert len(set(lapses)) == 1, lapses
+
+
+@then(
+    "cell a start that was repeated counts as not done only if it is certain"
+)
+def _(context):
+    for outcome in OUTCOMES:
+        final = _owner.repeated_outcome(outcome)
+        certain = outcome in (OUTCOMES.OK, OUTCOMES.FENCED)
+        expected = outcome if certain else OUTCOMES.UNKNOWN
+        assert final is expected, (outcome, final)
--- a/src/citrondeal/web/_client.py
+++ b/src/citrondeal/web/_client.py
@@ -180,13 +180,17 @@
         return head.encode("latin-1") + body
 
     async def _perform(self, data):
+        repeated = False
         while True:
-            connection = await self._take_idle() or await self._open()
+            connection = await self._take_idle()
+            if connection is None:
+                connection = await self._open(repeated)
             self._calls += 1
             try:
                 reply = await connection.exchange(data)
             except _Stale:
                 await _close(connection)
+                repeated = True
                 continue
             except BaseException:
                 await _close(connection)
@@ -207,11 +211,14 @@
             await _close(connection)
         return None
 
-    async def _open(self):
+    async def _open(self, repeated):
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await anyio.connect_tcp(self._host, self._port)
         except (OSError, TimeoutError) as exc:
+            if repeated:
+                # The server may have acted on the try before.
+                raise
             raise _NotSent(str(exc) or type(exc).__name__) from exc
         self._connects += 1
         return _Connection(stream)
--- a/src/citrondeal/web/tests/steps.py
+++ b/src/citrondeal/web/tests/steps.py
@@ -119,3 +119,35 @@
 @then("web a call with a broken answer has an unknown outcome")
 def _(context):
     _assert_unknown(b"no HTTP at all\r\n\r\n", True)
+
+
+@then("web a call whose repeat cannot connect has an unknown outcome")
+def _(context):
+    async def run():
+        listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+
+        async def answer_once(stream):
+            await stream.receive()
+            await stream.send(OK)
+            await stream.receive()
+            await listener.aclose()
+            await stream.aclose()
+
+        client = web.Client(f"127.0.0.1:{port}")
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(_serve_until_closed, listener, answer_once)
+            await client.request("POST", "/x", b"{}")
+            outcome = await client.request("POST", "/x", b"{}")
+            task_group.cancel_scope.cancel()
+        return outcome
+
+    outcome = anyio.run(run)
+    assert outcome.err_value.kind is errors.Kind.UNKNOWN_OUTCOME, outcome
+
+
+async def _serve_until_closed(listener, handle):
+    try:
+        await listener.serve(handle)
+    except* anyio.ClosedResourceError:
+        pass
--- a/src/citrondeal/web/tests/web.feature
+++ b/src/citrondeal/web/tests/web.feature
@@ -14,3 +14,4 @@
     And web a call without an answer has an unknown outcome
     And web a call whose answer breaks off has an unknown outcome
     And web a call with a broken answer has an unknown outcome
+    And web a call whose repeat cannot connect has an unknown outcome
