Remember ended jobs without their submissions; drop repeated ones again

Cause: a new owner that found the progress of an ended job whose submission was dropped restored its failed runs into a job without steps: IndexError, and the process ended, again and again. The histories now drop submissions and failed the same way before. A submission that is sent again after the drop would have stayed for ever and run again after the state was forgotten; it is dropped again.

--- a/src/citrondeal/workflow/_intake.py
+++ b/src/citrondeal/workflow/_intake.py
@@ -34,7 +34,10 @@
         age_s : float
             Time since it was accepted.
         """
-        if submission.job in self._state.jobs:
+        known = self._state.jobs.get(submission.job)
+        if known is not None:
+            # A record that was written again has to be dropped again.
+            known.submission_dropped = False
             return
         job = _jobs.JobRecord(submission, offset, now - age_s, recovered)
         self._state.jobs[job.id] = job
--- a/src/citrondeal/workflow/_jobs.py
+++ b/src/citrondeal/workflow/_jobs.py
@@ -177,13 +177,13 @@
 
     def progress(self):
         """Return what is to be stored of it."""
+        if self.ended:
+            return _model.Progress(self.state)
         failures = {
             f"{task.id.step}.{task.id.index}": sorted(task.failures)
             for task in self.tasks()
             if task.failures
         }
-        if self.ended:
-            return _model.Progress(self.state, (), failures)
         done = tuple(_bitmap(step) for step in self.steps)
         return _model.Progress(self.state, done, failures)
 
--- a/src/citrondeal/workflow/_recovery.py
+++ b/src/citrondeal/workflow/_recovery.py
@@ -73,6 +73,14 @@
         """Keep the end of a job whose submission is already dropped."""
         submission = _model.Submission(job_id, "", (), _model.Policy("", ""))
         job = _jobs.JobRecord(submission, -1, now)
-        job.restore(progress)
+        job.state = job.stored_state = progress.state
+        if not job.ended:
+            _events.log(
+                logging.ERROR,
+                "progress without a submission is skipped",
+                job=job_id,
+                state=progress.state.value,
+            )
+            return
         job.submission_dropped = True
         self._state.jobs[job_id] = job
--- a/src/citrondeal/workflow/tests/steps_policy.py
+++ b/src/citrondeal/workflow/tests/steps_policy.py
@@ -187,6 +187,10 @@
     assert bench.scheduler.take_droppable() == []
     bench.scheduler.keep_submissions(["job"])
     assert bench.scheduler.take_droppable() == ["job"]
+    # Sent again by its client, and stored again by another process.
+    bench.submit("job", 1.0)
+    assert bench.plan() == []
+    assert bench.scheduler.take_droppable() == ["job"]
 
 
 @then("workflow the state of a job is kept for as long as clients may ask")
--- a/src/citrondeal/workflow/tests/world.py
+++ b/src/citrondeal/workflow/tests/world.py
@@ -181,6 +181,7 @@
         self.epoch = 0
         self.owner = None
         self.zombies = []
+        self.dropped = set()
         self.next_cuts = {}
         self.owner_starts_at = self.now
         self.store_down_until = 0.0
@@ -348,12 +349,15 @@
         self.owner.cut_until = self.next_cuts
         self.next_cuts = {}
         for kind, job in dict.fromkeys(self.log):
-            if kind == "job":
+            if kind == "job" and job not in self.dropped:
                 scheduler.on_submission(self.jobs[job], 0, self.now, True)
             elif kind == "cancel":
                 scheduler.on_cancel(job, self.now)
         for job, progress in self.stored_jobs.items():
-            scheduler.restore(job, progress, self.now)
+            if job in scheduler.jobs:
+                scheduler.restore(job, progress, self.now)
+            else:
+                scheduler.remember_ended(job, progress, self.now)
         stored = [s for s in self.stored_workers.values() if s is not None]
         scheduler.recover_workers(stored, self.now)
 
@@ -487,6 +491,7 @@
                 self.stored_jobs.update(taken[0])
                 self.stored_workers.update(taken[1])
                 scheduler.on_stored(*taken)
+                self.dropped.update(scheduler.take_droppable())
         workers = list(self.workers.values())
         self.random.shuffle(workers)
         for worker in workers:
