--- a/src/citrondeal/cell/tests/processes.py
+++ b/src/citrondeal/cell/tests/processes.py
@@ -1,6 +1,7 @@
 """Cells of real processes beside the stand-in of the platform."""
 
 import json
+import os
 import pathlib
 import signal
 import subprocess
@@ -44,7 +45,9 @@
 
     def __init__(self, folder, number, port, store):
         self.name = f"edge-{number}"
-        self.ip = f"127.0.0.{number + 1}"
+        # The metrics port is fixed, so two runs need addresses of their own.
+        run = os.getpid()
+        self.ip = f"127.{run // 256 % 256}.{run % 256}.{number + 1}"
         self.front = f"{self.ip}:{port}"
         self.ready = f"{self.ip}:{port + 1}"
         self.log = folder / f"{self.name}.log"
