Start a gang where its tickets are valid

Cause: a gang whose tickets had expired held room on the chosen workers and renewed their tickets, but the choice after the answer preferred the fullest workers again, so it often named others, whose tickets were over, and renewed once more.

Ruled out: too few tickets (each renewal was granted in full), and the way of the answer (validity 1.5 s, answers after 1.2 s).

Workers whose ticket is valid, or whose room is held for its renewal, now come first.

--- a/src/citrondeal/workflow/_places.py
+++ b/src/citrondeal/workflow/_places.py
@@ -15,11 +15,12 @@
     )
 
 
-def choose(step, tasks, workers, now):
+def choose(step, tasks, workers, prefers, now):
     """Choose a worker for each task, as many tasks as possible.
 
-    The fullest worker that still has room is preferred, which keeps whole
-    workers free for tasks that need much.
+    Of the preferred workers, and then of the others, the fullest that still
+    has room comes first, which keeps whole workers free for tasks that need
+    much.
 
     Parameters
     ----------
@@ -27,6 +28,8 @@
     tasks : list of TaskState
     workers : list of WorkerState
         Usable workers that are allowed to run the step.
+    prefers : callable
+        Whether a worker comes before the others.
     now : float
 
     Returns
@@ -34,8 +37,8 @@
     list of (TaskState, WorkerState)
     """
     if step.spec.same_rack:
-        return _choose_in_rack(step, tasks, workers, now)
-    return _choose(step, tasks, workers, now)
+        return _choose_in_rack(step, tasks, workers, prefers, now)
+    return _choose(step, tasks, workers, prefers, now)
 
 
 def earmark(step, tasks, workers):
@@ -70,13 +73,14 @@
     return chosen
 
 
-def _choose(step, tasks, workers, now):
+def _choose(step, tasks, workers, prefers, now):
     room = {w.id: w.room(step) for w in workers}
     size = step.spec.size
     fitting = [w for w in workers if size.fits(room[w.id])]
     if not fitting:
         return []
     counts = {w.id: w.count_of(step) for w in fitting}
+    preferred = {w.id: prefers(w) for w in fitting}
     chosen = []
     for task in tasks:
         best = None
@@ -89,6 +93,7 @@
                 continue
             rank = (
                 worker.id in task.avoid,
+                not preferred[worker.id],
                 now - worker.failed_at < FAILED_S,
                 bool(step.spec.rack) and worker.info.rack != step.spec.rack,
                 free.millicores,
@@ -104,7 +109,7 @@
     return chosen
 
 
-def _choose_in_rack(step, tasks, workers, now):
+def _choose_in_rack(step, tasks, workers, prefers, now):
     racks = {}
     for worker in workers:
         racks.setdefault(worker.info.rack, []).append(worker)
@@ -114,7 +119,7 @@
         members = racks[rack]
         if running and not running & {w.id for w in members}:
             continue
-        chosen = _choose(step, tasks, members, now)
+        chosen = _choose(step, tasks, members, prefers, now)
         if len(chosen) > len(best):
             best = chosen
     return best
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -109,7 +109,13 @@
             if w.usable and _places.suits(step, w)
         ]
         allowed = _tickets.allowed(step, usable)
-        chosen = _places.choose(step, waiting, allowed, now)
+        chosen = _places.choose(
+            step,
+            waiting,
+            allowed,
+            lambda worker: _tickets.at_hand(step, worker, now),
+            now,
+        )
         if step.spec.gang and len(chosen) < len(waiting):
             chosen = []
         if not chosen or len(chosen) < len(waiting):
--- a/src/citrondeal/workflow/_tickets.py
+++ b/src/citrondeal/workflow/_tickets.py
@@ -42,6 +42,15 @@
     return ticket.value
 
 
+def at_hand(step, worker, now):
+    """Return whether a ticket is valid, or is renewed and its room held.
+
+    A choice of other workers would need another call, and the tickets at
+    hand would be over when it is answered.
+    """
+    return step.id in worker.reserved or valid(step, worker, now) is not None
+
+
 def unasked(step, workers):
     """Return the workers to ask about first, those with most room first."""
     fresh = [w for w in workers if step.asked.get(w.id) != w.info.born_ms]
--- a/src/citrondeal/workflow/tests/steps_policy.py
+++ b/src/citrondeal/workflow/tests/steps_policy.py
@@ -5,95 +5,12 @@
 from behave import when
 
 from citrondeal import workflow
-
-LEASE_S = 10.0
-STATUS_S = 120.0
-
-
-class Bench:
-    """A scheduler with workers that answer at once."""
-
-    def __init__(self, cores=4, workers=("w0",)):
-        self.now = 100.0
-        self.scheduler = workflow.Scheduler(
-            workflow.Config(LEASE_S, STATUS_S), 1
-        )
-        self.infos = {
-            name: workflow.WorkerInfo(
-                name,
-                f"{name}:1",
-                "service",
-                "zone",
-                capacity=workflow.Size(cores * 1000, 1000),
-                born_ms=1,
-            )
-            for name in workers
-        }
-        self.running = {name: {} for name in workers}
-        self.ends = {name: [] for name in workers}
-        self.started = []
-        for info in self.infos.values():
-            self.scheduler.on_worker(info, self.now)
-        self.hear()
-        self.store()
-
-    def submit(self, job, cores, tasks=1, priority=1, run_s=1.0, **fields):
-        """Submit a job of one step."""
-        size = workflow.Size(int(cores * 1000), 10)
-        step = workflow.Step(tasks, size, run_s, **fields)
-        policy = workflow.Policy("queue", "service", priority, 3, 10.0)
-        self.scheduler.on_submission(
-            workflow.Submission(job, "", (step,), policy), 0, self.now
-        )
-
-    def hear(self):
-        """Let all workers report."""
-        self.now += 0.05
-        for name, runs in self.running.items():
-            seen = [
-                workflow.RunSeen(task, number, "", 0.0)
-                for task, number in runs.items()
-            ]
-            report = workflow.Report(self.now, 1, seen, self.ends[name])
-            self.scheduler.on_report(name, report, self.now, self.now)
-
-    def store(self):
-        """Store everything and return it."""
-        taken = self.scheduler.take_stored()
-        self.scheduler.on_stored(*taken)
-        return taken
-
-    def plan(self):
-        """Carry out the due orders and return the tasks started."""
-        self.now += 0.05
-        started = []
-        for action in self.scheduler.plan(self.now):
-            if isinstance(action, workflow.Start):
-                self.running[action.worker][action.task] = action.run
-                started.append(action.task.job)
-                self.scheduler.on_started(
-                    action.task,
-                    action.run,
-                    action.worker,
-                    workflow.Outcome.OK,
-                    self.now,
-                )
-        return started
-
-    def end_one(self, name="w0"):
-        """Let the longest running task end well."""
-        task, number = next(iter(self.running[name].items()))
-        del self.running[name][task]
-        count = len(self.ends[name]) + 1
-        how = workflow.How.DONE
-        self.ends[name].append(workflow.End(count, task, number, how, ""))
-        self.hear()
-        return self.plan()
+from citrondeal.workflow.tests import bench as single
 
 
 @given("a workflow worker with 4 cores and a backlog of 2-core tasks")
 def _(context):
-    context.bench = Bench()
+    context.bench = single.Bench()
     context.bench.submit("batch", 2.0, tasks=50, run_s=2.0)
     assert context.bench.plan() == ["batch", "batch"]
 
@@ -127,14 +44,14 @@
 
 @then("workflow tasks of a silent worker wait and all others start")
 def _(context):
-    first = Bench(workers=("w0", "w1"))
+    first = single.Bench(workers=("w0", "w1"))
     first.submit("batch", 2.0, tasks=6)
     first.plan()
     first.scheduler.on_no_report("w1", "timeout", first.now)
     stored = first.store()[1]["w1"]
     lost = set(first.running["w1"])
     assert set(stored.runs) == lost and lost, stored
-    second = Bench(workers=("w0",))
+    second = single.Bench(workers=("w0",))
     second.scheduler.on_submission(
         first.scheduler.jobs["batch"].submission, 0, second.now, True
     )
@@ -146,7 +63,7 @@
 
 @then("workflow a worker that is replaced at its address frees its tasks")
 def _(context):
-    bench = Bench(workers=("w0", "w1"))
+    bench = single.Bench(workers=("w0", "w1"))
     bench.submit("batch", 2.0, tasks=4)
     assert len(bench.plan()) == 4
     bench.scheduler.on_no_report("w1", "timeout", bench.now)
@@ -161,17 +78,17 @@
 
 @then("workflow a worker that is gone is dropped from the stored list")
 def _(context):
-    bench = Bench(workers=("w0", "w1"))
+    bench = single.Bench(workers=("w0", "w1"))
     bench.scheduler.on_no_report("w1", "timeout", bench.now)
     bench.scheduler.on_worker_unlisted("w1", bench.now)
-    bench.now += 2 * LEASE_S
+    bench.now += 2 * single.LEASE_S
     bench.plan()
     assert bench.store()[1]["w1"] is None
     assert "w1" not in bench.scheduler.workers
 
 
 def _with_ended_job():
-    bench = Bench()
+    bench = single.Bench()
     bench.submit("job", 1.0)
     bench.plan()
     bench.end_one()
@@ -198,11 +115,11 @@
     bench = _with_ended_job()
     bench.store()
     bench.scheduler.take_droppable()
-    bench.now += STATUS_S
+    bench.now += single.STATUS_S
     bench.scheduler.forget(bench.now)
     state = bench.scheduler.job_state("job")
     assert state is workflow.JobState.COMPLETED, state
-    bench.now += STATUS_S
+    bench.now += single.STATUS_S
     bench.scheduler.forget(bench.now)
     assert bench.scheduler.job_state("job") is None
     assert bench.store()[0] == {"job": None}
