Let strong processes claim first, and notice the store's return sooner

The delay by strength differed by 0.2 s only, and after an outage of the store all delays were over, so eight processes claimed within 50 ms. The delay now follows the relation to the strongest known machine, and starts again when the store is back. Long polls that were lost in a silent outage hid the store's return for up to 1.7 s; reads no longer wait while the store fails.

Ruled out: the witnesses (their deferral keeps the order).

--- a/src/citrondeal/cell/_follower.py
+++ b/src/citrondeal/cell/_follower.py
@@ -94,9 +94,10 @@
                 await anyio.sleep(self._period)
 
     async def _read(self):
-        outcome = await self._store.read(
-            self._topic, self._position, self._wait
-        )
+        # A read that may wait takes longer to find out that the store is
+        # still away, and so notices its return later.
+        wait_s = 0.0 if self._failing else self._wait
+        outcome = await self._store.read(self._topic, self._position, wait_s)
         if outcome.is_ok():
             batch = outcome.ok_value
             self._note_answer()
--- a/src/citrondeal/cell/_members.py
+++ b/src/citrondeal/cell/_members.py
@@ -44,6 +44,7 @@
         self._incarnation = incarnation
         self._on_change = on_change
         self._others = {}
+        self._round_trip = 0.0
         self._leaving = False
         self._follower = _follower.Follower(
             store, _records.CELL_TOPIC, self._on_records, POLL_S
@@ -68,8 +69,16 @@
         """Return the seconds since the store last answered here."""
         return self._follower.age_s(now)
 
-    async def run(self):
-        """Follow the cell's records and probe the owner until cancelled."""
+    async def run(self, round_trip_s):
+        """Follow the cell's records and probe the owner until cancelled.
+
+        Parameters
+        ----------
+        round_trip_s : float
+            Measured time of a call to the store.
+        """
+        self._round_trip = round_trip_s
+        self._election.join(self._delay_s(), _clock.now())
         await self._follower.load()
         async with anyio.create_task_group() as task_group:
             task_group.start_soon(self._follower.run)
@@ -137,6 +146,16 @@
             self._others.pop(name, None)
         else:
             self._others[name] = member
+        self._election.set_delay(self._delay_s())
+
+    def _delay_s(self):
+        own = self._member.cores
+        strongest = max([own, *(m.cores for m in self._others.values())])
+        # The incarnation is random, so it tells equal machines apart.
+        spread = int(self._incarnation[:4], 16) / 65536
+        return election.claim_delay_s(
+            self._round_trip, strongest / own, spread
+        )
 
     async def _probe_owner(self):
         while True:
@@ -165,7 +184,8 @@
             if self._leaving or not self._election.suspects(now):
                 continue
             if self.store_age_s(now) > POLL_S + 0.2:
-                continue  # a claim could not be written
+                self._election.on_no_contact(now)
+                continue
             if await self._witnessed():
                 continue
             # Another process may have claimed while the witnesses answered.
--- a/src/citrondeal/cell/main.py
+++ b/src/citrondeal/cell/main.py
@@ -178,13 +178,7 @@
         started = _clock.now()
         await self._config.load()
         self._task_group.start_soon(self._config.run)
-        delay_s = election.claim_delay_s(
-            _clock.now() - started,
-            self._settings.cores,
-            int(self._incarnation[:4], 16) / 65536,
-        )
-        self._election.join(delay_s, _clock.now())
-        await self._members.run()
+        await self._members.run(_clock.now() - started)
 
     def _on_owner_change(self):
         if self._owner_scope is not None:
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -75,3 +75,7 @@
     Given a cell ticket desk of 4 members with 6 long calls
     Then a cell short ticket call is made at once
     And a cell ticket call for which room is held comes next
+
+  # Guards against a long poll that hides the return of a silent store.
+  Scenario: cell the return of the store is noticed soon
+    Then a cell follower does not let the store wait until it has answered
--- a/src/citrondeal/election/_election.py
+++ b/src/citrondeal/election/_election.py
@@ -16,8 +16,10 @@
 # A claim waits this many round trips to the store, so that the processes
 # near the store claim first.
 DELAY_ROUND_TRIPS = 15
-# Added for a machine with one core, and less for stronger machines.
-DELAY_PER_CORE_S = 0.15
+# Added for the strongest machine, and more for weaker ones: a weak owner
+# slows down the whole cell.
+DELAY_STRENGTH_S = 0.15
+DELAY_SPREAD_S = 0.1
 RELEASED_SHARE = 0.3  # of the delay, once the owner is known to be gone
 
 
@@ -42,20 +44,24 @@
     address: str
 
 
-def claim_delay_s(round_trip_s, cores, spread):
+def claim_delay_s(round_trip_s, weakness, spread):
     """Return how long a process waits before it claims.
 
     Parameters
     ----------
     round_trip_s : float
         Of a call to the store.
-    cores : float
-        Processor of the machine.
+    weakness : float
+        Processor of the strongest known machine, divided by that of this
+        one.
     spread : float
         Number from 0 to 1 that tells equal machines apart.
     """
-    strength = DELAY_PER_CORE_S / max(cores, 0.1)
-    return round_trip_s * DELAY_ROUND_TRIPS + strength + 0.1 * spread
+    return (
+        round_trip_s * DELAY_ROUND_TRIPS
+        + DELAY_STRENGTH_S * weakness
+        + DELAY_SPREAD_S * spread
+    )
 
 
 class Election:
@@ -110,6 +116,18 @@
         self._delay = delay_s
         self._due_at = now + delay_s
 
+    def set_delay(self, delay_s):
+        """Change the delay, also of a claim that is waiting."""
+        self._due_at += delay_s - self._delay
+        self._delay = delay_s
+
+    def on_no_contact(self, now):
+        """Note that a claim could not be written now.
+
+        When the store is back, the processes claim in the usual order.
+        """
+        self._due_at = max(self._due_at, now + self._delay)
+
     def owner_address(self):
         """Return the address of the owner, or None."""
         if self._claim is None or not self._claim.holder:
