Hold room of renewals, rank late jobs, find dead owners by refused connections

What is reserved for a step is now kept for no other. - A gang without room asked about one group of 30 workers a round, six rounds of 1.45 s. It now asks about enough workers for three times its size at once. - Late jobs ran in the order of their due times, so those that are of no more use (three times the objective) went before those that still are. - A killed owner was suspected after 0.9 s although its address refused connections at once.

Also: queues are found by host, not by a search through all of them.

--- a/src/citrondeal/cell/_members.py
+++ b/src/citrondeal/cell/_members.py
@@ -170,7 +170,9 @@
             reply = await self._links.call(
                 address, ttypes.Probe(epoch=epoch), PROBE_TIMEOUT_S
             )
-        except peers.PeerError:
+        except peers.PeerError as exc:
+            if exc.refused:
+                self._election.on_refused(epoch, _clock.now())
             return
         if isinstance(reply, ttypes.ProbeReply):
             self._election.on_probe(
--- a/src/citrondeal/election/_election.py
+++ b/src/citrondeal/election/_election.py
@@ -198,6 +198,17 @@
         self._heard_at = now
         self._due_at = now + SUSPECT_S + self._delay
 
+    def on_refused(self, epoch, now):
+        """Note that nothing listens at the address of the owner.
+
+        Its process has probably ended. Witnesses are still asked, since a
+        fault of the network may look the same.
+        """
+        if epoch != self.epoch:
+            return
+        self._heard_at = -math.inf
+        self._due_at = min(self._due_at, now + self._delay * RELEASED_SHARE)
+
     def suspects(self, now):
         """Return whether a claim is due unless a witness objects."""
         return not self.owned and now >= self._due_at
--- a/src/citrondeal/election/tests/election.feature
+++ b/src/citrondeal/election/tests/election.feature
@@ -16,6 +16,7 @@
     And an election process that was the owner claims after its restart
     And an election owner that answers as another start is replaced at once
     And an election owner whose calls to the store fail is replaced soon
+    And an election owner whose address refuses connections is replaced soon
 
   # Guards against claims by a process that alone cannot reach the owner.
   Scenario: election a witness that hears the owner defers a claim
--- a/src/citrondeal/peers/_link.py
+++ b/src/citrondeal/peers/_link.py
@@ -21,11 +21,14 @@
     ----------
     sent : bool
         Whether any byte of the call may have reached the peer.
+    refused : bool
+        Whether nothing listens at the address.
     """
 
-    def __init__(self, message, sent):
+    def __init__(self, message, sent, refused=False):
         super().__init__(message)
         self.sent = sent
+        self.refused = refused
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/citrondeal/peers/_pool.py
+++ b/src/citrondeal/peers/_pool.py
@@ -36,6 +36,7 @@
         self.link = None
         self.lock = anyio.Lock()
         self.failed_at = None
+        self.refused = False  # by the last failed connection
         self.last_received = 0.0
         self.closed_out = 0  # bytes on links that are closed
         self.closed_in = 0
@@ -165,7 +166,9 @@
                     slot.link = await self._open(address, slot)
             except _CONNECT_ERRORS as exc:
                 self._note_failure(address, slot, exc)
-                raise _link.PeerError(str(exc), sent=False) from exc
+                raise _link.PeerError(
+                    str(exc), sent=False, refused=slot.refused
+                ) from exc
         slot.failed_at = None
         return slot.link
 
@@ -180,6 +183,8 @@
                 reason=str(exc) or type(exc).__name__,
             )
         slot.failed_at = anyio.current_time()
+        # anyio raises an error of its own from that of the connection.
+        slot.refused = isinstance(exc.__cause__ or exc, ConnectionRefusedError)
 
     async def _open(self, address, slot):
         host, _, port = address.rpartition(":")
@@ -223,4 +228,6 @@
 def _check_reachable(slot):
     now = anyio.current_time()
     if slot.failed_at is not None and now - slot.failed_at < RETRY_AFTER:
-        raise _link.PeerError("peer was unreachable just now", sent=False)
+        raise _link.PeerError(
+            "peer was unreachable just now", sent=False, refused=slot.refused
+        )
--- a/src/citrondeal/peers/tests/steps.py
+++ b/src/citrondeal/peers/tests/steps.py
@@ -213,11 +213,13 @@
             port = probe.extra(anyio.abc.SocketAttribute.local_port)
         pool = peers.Pool(_identity("client"), task_group)
         intent = ttypes.Intent("a")
-        try:
-            await pool.call(f"127.0.0.1:{port}", intent, 5)
-            raise AssertionError("the call must fail")
-        except peers.PeerError as exc:
-            assert not exc.sent
+        # The second call fails without another connection.
+        for _ in range(2):
+            try:
+                await pool.call(f"127.0.0.1:{port}", intent, 5)
+                raise AssertionError("the call must fail")
+            except peers.PeerError as exc:
+                assert not exc.sent and exc.refused
 
     _run(scenario)
 
--- a/src/citrondeal/platform/_records.py
+++ b/src/citrondeal/platform/_records.py
@@ -1,6 +1,7 @@
 """Decoders of what the operator and the runners write to the store."""
 
 import dataclasses
+import functools
 from typing import Annotated
 from typing import Literal
 
@@ -29,7 +30,7 @@
     policy: workflow.Policy
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True)
 class Catalog:
     """One version of the operator's configuration.
 
@@ -45,19 +46,20 @@
     queues: tuple
     body_limit: int
 
-    def find(self, host, path):
-        """Return the queue with the longest matching prefix, or None."""
-        best = None
+    @functools.cached_property
+    def _by_host(self):
+        """Queues of each host, the longest prefix first."""
+        found = {}
         for queue in self.queues:
-            if queue.host == host and path.startswith(queue.prefix):
-                if best is None or len(queue.prefix) > len(best.prefix):
-                    best = queue
-        return best
+            found.setdefault(queue.host, []).append(queue)
+        for queues in found.values():
+            queues.sort(key=lambda queue: -len(queue.prefix))
+        return found
 
-    def by_name(self, name):
-        """Return the queue with a name, or None."""
-        for queue in self.queues:
-            if queue.policy.queue == name:
+    def find(self, host, path):
+        """Return the queue with the longest matching prefix, or None."""
+        for queue in self._by_host.get(host, ()):
+            if path.startswith(queue.prefix):
                 return queue
         return None
 
--- a/src/citrondeal/workflow/_jobs.py
+++ b/src/citrondeal/workflow/_jobs.py
@@ -8,6 +8,9 @@
 STATES = _model.JobState
 # Stands for the number of a run that only the worker knows.
 ANY_NUMBER = 0
+# A job that takes so many times its objective is of no more use to its
+# client.
+USELESS_FACTOR = 3
 
 
 class RunState(enum.StrEnum):
@@ -72,12 +75,15 @@
     index : int
         Position in the job.
     spec : Step
+    remaining_s : float
+        Longest chain of estimates from its start to the end of the job.
     """
 
-    def __init__(self, job, index, spec):
+    def __init__(self, job, index, spec, remaining_s):
         self.job = job
         self.id = _model.StepId(job.id, 0, index)
         self.spec = spec
+        self.remaining_s = remaining_s
         self.tasks = [
             TaskState(_model.TaskId(job.id, 0, index, i), self)
             for i in range(spec.tasks)
@@ -140,10 +146,16 @@
         self.stored_state = STATES.QUEUED
         self.ended_at = now
         self.submission_dropped = False
+        remaining = _remaining_s(submission.steps)
         self.steps = [
-            StepState(self, i, spec) for i, spec in enumerate(submission.steps)
+            StepState(self, i, spec, remaining[i])
+            for i, spec in enumerate(submission.steps)
         ]
-        self.due_at = now + _objective_s(submission)
+        policy = submission.policy
+        longest = max(remaining, default=0.0)
+        objective_s = policy.stretch * longest + policy.target_s
+        self.due_at = now + objective_s
+        self.useless_at = now + USELESS_FACTOR * objective_s
 
     @property
     def policy(self):
@@ -207,10 +219,13 @@
     return value.to_bytes((len(step.tasks) + 7) // 8, "little")
 
 
-def _objective_s(submission):
-    longest = []
-    for step in submission.steps:
-        before = max((longest[i] for i in step.after), default=0.0)
-        longest.append(before + step.estimate_s)
-    policy = submission.policy
-    return policy.stretch * max(longest, default=0.0) + policy.target_s
+def _remaining_s(steps):
+    """Return for each step the longest chain of estimates from it on."""
+    remaining = [step.estimate_s for step in steps]
+    for index in reversed(range(len(steps))):
+        for before in steps[index].after:
+            remaining[before] = max(
+                remaining[before],
+                steps[before].estimate_s + remaining[index],
+            )
+    return remaining
--- a/src/citrondeal/workflow/_model.py
+++ b/src/citrondeal/workflow/_model.py
@@ -72,6 +72,22 @@
                 count = min(count or free // need, free // need)
         return count
 
+    def least(self, other):
+        """Return the smaller amount of each resource."""
+        return Size(
+            min(self.millicores, other.millicores),
+            min(self.memory_mb, other.memory_mb),
+            min(self.accelerators, other.accelerators),
+        )
+
+    def most(self, other):
+        """Return the larger amount of each resource."""
+        return Size(
+            max(self.millicores, other.millicores),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+        )
+
     def plus(self, other):
         """Return the sum of both sizes."""
         return Size(
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -11,6 +11,8 @@
 STOP_RETRY_S = 0.4
 # A gang that does not fit gets room kept once it has waited this long.
 GANG_WAIT_S = 1.0
+# Share of the estimated run time that a job takes at least.
+HOPE = 0.5
 
 
 class Planner:
@@ -230,13 +232,18 @@
 
 
 def _urgency(step, now):
-    """Return the sort key of a step: late work last, then by priority."""
+    """Return the sort key of a step.
+
+    Jobs that can still be in time come first, by priority, then late ones,
+    and then those that are too late to be of use.
+    """
     job = step.job
-    late = now > job.due_at
+    earliest_end = now + HOPE * step.remaining_s
+    lateness = (earliest_end > job.due_at) + (earliest_end > job.useless_at)
     return (
-        late,
-        job.policy.priority if not late else 0,
-        job.due_at - step.spec.estimate_s,
+        lateness,
+        job.policy.priority if not lateness else 0,
+        job.due_at - step.remaining_s,
         job.offset,
         step.id.step,
     )
--- a/src/citrondeal/workflow/_tickets.py
+++ b/src/citrondeal/workflow/_tickets.py
@@ -8,6 +8,9 @@
 # Workers in one call; the call takes longer with each of them.
 CALL_LIMIT = 30
 ROUND_LIMIT = 4  # calls for one step at the same time
+# A gang that finds no room asks about so many times the places that it needs:
+# the rest is expected to be in use when room becomes free.
+AMPLE = 3
 # Expected share of allowed workers before a queue has any answers, and the
 # weight of that expectation in workers asked about.
 FIRST_SHARE = 0.5
@@ -100,20 +103,33 @@
     """
     fresh = [w for w in workers if step.asked.get(w.id) != w.info.born_ms]
     fresh.sort(key=lambda w: (-w.room(step).millicores, w.id))
+    lacking = _lacking(step, workers)
     groups = []
-    expected = 0.0
     for start in range(0, len(fresh), CALL_LIMIT):
         group = fresh[start : start + CALL_LIMIT]
         room = sum(step.spec.size.count_in(w.room(step)) for w in group)
-        if groups and (not room or len(groups) >= ROUND_LIMIT):
+        useful = lacking > 0 or (room and missing > 0)
+        if groups and (not useful or len(groups) >= ROUND_LIMIT):
             break
         groups.append(group)
-        expected += share * room
-        if expected >= missing:
-            break
+        missing -= share * room
+        lacking -= share * _places_on(step, group)
     return groups
 
 
+def _lacking(step, workers):
+    """Return how many places, free or not, a gang should ask about."""
+    if not step.spec.gang:
+        return 0
+    known = [w for w in workers if w.id in step.tickets]
+    return AMPLE * len(step.tasks) - _places_on(step, known)
+
+
+def _places_on(step, workers):
+    size = step.spec.size
+    return sum(size.count_in(worker.info.capacity) for worker in workers)
+
+
 def on_asked(step, workers):
     """Note that a call for these workers is under way."""
     step.calls += 1
--- a/src/citrondeal/workflow/_workers.py
+++ b/src/citrondeal/workflow/_workers.py
@@ -73,9 +73,16 @@
         )
 
     def room(self, step):
-        """Return what is free for a step: not used, kept or reserved."""
+        """Return what is free for a step: not used, kept or reserved.
+
+        What is reserved for the step itself is kept for no other.
+        """
         reserved = self._reserved.get(step.id)
-        return self._free if reserved is None else self._free.plus(reserved)
+        if reserved is None:
+            return self._free
+        # Runs that were taken over may use more than was free.
+        overdrawn = self._free.plus(self._kept).least(_NOTHING)
+        return reserved.plus(self._free.most(overdrawn))
 
     def keep(self, size):
         """Keep room for a more urgent step during one pass of decisions."""
--- a/src/citrondeal/workflow/tests/steps_policy.py
+++ b/src/citrondeal/workflow/tests/steps_policy.py
@@ -42,6 +42,35 @@
     assert context.bench.end_one() == ["gang", "gang"]
 
 
+@given("a workflow worker with 4 cores and a task that fills it")
+def _(context):
+    context.bench = single.Bench()
+    context.bench.submit("batch", 4.0, run_s=2.0)
+    assert context.bench.plan() == ["batch"]
+
+
+@when("workflow jobs wait until one is late and another far too late")
+def _(context):
+    # The objective of the jobs is ten times their run time.
+    bench = context.bench
+    bench.submit("far-too-late", 4.0, run_s=0.1)
+    bench.now += 2.0
+    bench.submit("late", 4.0, run_s=0.1)
+    bench.now += 1.5
+    bench.submit("in-time", 4.0, run_s=0.1)
+
+
+@then("the workflow job that is in time starts before the late ones")
+def _(context):
+    assert context.bench.end_one() == ["in-time"]
+
+
+@then("the workflow job that is far too late starts last")
+def _(context):
+    assert context.bench.end_one() == ["late"]
+    assert context.bench.end_one() == ["far-too-late"]
+
+
 @then("workflow tasks of a silent worker wait and all others start")
 def _(context):
     first = single.Bench(workers=("w0", "w1"))
--- a/src/citrondeal/workflow/tests/steps_tickets.py
+++ b/src/citrondeal/workflow/tests/steps_tickets.py
@@ -85,3 +85,40 @@
     bench.plan()
     calls = [call for call in bench.calls if call.step.job == "next"]
     assert sum(len(call.workers) for call in calls) == count, calls
+
+
+@given("a workflow gang whose tickets are renewed on the only two workers")
+def _(context):
+    context.bench = bench = single.Bench(workers=("w0", "w1"))
+    for name in "ab":
+        bench.submit(name, 4.0)
+    bench.plan()
+    bench.submit("gang", 4.0, tasks=2, ticketed=True, gang=True)
+    bench.plan()
+    bench.grant(bench.calls[0], VALID_S)
+    bench.now += 2 * VALID_S
+    bench.end_one("w0")
+    bench.end_one("w1")
+    (context.renewal,) = bench.calls
+
+
+@when("a workflow urgent task that does not fit arrives")
+def _(context):
+    context.bench.submit("urgent", 4.0, priority=0)
+    assert context.bench.plan() == []
+
+
+@then("the workflow gang starts once its renewal is answered")
+def _(context):
+    context.bench.grant(context.renewal, VALID_S)
+    assert context.bench.plan() == ["gang"] * 2, context.bench.calls
+
+
+@given("a workflow gang of {tasks:d} tasks and {count:d} full workers")
+def _(context, tasks, count):
+    names = [f"w{i}" for i in range(count)]
+    context.bench = single.Bench(workers=names)
+    context.bench.submit("batch", 4.0, tasks=count)
+    assert len(context.bench.plan()) == count
+    context.bench.submit("gang", 4.0, tasks=tasks, ticketed=True, gang=True)
+    assert context.bench.plan() == []
--- a/src/citrondeal/workflow/tests/tickets.feature
+++ b/src/citrondeal/workflow/tests/tickets.feature
@@ -24,3 +24,16 @@
   Scenario: workflow tickets the size of a round follows earlier answers
     Given a workflow queue of whose workers few were allowed before
     Then a workflow step of 4 tasks asks about 60 workers at once
+
+  # Guards against urgent tasks that take the room of a gang out of the count
+  # while its tickets are renewed, so that it renews once more.
+  Scenario: workflow tickets room held for a renewal is not kept for others
+    Given a workflow gang whose tickets are renewed on the only two workers
+    When a workflow urgent task that does not fit arrives
+    Then the workflow gang starts once its renewal is answered
+
+  # Guards against a gang that learns in many rounds where it may run, because
+  # no worker has room at the moment.
+  Scenario: workflow tickets a gang without room asks about enough workers
+    Given a workflow gang of 30 tasks and 90 full workers
+    Then workflow 90 workers are asked about in 3 calls at once
--- a/src/citrondeal/workflow/tests/workflow.feature
+++ b/src/citrondeal/workflow/tests/workflow.feature
@@ -34,6 +34,13 @@
     When a workflow gang of 2 tasks with 2 cores waits for 5 seconds
     Then the workflow gang starts once both running tasks have ended
 
+  # Guards against work without worth that goes before work with some.
+  Scenario: workflow jobs that are far too late come last
+    Given a workflow worker with 4 cores and a task that fills it
+    When workflow jobs wait until one is late and another far too late
+    Then the workflow job that is in time starts before the late ones
+    And the workflow job that is far too late starts last
+
   # Guards against takeovers that wait for the lease of a worker which an
   # earlier owner has already given up or which has been replaced.
   Scenario: workflow a takeover blocks only tasks that may run unseen
