Spread submissions over eight topics; avoid workers whose tasks stand still

Appends ran into their timeout of 1 s; 443 of 510 requests failed. The id of a job now selects one of eight topics for its submission and its cancellation.

Ruled out: the time of an answer (0.2 s), the limits of calls (no 429).

Also: a worker whose tasks make no progress is the last choice for 5 s, as one on which a run failed.

--- a/src/citrondeal/cell/_desk.py
+++ b/src/citrondeal/cell/_desk.py
@@ -30,7 +30,7 @@
 
     Parameters
     ----------
-    committer : Committer
+    appender : citrondeal.cell._work.Appender
         Stores submissions and cancellations.
     links : citrondeal.peers.Pool
     members : Members
@@ -40,8 +40,8 @@
         Returns the `platform.Catalog` in force, or None.
     """
 
-    def __init__(self, committer, links, members, owner, catalog):
-        self._committer = committer
+    def __init__(self, appender, links, members, owner, catalog):
+        self._appender = appender
         self._links = links
         self._members = members
         self._owner = owner
@@ -95,7 +95,7 @@
 
     async def _store(self, message, job, record, deadline_s):
         started = _clock.now()
-        outcome = await self._committer.put(record, deadline_s)
+        outcome = await self._appender.put(record, deadline_s)
         catalog = self.catalog()
         telemetry.event(
             _LOG,
--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -9,6 +9,7 @@
 from citrondeal.cell import _follower
 from citrondeal.cell import _leases
 from citrondeal.cell import _records
+from citrondeal.cell import _work
 from citrondeal.cell import _writer
 from citrondeal import platform
 from citrondeal import telemetry
@@ -27,7 +28,7 @@
 FRESH_S = 1.2
 AGE_LIMIT_S = 60.0  # of a submission, in case that clocks differ
 RETRY_S = 0.2
-DROP_PERIOD_S = 2.0  # one call for all jobs that ended meanwhile
+DROP_PERIOD_S = 8.0  # a call for each topic with jobs that ended meanwhile
 TICKET_WAY_S = 0.1  # from the ticket service through another member
 
 _LOG = logging.getLogger(__name__)
@@ -57,9 +58,7 @@
         self._changed = anyio.Event()
         self._leases = {}
         self._task_group = None
-        self._work = _follower.Follower(
-            store, _records.WORK_TOPIC, self._on_work, WORK_POLL_S
-        )
+        self._work = _work.Reader(store, self._on_work, WORK_POLL_S)
         self._workers = _follower.Follower(
             store,
             platform.WORKERS_TOPIC,
@@ -110,8 +109,8 @@
         bool
             Whether this epoch still owns the cell.
         """
-        barrier = await self._writer.fence()
-        if barrier is None:
+        started = _clock.now()
+        if not await self._writer.fence():
             return False
         config = workflow.Config(self._lease_s, self._status_s)
         now = _clock.now()
@@ -130,8 +129,7 @@
             logging.INFO,
             "state is recovered",
             epoch=self._epoch,
-            barrier=barrier,
-            took_s=round(_clock.now() - now, 3),
+            took_s=round(_clock.now() - started, 3),
             jobs=len(scheduler.jobs),
             workers=len(scheduler.workers),
         )
@@ -146,7 +144,7 @@
 
     # Events
 
-    def _on_work(self, records):
+    def _on_work(self, records, recovered):
         now = _clock.now()
         unix = time.time()
         for record in records:
@@ -156,10 +154,10 @@
             elif kind == "cancel" and record.value:
                 self._scheduler.on_cancel(name, now)
             elif kind == "job" and record.value:
-                self._on_submission(record, now, unix)
+                self._on_submission(record, recovered, now, unix)
         self._changed.set()
 
-    def _on_submission(self, record, now, unix):
+    def _on_submission(self, record, recovered, now, unix):
         try:
             submission = workflow.decode_submission(record.value)
         except workflow.RecordError as exc:
@@ -169,7 +167,7 @@
         # Of a job that was sent again only the newest record is left, so
         # its position does not tell when an earlier owner read it first.
         self._scheduler.on_submission(
-            submission, record.offset, now, not self._work.loaded, age
+            submission, record.offset, now, recovered, age
         )
 
     def _on_barrier(self, record):
@@ -229,23 +227,28 @@
         while True:
             await anyio.sleep(DROP_PERIOD_S)
             self._scheduler.forget(_clock.now())
-            jobs = self._scheduler.take_droppable()
-            records = [
-                platform.Record(key(job), b"")
-                for job in jobs
-                for key in (_records.job_key, _records.cancel_key)
-            ]
-            if not records:
-                continue
-            outcome = await self._store.append(_records.WORK_TOPIC, records)
-            if outcome.is_err():
-                # Dropping a key twice is harmless.
-                self._scheduler.keep_submissions(jobs)
-                _warn(
-                    "ended jobs are not dropped",
-                    count=len(jobs),
-                    reason=outcome.err_value.message,
-                )
+            by_topic = {}
+            for job in self._scheduler.take_droppable():
+                topic = _records.work_topic(_records.job_key(job))
+                by_topic.setdefault(topic, []).append(job)
+            for topic, jobs in by_topic.items():
+                await self._drop(topic, jobs)
+
+    async def _drop(self, topic, jobs):
+        records = [
+            platform.Record(key(job), b"")
+            for job in jobs
+            for key in (_records.job_key, _records.cancel_key)
+        ]
+        outcome = await self._store.append(topic, records)
+        if outcome.is_err():
+            # Dropping a key twice is harmless.
+            self._scheduler.keep_submissions(jobs)
+            _warn(
+                "ended jobs are not dropped",
+                count=len(jobs),
+                reason=outcome.err_value.message,
+            )
 
     # Decisions
 
--- a/src/citrondeal/cell/_records.py
+++ b/src/citrondeal/cell/_records.py
@@ -6,8 +6,9 @@
 
 # Claims of the ownership, and members.
 CELL_TOPIC = "keyed.citrondeal.cell"
-# Submissions and cancellations, written by all processes.
-WORK_TOPIC = "keyed.citrondeal.work"
+# Submissions and cancellations, written by all processes. While the store is
+# slow it takes about nine appends a second on each of them.
+WORK_TOPICS = tuple(f"keyed.citrondeal.work.{i}" for i in range(8))
 # Progress of jobs and workers in use, written by the owner.
 STATE_TOPIC = "keyed.citrondeal.state"
 OWNER_KEY = "owner"
@@ -48,6 +49,12 @@
     return _CANCEL + job
 
 
+def work_topic(key):
+    """Return the topic of a submission or cancellation by its key."""
+    _, job = split_key(key)
+    return WORK_TOPICS[int(job, 16) % len(WORK_TOPICS)]
+
+
 def worker_key(worker):
     """Return the key of a worker in use."""
     return _WORKER + worker
--- /dev/null
+++ b/src/citrondeal/cell/_work.py
@@ -0,0 +1,85 @@
+"""Submissions and cancellations, spread over several topics of the store.
+
+A partition of the store takes one append after the other, and each takes
+long while the store is slow. All processes append to these topics, so one
+partition alone would limit a whole cell to a few submissions a second.
+"""
+
+import functools
+
+import anyio
+
+from citrondeal.cell import _committer
+from citrondeal.cell import _follower
+from citrondeal.cell import _records
+
+
+class Appender:
+    """Appends records of jobs, in groups for each topic.
+
+    Parameters
+    ----------
+    append, relay : callable
+        See `Committer`.
+    store_answers : callable
+    metrics : citrondeal.telemetry.Metrics
+    """
+
+    def __init__(self, append, relay, store_answers, metrics):
+        self._committers = {
+            topic: _committer.Committer(append, relay, store_answers, metrics)
+            for topic in _records.WORK_TOPICS
+        }
+
+    async def put(self, record, deadline_s):
+        """Append a record; see `Committer.put`."""
+        committer = self._committers[_records.work_topic(record.key)]
+        return await committer.put(record, deadline_s)
+
+    async def run(self):
+        """Append until cancelled."""
+        async with anyio.create_task_group() as task_group:
+            for committer in self._committers.values():
+                task_group.start_soon(committer.run)
+
+
+class Reader:
+    """Follows all topics.
+
+    Parameters
+    ----------
+    store : citrondeal.platform.StoreClient
+    on_records : callable
+        ``on_records(records, recovered)``; `recovered` is whether they were
+        there before the topic was followed.
+    wait_s : float
+        How long the store may hold a read without records.
+    """
+
+    def __init__(self, store, on_records, wait_s):
+        self._on_records = on_records
+        self._followers = [
+            _follower.Follower(
+                store, topic, functools.partial(self._take, index), wait_s
+            )
+            for index, topic in enumerate(_records.WORK_TOPICS)
+        ]
+
+    def _take(self, index, records):
+        self._on_records(records, not self._followers[index].loaded)
+
+    def age_s(self, now):
+        """Return the seconds since the oldest of the last answers."""
+        return max(follower.age_s(now) for follower in self._followers)
+
+    async def load(self):
+        """Read the newest records of all topics."""
+        async with anyio.create_task_group() as task_group:
+            for follower in self._followers:
+                task_group.start_soon(follower.load)
+
+    async def run(self):
+        """Read until cancelled; `load` comes first."""
+        async with anyio.create_task_group() as task_group:
+            for follower in self._followers:
+                task_group.start_soon(follower.run)
--- a/src/citrondeal/cell/_writer.py
+++ b/src/citrondeal/cell/_writer.py
@@ -43,21 +43,30 @@
     async def fence(self):
         """Shut out earlier owners.
 
+        What the topics of submissions hold before the barrier may have been
+        read by earlier owners, and nothing after it.
+
         Returns
         -------
-        int or None
-            Position in the work topic from which no earlier owner has read
-            submissions as an owner; None if a newer owner exists.
+        bool
+            Whether no newer owner exists.
         """
         barrier = platform.Record(
             _records.BARRIER_KEY, str(self._epoch).encode()
         )
         producer = platform.Producer(_records.PRODUCER, self._epoch, 0)
         if await self._append(_records.STATE_TOPIC, [barrier], producer) < 0:
-            return None
+            return False
         self._sequence = 1
-        offset = await self._append(_records.WORK_TOPIC, [barrier], producer)
-        return None if offset < 0 else offset
+        offsets = []
+
+        async def append(topic):
+            offsets.append(await self._append(topic, [barrier], producer))
+
+        async with anyio.create_task_group() as task_group:
+            for topic in _records.WORK_TOPICS:
+                task_group.start_soon(append, topic)
+        return min(offsets) >= 0
 
     async def run(self, scheduler):
         """Store changes until a newer owner exists."""
--- a/src/citrondeal/cell/main.py
+++ b/src/citrondeal/cell/main.py
@@ -8,13 +8,13 @@
 import result
 
 from citrondeal.cell import _clock
-from citrondeal.cell import _committer
 from citrondeal.cell import _configuration
 from citrondeal.cell import _desk
 from citrondeal.cell import _members
 from citrondeal.cell import _owner
 from citrondeal.cell import _records
 from citrondeal.cell import _tickets
+from citrondeal.cell import _work
 from citrondeal import election
 from citrondeal import errors
 from citrondeal import lifecycle
@@ -60,7 +60,7 @@
         self._links = peers.Pool(self._identity(), task_group)
         self._owner = None
         self._owner_scope = None
-        self._committer = _committer.Committer(
+        self._appender = _work.Appender(
             self._append, self._relay, self._store_answers, self._metrics
         )
         self._tickets = _tickets.TicketDesk(
@@ -87,7 +87,7 @@
             self._store, self._links, self._member, self._other_members
         )
         self._desk = _desk.Desk(
-            self._committer,
+            self._appender,
             self._links,
             self._members,
             lambda: self._owner,
@@ -124,7 +124,7 @@
         await self._task_group.start(
             peers.serve, host, port, self._identity(), self._answer
         )
-        self._task_group.start_soon(self._committer.run)
+        self._task_group.start_soon(self._appender.run)
         self._task_group.start_soon(self._join)
 
     def _reload(self):
@@ -178,7 +178,9 @@
     # Appends
 
     async def _append(self, records):
-        return await self._store.append(_records.WORK_TOPIC, records)
+        # A group of records belongs to one topic.
+        topic = _records.work_topic(records[0].key)
+        return await self._store.append(topic, records)
 
     def _store_answers(self):
         return self._members.store_answers
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -105,3 +105,11 @@
     Given a cell member that owns the cell
     When a cell member leaves
     Then the cell has no owner
+
+  # Guards against a slow store in which the submissions of all members wait
+  # for each other.
+  Scenario: cell submissions of many members do not wait for each other
+    Given a cell store whose appends are slow
+    When cell members submit many jobs at the same time
+    Then all cell jobs are stored within a few appends
+    And the cell cancellation of a job follows its submission in one topic
--- /dev/null
+++ b/src/citrondeal/cell/tests/steps_work.py
@@ -0,0 +1,80 @@
+"""Steps for the topics of submissions."""
+
+import collections
+import time
+
+import anyio
+from behave import given
+from behave import then
+from behave import when
+import result
+
+from citrondeal.cell import _records
+from citrondeal.cell import _work
+from citrondeal import platform
+from citrondeal import telemetry
+
+APPEND_S = 0.1
+JOBS = 24
+
+
+class _SlowStore:
+    """Takes one append of a topic after the other, each of which is slow."""
+
+    def __init__(self):
+        self._locks = collections.defaultdict(anyio.Lock)
+        self.topics = collections.defaultdict(list)
+
+    async def append(self, records):
+        topic = _records.work_topic(records[0].key)
+        async with self._locks[topic]:
+            await anyio.sleep(APPEND_S)
+            self.topics[topic] += [record.key for record in records]
+        return result.Ok(None)
+
+
+async def _submit(store, members):
+    """Let members submit jobs at the same time; return the seconds taken."""
+    appenders = [
+        _work.Appender(
+            store.append, None, lambda: True, telemetry.Metrics("test")
+        )
+        for _ in range(members)
+    ]
+    started = time.monotonic()
+    async with anyio.create_task_group() as running:
+        for appender in appenders:
+            running.start_soon(appender.run)
+        async with anyio.create_task_group() as jobs:
+            for number in range(JOBS):
+                record = platform.Record(_records.job_key(f"{number:x}"), b"x")
+                appender = appenders[number % members]
+                jobs.start_soon(appender.put, record, 5.0)
+        running.cancel_scope.cancel()
+    return time.monotonic() - started
+
+
+@given("a cell store whose appends are slow")
+def _(context):
+    context.store = _SlowStore()
+
+
+@when("cell members submit many jobs at the same time")
+def _(context):
+    context.took_s = anyio.run(_submit, context.store, JOBS)
+
+
+@then("all cell jobs are stored within a few appends")
+def _(context):
+    stored = sum(len(keys) for keys in context.store.topics.values())
+    assert stored == JOBS
+    # One topic would take JOBS appends, one after the other.
+    limit_s = 2 * APPEND_S * JOBS / len(_records.WORK_TOPICS)
+    assert context.took_s < limit_s, context.took_s
+
+
+@then("the cell cancellation of a job follows its submission in one topic")
+def _(context):
+    for job in ("0123456789abcdef", "fedcba9876543210"):
+        topic = _records.work_topic(_records.job_key(job))
+        assert topic == _records.work_topic(_records.cancel_key(job))
--- a/src/citrondeal/platform/_store.py
+++ b/src/citrondeal/platform/_store.py
@@ -15,7 +15,7 @@
 READ_TIMEOUT_S = 1.5
 # Added to the time for which the store may hold a read.
 READ_SLACK_S = 0.7
-CONNECTIONS = 12
+CONNECTIONS = 32  # an owner follows ten topics
 MAX_READ_KB = 512
 
 _LENGTH = struct.Struct(">I")
--- a/src/citrondeal/workflow/_places.py
+++ b/src/citrondeal/workflow/_places.py
@@ -3,8 +3,8 @@
 import heapq
 import math
 
-# A worker on which a run failed or a start went wrong is the last choice
-# for this long.
+# A worker on which a run failed or stood still, or a start went wrong, is the
+# last choice for this long.
 FAILED_S = 5.0
 
 
@@ -16,6 +16,11 @@
     ) and spec.size.fits(worker.info.capacity)
 
 
+def is_doubtful(worker, now):
+    """Return whether runs of a worker have gone wrong of late."""
+    return now - worker.failed_at < FAILED_S
+
+
 def choose(step, tasks, workers, prefers, now):
     """Choose a worker for each task, as many tasks as possible.
 
@@ -118,7 +123,7 @@
     worker = place.worker
     return (
         not prefers(worker),
-        now - worker.failed_at < FAILED_S,
+        is_doubtful(worker, now),
         bool(step.spec.rack) and worker.info.rack != step.spec.rack,
         place.room.millicores,
         worker.id,
--- a/src/citrondeal/workflow/_recovery.py
+++ b/src/citrondeal/workflow/_recovery.py
@@ -50,6 +50,7 @@
                 _jobs.RunState.RUNNING,
                 now,
                 now,
+                progress_at=now,
             )
             worker.add(task.run)
 
--- a/src/citrondeal/workflow/_reports.py
+++ b/src/citrondeal/workflow/_reports.py
@@ -5,6 +5,12 @@
 from citrondeal.workflow import _events
 from citrondeal.workflow import _jobs
 from citrondeal.workflow import _model
+from citrondeal.workflow import _places
+
+# A task that makes no progress for this long, and for this share of its
+# estimate, does not work. A report is made at least each second.
+STALL_S = 0.7
+STALL_SHARE = 0.1
 
 
 class Reports:
@@ -46,8 +52,19 @@
         self._drop_missing(worker, listed, sent_at, now)
         for seen in report.running:
             self._on_running(worker, seen, now)
+        if any(_stands_still(run, now) for run in worker.runs.values()):
+            self._note_stall(worker, now)
         self._state.resolve(worker, now)
 
+    def _note_stall(self, worker, now):
+        if not _places.is_doubtful(worker, now):
+            _events.log(
+                logging.WARNING,
+                "tasks of a worker stand still",
+                worker=worker.id,
+            )
+        worker.failed_at = now
+
     def on_no_report(self, worker_id, reason, now):
         """Note that a lease renewal of a worker got no answer."""
         worker = self._state.workers.get(worker_id)
@@ -183,3 +200,12 @@
 
     def _keep_checkpoint(self, task, checkpoint):
         task.step.counter_of(task).checkpoint = checkpoint
+
+
+def _stands_still(run, now):
+    estimate_s = run.task.step.spec.estimate_s
+    return (
+        run.state is _jobs.RunState.RUNNING
+        and run.percent < 100
+        and now - run.progress_at > STALL_S + STALL_SHARE * estimate_s
+    )
--- a/src/citrondeal/workflow/tests/steps_policy.py
+++ b/src/citrondeal/workflow/tests/steps_policy.py
@@ -71,6 +71,32 @@
     assert context.bench.end_one() == ["far-too-late"]
 
 
+@given("two workflow workers of which one makes no progress")
+def _(context):
+    context.bench = bench = single.Bench(workers=("w0", "w1"))
+    bench.submit("stuck", 1.0)
+    bench.submit("other", 1.0)
+    bench.plan()
+    # The fullest worker has both; without the fault it gets the next one.
+    assert len(bench.running["w0"]) == 2, bench.running
+    bench.now += 2.0
+    bench.hear()
+
+
+@then("a workflow task starts on the other worker")
+def _(context):
+    context.bench.submit("next", 1.0)
+    assert context.bench.plan() == ["next"]
+    assert len(context.bench.running["w1"]) == 1, context.bench.running
+
+
+@then("a workflow task that needs the first worker starts there")
+def _(context):
+    context.bench.submit("more", 1.0, tasks=5)
+    assert context.bench.plan() == ["more"] * 5
+    assert len(context.bench.running["w0"]) == 4, context.bench.running
+
+
 @then("workflow tasks of a silent worker wait and all others start")
 def _(context):
     first = single.Bench(workers=("w0", "w1"))
--- a/src/citrondeal/workflow/tests/workflow.feature
+++ b/src/citrondeal/workflow/tests/workflow.feature
@@ -41,6 +41,13 @@
     Then the workflow job that is in time starts before the late ones
     And the workflow job that is far too late starts last
 
+  # Guards against new tasks on a worker whose tasks make no progress although
+  # it answers.
+  Scenario: workflow a worker whose tasks stand still is the last choice
+    Given two workflow workers of which one makes no progress
+    Then a workflow task starts on the other worker
+    And a workflow task that needs the first worker starts there
+
   # Guards against takeovers that wait for the lease of a worker which an
   # earlier owner has already given up or which has been replaced.
   Scenario: workflow a takeover blocks only tasks that may run unseen
