Repeat appends to a slow store instead of relaying them

Relaying is now for processes that the store does not serve at all; others repeat the append until the client's deadline.

--- a/src/citrondeal/cell/_committer.py
+++ b/src/citrondeal/cell/_committer.py
@@ -14,10 +14,11 @@
 GROUP_S = 0.01
 GROUP_LIMIT = 200  # records in an append
 RETRY_S = 0.1
-# A record that no process could append for this long is given up.
+# A record that no process could append for this long is given up, unless the
+# store is only slow.
 GIVEN_UP_S = 0.5
 # After a failed append, records are refused without a try for this long,
-# as long as the store does not answer other calls.
+# unless the store has served another call since.
 PAUSE_S = 0.5
 RETRY_AFTER_S = 1.0
 
@@ -42,15 +43,16 @@
     append : callable
         ``await append(records)`` returns a `result.Result`.
     relay : callable
-        The same by another process, tried when `append` fails.
-    store_answers : callable
-        Whether other calls to the store are answered.
+        The same by another process, tried when `append` fails and the store
+        serves no other call of this process either.
+    served_age_s : callable
+        Returns the seconds since the store served a call of this process.
     metrics : citrondeal.telemetry.Metrics
     """
 
-    def __init__(self, append, relay, store_answers, metrics):
+    def __init__(self, append, relay, served_age_s, metrics):
         self._append = append
-        self._store_answers = store_answers
+        self._served_age_s = served_age_s
         self._failed_at = -PAUSE_S
         self._relay = relay
         self._metrics = metrics
@@ -87,6 +89,7 @@
 
     async def _commit(self, group):
         records = [entry.record for entry in group]
+        started = _clock.now()
         if self._pausing(_clock.now()):
             outcome = _failed(errors.Kind.UNAVAILABLE)
         else:
@@ -95,7 +98,10 @@
                 self._failed_at = _clock.now()
         if outcome.is_err():
             self._note_failure(group, outcome.err_value)
-            outcome = await self._relay(records)
+            # A store that is only slow gets slower by the same records from
+            # other members.
+            if not self._served_since(started, _clock.now()):
+                outcome = await self._relay(records)
         if outcome.is_ok():
             for entry in group:
                 _finish(entry, result.Ok(None))
@@ -107,7 +113,12 @@
 
     def _pausing(self, now):
         """Whether an append would probably have an unknown outcome."""
-        return now - self._failed_at < PAUSE_S and not self._store_answers()
+        return now - self._failed_at < PAUSE_S and not self._served_since(
+            self._failed_at, now
+        )
+
+    def _served_since(self, since, now):
+        return self._served_age_s() < now - since
 
     def _note_failure(self, group, failure):
         if failure.kind is not errors.Kind.UNAVAILABLE:
@@ -129,7 +140,9 @@
         # learns at once when to come back.
         away = self._pausing(now)
         for entry in group:
-            limit = min(entry.deadline, entry.entered_at + GIVEN_UP_S)
+            limit = entry.deadline
+            if not self._served_since(entry.entered_at, now):
+                limit = min(limit, entry.entered_at + GIVEN_UP_S)
             if not away and now < limit:
                 self._entries.append(entry)
             elif entry.uncertain:
--- a/src/citrondeal/cell/_work.py
+++ b/src/citrondeal/cell/_work.py
@@ -19,15 +19,14 @@
 
     Parameters
     ----------
-    append, relay : callable
+    append, relay, served_age_s : callable
         See `Committer`.
-    store_answers : callable
     metrics : citrondeal.telemetry.Metrics
     """
 
-    def __init__(self, append, relay, store_answers, metrics):
+    def __init__(self, append, relay, served_age_s, metrics):
         self._committers = {
-            topic: _committer.Committer(append, relay, store_answers, metrics)
+            topic: _committer.Committer(append, relay, served_age_s, metrics)
             for topic in _records.WORK_TOPICS
         }
 
--- a/src/citrondeal/cell/main.py
+++ b/src/citrondeal/cell/main.py
@@ -61,7 +61,10 @@
         self._owner = None
         self._owner_scope = None
         self._appender = _work.Appender(
-            self._append, self._relay, self._store_answers, self._metrics
+            self._append,
+            self._relay,
+            lambda: self._store.served_age_s,
+            self._metrics,
         )
         self._tickets = _tickets.TicketDesk(
             platform.TicketClient(settings.tickets),
@@ -182,9 +185,6 @@
         topic = _records.work_topic(records[0].key)
         return await self._store.append(topic, records)
 
-    def _store_answers(self):
-        return self._members.store_answers
-
     async def _relay(self, records):
         """Append through other members, which the store may serve."""
         failure = errors.Failure(errors.Kind.UNAVAILABLE, "no member relays")
@@ -241,7 +241,7 @@
             platform.Record(key.decode("utf-8", "replace"), value)
             for key, value in zip(message.keys, message.values)
         ]
-        if not self._store_answers():
+        if not self._members.store_answers:
             return ttypes.Fault(
                 kind=errors.Kind.UNAVAILABLE.value, message="no store here"
             )
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -55,6 +55,11 @@
     And a cell record that another member stores is accepted
     And cell records are refused at once while the store is away
 
+  # Guards against a slow store that gets the same records from several
+  # members, and against unknown outcomes that could be known.
+  Scenario: cell appends to a slow store are repeated but not relayed
+    Then a cell record is appended again where the store is only slow
+
   # Guards against a refusal that says "never runs" of an accepted job.
   Scenario: cell a job that is sent again while the store is away is accepted
     Given a cell of 3 members
--- a/src/citrondeal/cell/tests/steps_committer.py
+++ b/src/citrondeal/cell/tests/steps_committer.py
@@ -1,5 +1,7 @@
 """Steps for the group commit of one process."""
 
+import math
+
 import anyio
 from behave import then
 import result
@@ -26,12 +28,14 @@
 
     def __init__(self, kind):
         self.kind = kind
-        self.answers = True
+        self.served_age_s = math.inf
+        self.failures = math.inf
         self.calls = 0
 
     async def append(self, records):
         self.calls += 1
-        if self.kind is None:
+        await anyio.sleep(0.01)
+        if self.kind is None or self.calls > self.failures:
             return result.Ok(0)
         return result.Err(errors.Failure(self.kind, "fault"))
 
@@ -41,7 +45,7 @@
 
     async def run():
         committer = _committer.Committer(
-            store.append, relay.append, lambda: store.answers, _Metrics()
+            store.append, relay.append, lambda: store.served_age_s, _Metrics()
         )
         answers = []
         async with anyio.create_task_group() as task_group:
@@ -83,10 +87,18 @@
     assert outcome.is_ok(), outcome
 
 
+@then("a cell record is appended again where the store is only slow")
+def _(context):
+    store, relay = _Store(errors.Kind.UNKNOWN_OUTCOME), _Store(None)
+    store.served_age_s, store.failures = 0.0, 7
+    [(outcome, seconds)] = _put(store, relay)
+    assert outcome.is_ok() and seconds > _committer.GIVEN_UP_S, outcome
+    assert relay.calls == 0 and store.calls == 8, (relay.calls, store.calls)
+
+
 @then("cell records are refused at once while the store is away")
 def _(context):
     store = _Store(errors.Kind.UNKNOWN_OUTCOME)
-    store.answers = False
     answers = _put(store, _Store(errors.Kind.UNAVAILABLE), 3)
     for outcome, seconds in answers:
         assert outcome.is_err() and seconds < AT_ONCE_S, answers
--- a/src/citrondeal/cell/tests/steps_work.py
+++ b/src/citrondeal/cell/tests/steps_work.py
@@ -37,7 +37,7 @@
     """Let members submit jobs at the same time; return the seconds taken."""
     appenders = [
         _work.Appender(
-            store.append, None, lambda: True, telemetry.Metrics("test")
+            store.append, None, lambda: 0.0, telemetry.Metrics("test")
         )
         for _ in range(members)
     ]
--- a/src/citrondeal/platform/_store.py
+++ b/src/citrondeal/platform/_store.py
@@ -2,9 +2,11 @@
 
 import base64
 import dataclasses
+import math
 import struct
 import urllib.parse
 
+import anyio
 import msgspec
 import result
 
@@ -112,12 +114,18 @@
 
     def __init__(self, address):
         self._client = web.Client(address, CONNECTIONS)
+        self._served_at = -math.inf
 
     @property
     def calls(self):
         """Number of calls so far."""
         return self._client.calls
 
+    @property
+    def served_age_s(self):
+        """Seconds since the store last served a call of this process."""
+        return anyio.current_time() - self._served_at
+
     async def append(self, topic, records, at=None, producer=None):
         """Append records to partition 0 of a topic, all or none.
 
@@ -143,9 +151,7 @@
             query["seq"] = producer.sequence
         body = b"".join(_frame(record) for record in records)
         path = "/v1/log-append?" + urllib.parse.urlencode(query)
-        outcome = await self._client.request(
-            "POST", path, body, APPEND_TIMEOUT_S
-        )
+        outcome = await self._request("POST", path, body, APPEND_TIMEOUT_S)
         if outcome.is_err():
             return outcome
         reply = outcome.ok_value
@@ -178,11 +184,8 @@
                 "wait-ms": int(wait_s * 1000),
             }
         )
-        outcome = await self._client.request(
-            "GET",
-            "/v1/log-read?" + query,
-            timeout_s=wait_s + READ_SLACK_S,
-            progress_s=READ_SLACK_S,
+        outcome = await self._request(
+            "GET", "/v1/log-read?" + query, b"", wait_s + READ_SLACK_S
         )
         if outcome.is_err():
             return _unavailable(outcome.err_value.message)
@@ -208,12 +211,7 @@
         if after:
             query["after"] = after
         path = "/v1/log-newest?" + urllib.parse.urlencode(query)
-        outcome = await self._client.request(
-            "GET",
-            path,
-            timeout_s=READ_TIMEOUT_S,
-            progress_s=READ_SLACK_S,
-        )
+        outcome = await self._request("GET", path, b"", READ_TIMEOUT_S)
         if outcome.is_err():
             return _unavailable(outcome.err_value.message)
         reply = outcome.ok_value
@@ -244,6 +242,14 @@
                 return result.Ok((end, records))
             after = page.records[-1].key
 
+    async def _request(self, method, path, body, timeout_s):
+        outcome = await self._client.request(
+            method, path, body, timeout_s, progress_s=READ_SLACK_S
+        )
+        if outcome.is_ok() and outcome.ok_value.status == 200:
+            self._served_at = anyio.current_time()
+        return outcome
+
     async def aclose(self):
         """Close idle connections."""
         await self._client.aclose()
