Ask a reader of the configuration again that is back; silence the soak's requests

A member without the store stayed in its first read although the reader of its zone had come back, and a reader without the store answered for up to 2 s, which with the period of asking leaves little of the 2.5 s in which a configuration has to be in force. The first read is now one try at a time, and a reader answers for 1.4 s after the store's last answer.

The soak of the gateways silenced connections between two rounds, when they were idle and mostly closed before the next request.

--- a/src/citrondeal/cell/_configuration.py
+++ b/src/citrondeal/cell/_configuration.py
@@ -16,11 +16,13 @@
 from citrondeal import platform
 from citrondeal import telemetry
 
-POLL_S = 1.0  # long poll of the store
+POLL_S = 0.7  # long poll of the store
 ASK_PERIOD_S = 0.3
 ASK_TIMEOUT_S = 1.0
-# A member whose own last answer of the store is older does not answer others.
-FRESH_S = 2.0
+# A member whose own last answer of the store is older does not answer others,
+# so that a reader which has lost the store costs them little of the time in
+# which a configuration has to be in force.
+FRESH_S = 1.4
 # A member that did not answer is not asked again for this long.
 FAILED_S = 3.0
 # After a start of the whole cell the reader of a zone has no configuration
@@ -72,8 +74,8 @@
                 await anyio.sleep(RETRY_S)
             elif self._follower.loaded:
                 await self._follower.step()
-            else:
-                await self._follower.load()
+            elif not await self._follower.try_load():
+                await anyio.sleep(RETRY_S)
 
     def _reader(self, now):
         """Return the member to ask, or None to read the store."""
--- a/src/citrondeal/cell/_follower.py
+++ b/src/citrondeal/cell/_follower.py
@@ -71,10 +71,11 @@
 
     async def load(self):
         """Read the newest records until that succeeds once."""
-        while not await self._load():
+        while not await self.try_load():
             await anyio.sleep(RETRY_S)
 
-    async def _load(self):
+    async def try_load(self):
+        """Read the newest records; returns whether that succeeded."""
         outcome = await self._store.newest_all(self._topic)
         if outcome.is_err():
             self._note_failure(outcome.err_value)
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -99,6 +99,12 @@
     Then the cell weak member has read the configuration itself
     And a cell member that has lost the store has no configuration for others
 
+  # Guards against a member that waits for the store although the reader of
+  # its zone is back.
+  Scenario: cell a reader of the configuration that is back is asked again
+    Given cell members of one zone, of which one is strong
+    Then a cell member without the store asks the reader when it is back
+
   # Guards against a release of an old ownership that hides a newer claim, so
   # that two owners get the same epoch (seed 206 of the soak).
   Scenario: cell a member that leaves releases only its own ownership
--- a/src/citrondeal/cell/tests/steps_configuration.py
+++ b/src/citrondeal/cell/tests/steps_configuration.py
@@ -34,6 +34,8 @@
 
     async def newest_all(self, topic):
         self.reads += 1
+        if self.failing:
+            return result.Err(errors.Failure(errors.Kind.UNAVAILABLE, "no"))
         return result.Ok((8, [self._record()]))
 
     async def read(self, topic, start, wait_s):
@@ -116,6 +118,25 @@
     assert context.weak[0].reads and context.weak[1].catalog.version == 3
 
 
+@then("a cell member without the store asks the reader when it is back")
+def _(context):
+    reader = context.reader[1]
+    store, source = _source(context, WEAK, (READER, REMOTE))
+    store.failing = True
+
+    async def come_back():
+        await anyio.sleep(0.3)
+        context.links.peer = reader
+
+    async def run():
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(come_back)
+            await _run_until([reader, source], lambda: source.catalog)
+
+    anyio.run(run)
+    assert store.reads and source.catalog.version == 3
+
+
 @then("a cell member that has lost the store has no configuration for others")
 def _(context):
     query = ttypes.Records(stream=platform.OPERATOR_TOPIC, start=0, limit=1)
--- a/tools/run_soak.py
+++ b/tools/run_soak.py
@@ -19,6 +19,7 @@
 CALLERS = 12
 REQUESTS = 60  # of each kind per round
 FAULT_PERIOD_S = 20.0
+SILENCE_AFTER_S = 0.1  # the requests of a round take some tenths of a second
 # Reached within the first minutes, so that memory that is not bounded by
 # them shows as growth after it.
 LIMITS = {"ids": 5000, "answer_cache_bytes": 1024 * 1024}
@@ -87,8 +88,13 @@
         self._cell.set_log(outage=0)
 
     def _silence(self):
+        # Idle connections may be closed before the next request, so they go
+        # silent while requests are under way.
+        running = self._load.start("soak", REQUESTS)
+        time.sleep(SILENCE_AFTER_S)
         for address in self._cell.endpoints.values():
             self._cell.post(address, "/silence", {})
+        running.wait()
 
     def _replace(self):
         daemon = self._random.choice(self._cell.select("scheduler"))
@@ -110,6 +116,7 @@
             "faults": self._faults,
             "gateway_rss_kb_second_third": early,
             "gateway_rss_kb_last_third": late,
+            "silenced": self._cell.endpoint_count("silenced"),
             "double_runs": self._load.double_runs(runs),
             "false_refusals": self._load.false_refusals(runs),
             "slots_exceeded": self._cell.endpoint_count("slots_exceeded"),
