Answer a call whose deadline passes as a part of the answer arrives

Cause: a deadline that passes in the turn of the event loop in which a part of an answer arrives cancels the scope of the call; the part then moves the deadline ahead, so that anyio.fail_after raises no TimeoutError and Client.request falls through and returns None. The caller in the store client fails with AttributeError, which ends the process.

Ruled out: the other deadlines under src are never moved after their scope is entered (peers, endpoints, workers), and the scopes of the gateway, whose bodies fall through, read a result that is set elsewhere and handle its absence.

Change: the client uses move_on_after and answers unknown_outcome after it.

--- a/src/citrondeal/web/_client.py
+++ b/src/citrondeal/web/_client.py
@@ -180,21 +180,22 @@
         """
         data = self._encode_request(method, path, body, headers)
         try:
-            with anyio.fail_after(timeout_s) as scope:
+            # Not `anyio.fail_after`: it takes a scope whose deadline was
+            # extended after its cancellation for one that has not timed out.
+            with anyio.move_on_after(timeout_s) as scope:
                 async with self._connection_semaphore:
                     return result.Ok(
                         await self._send_with_repeat(
                             data, _make_deadline_extender(scope, extension_s)
                         )
                     )
-        except TimeoutError:
-            return _failure(errors.Kind.UNKNOWN_OUTCOME, "timeout")
         except _RequestNotSent as exc:
             return _failure(errors.Kind.UNAVAILABLE, exc)
         except _CONNECTION_ERRORS as exc:
             return _failure(errors.Kind.UNKNOWN_OUTCOME, exc)
         except httptools.HttpParserError as exc:
             return _failure(errors.Kind.UNKNOWN_OUTCOME, exc)
+        return _failure(errors.Kind.UNKNOWN_OUTCOME, "timeout")
 
     def _encode_request(self, method, path, body, headers):
         lines = [f"{method} {path} HTTP/1.1", f"Host: {self._address}"]
--- a/src/citrondeal/web/tests/steps.py
+++ b/src/citrondeal/web/tests/steps.py
@@ -201,3 +201,42 @@
 def _(context):
     outcome = _call_slow_server(PARTS // 2)
     assert outcome.err_value.kind is errors.Kind.UNKNOWN_OUTCOME, outcome
+
+
+@then(
+    "web a call whose deadline passes as a part arrives has an unknown outcome"
+)
+def _(context):
+    listener = socket.create_server(("127.0.0.1", 0))
+    client = web.Client("127.0.0.1:{}".format(listener.getsockname()[1]))
+    parts = PARTS // 2
+    server = threading.Thread(target=_answer_in_parts, args=[listener, parts])
+    server.start()
+    outcomes = []
+
+    async def call():
+        outcomes.append(
+            await client.request(
+                "GET",
+                "/x",
+                timeout_s=2 * PART_INTERVAL_S,
+                extension_s=2 * PART_INTERVAL_S,
+            )
+        )
+
+    async def block_the_loop():
+        await anyio.sleep(PART_INTERVAL_S / 2)
+        # The parts and the deadline fall into this time, so that the event
+        # loop sees all of them in its next turn.
+        time.sleep(PARTS * PART_INTERVAL_S)
+
+    async def run():
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(call)
+            task_group.start_soon(block_the_loop)
+
+    anyio.run(run)
+    server.join()
+    [outcome] = outcomes
+    assert outcome is not None
+    assert outcome.err_value.kind is errors.Kind.UNKNOWN_OUTCOME, outcome
--- a/src/citrondeal/web/tests/web.feature
+++ b/src/citrondeal/web/tests/web.feature
@@ -22,3 +22,8 @@
   Scenario: web the client waits longer while parts of an answer arrive
     Then web an answer whose parts arrive slowly is complete
     And web an answer that stops halfway has an unknown outcome
+
+  # Guards against a call that returns nothing because its deadline passed in
+  # the turn of the event loop in which a part of the answer arrived.
+  Scenario: web a deadline that passes while data arrives is a timeout
+    Then web a call whose deadline passes as a part arrives has an unknown outcome
