Keep a cell alive, one owner acting, and the backlog true

Causes and changes, each with a scenario that failed before:

Only the first confirmation counts now. - An owner cut off from the store and from its successor renewed leases for ever on workers that only it reached, while the successor took them as lapsed after 12 s. An owner now goes on only while the store, or members of all other zones, confirm its epoch; a confirmation counts 2 s from when it was asked for, so one that was suspended pauses until it is confirmed again. A new owner announces its claim to the earlier one. - A key whose deletion was itself deleted before it was read stayed known, so a worker that had left stayed listed. A follower that loads again passes on the missing keys as deletions. - An unexpected error of one exchange, record or planning pass ended the process. It is logged with its trace, counted, and only that exchange is lost; a failed ownership is released.

--- a/src/citrondeal/cell/_committer.py
+++ b/src/citrondeal/cell/_committer.py
@@ -95,7 +95,11 @@
             await anyio.sleep(GROUP_DELAY_S)
             group = self._pending[:MAX_GROUP_RECORDS]
             del self._pending[:MAX_GROUP_RECORDS]
-            await self._commit(group)
+            with telemetry.contain(_LOG, "append", count=len(group)):
+                await self._commit(group)
+                continue
+            for entry in group:
+                _finish(entry, _failure(errors.Kind.UNKNOWN_OUTCOME))
 
     async def _commit(self, group):
         records = [entry.record for entry in group]
--- a/src/citrondeal/cell/_desk.py
+++ b/src/citrondeal/cell/_desk.py
@@ -201,6 +201,12 @@
                 " or is still recovering the state",
             )
         if isinstance(query, ttypes.BacklogQuery):
+            if not owner.is_current:
+                return ttypes.Fault(
+                    kind="unavailable",
+                    message="the owner has not read submissions recently"
+                    " enough to count those that wait",
+                )
             waiting = owner.scheduler.backlog(query.queue)
             return ttypes.Backlog(waiting=waiting)
         state = owner.scheduler.job_state(query.job_id)
--- a/src/citrondeal/cell/_follower.py
+++ b/src/citrondeal/cell/_follower.py
@@ -7,6 +7,7 @@
 
 from citrondeal.cell import _clock
 from citrondeal import errors
+from citrondeal import platform
 from citrondeal import telemetry
 
 RETRY_DELAY_S = 0.15  # after a failed read
@@ -40,7 +41,9 @@
         self._period_s = period_s
         self._position = 0
         self._end = 0
+        self._keys = set()
         self._answered_at = None
+        self._confirmed_at = -math.inf
         self._failing = False
         self._failing_since = None
 
@@ -59,6 +62,14 @@
         """Whether the last read failed."""
         return self._failing
 
+    @property
+    def confirmed_at(self):
+        """When the last read that was answered was sent.
+
+        All records that the store held then have been passed on.
+        """
+        return self._confirmed_at
+
     def age_s(self, now):
         """Return the seconds since the last answer of the store.
 
@@ -78,16 +89,37 @@
 
     async def try_load(self):
         """Read the newest records of all keys; return whether it succeeded."""
+        sent_at = _clock.now()
         outcome = await self._store.read_newest(self._topic)
         if outcome.is_err():
             self._on_failure(outcome.err_value)
             return False
         self._position, records = outcome.ok_value
         self._end = self._position
+        records = self._deletions(records) + records
+        self._deliver(records)
+        self._on_answer(sent_at)
+        return True
+
+    def _deletions(self, records):
+        """Return a deletion for each known key that is no longer stored.
+
+        The record that deleted it may itself have been deleted unread.
+        """
+        stored = {record.key for record in records}
+        return [
+            platform.Record(key, b"", self._position)
+            for key in sorted(self._keys - stored)
+        ]
+
+    def _deliver(self, records):
+        for record in records:
+            if record.value:
+                self._keys.add(record.key)
+            else:
+                self._keys.discard(record.key)
         if records:
             self._on_records(records)
-        self._on_answer()
-        return True
 
     async def run(self):
         """Read until cancelled; `load` has to be called first."""
@@ -101,14 +133,14 @@
         # A long poll takes longer to find out that the store is still
         # unreachable, and would notice its return later.
         wait_s = 0.0 if self._failing else self._wait_s
+        sent_at = _clock.now()
         outcome = await self._store.read(self._topic, self._position, wait_s)
         if outcome.is_ok():
             batch = outcome.ok_value
-            self._on_answer()
+            self._on_answer(sent_at)
             self._end = batch.end_offset
             self._position = batch.next_offset
-            if batch.records:
-                self._on_records(batch.records)
+            self._deliver(batch.records)
         elif outcome.err_value.kind is errors.Kind.CONFLICT:
             telemetry.event(
                 _LOG,
@@ -122,8 +154,9 @@
             self._on_failure(outcome.err_value)
             await anyio.sleep(RETRY_DELAY_S)
 
-    def _on_answer(self):
+    def _on_answer(self, sent_at):
         self._answered_at = _clock.now()
+        self._confirmed_at = sent_at
         if self._failing:
             self._failing = False
             telemetry.event(
--- a/src/citrondeal/cell/_leases.py
+++ b/src/citrondeal/cell/_leases.py
@@ -31,13 +31,17 @@
         Seconds for which a renewal lets the tasks run.
     on_report : callable
         Called without arguments after each report or failure.
+    may_renew : callable
+        ``may_renew(now)`` tells whether this owner is sure that it has not
+        been replaced.
     """
 
-    def __init__(self, worker, scheduler, lease_s, on_report):
+    def __init__(self, worker, scheduler, lease_s, on_report, may_renew):
         self._worker = worker
         self._scheduler = scheduler
         self._lease_s = lease_s
         self._on_report = on_report
+        self._may_renew = may_renew
         self._worker_clock_offset_s = None
         self._stored = anyio.Event()
         self._client = platform.RunnerClient(worker.id, worker.info.address)
@@ -82,7 +86,10 @@
                 self._client = platform.RunnerClient(
                     self.worker_id, self._worker.info.address
                 )
-            if not await self._renew():
+            renewed = False
+            with telemetry.contain(_LOG, "renewal", worker=self.worker_id):
+                renewed = await self._renew()
+            if not renewed:
                 await anyio.sleep(RETRY_DELAY_S)
             elif self._worker.last_end_number > self._worker.acknowledged:
                 writer.wake()
@@ -100,7 +107,11 @@
         until_s = None
         # The leases on a worker that does not answer are not renewed, so
         # that they expire and its tasks can start elsewhere.
-        if self.worker_clock_known and worker.reachable:
+        if (
+            self.worker_clock_known
+            and worker.reachable
+            and self._may_renew(sent_at)
+        ):
             until_s = self.worker_clock_s(sent_at) + self._lease_s
             worker.extend_lease(sent_at, self._lease_s)
         # Ends that are not acknowledged yet would make the worker answer a
--- a/src/citrondeal/cell/_members.py
+++ b/src/citrondeal/cell/_members.py
@@ -34,7 +34,8 @@
     incarnation : str
         Random hexadecimal id of this start of the process.
     on_owner_change : callable
-        Called without arguments when the owner has changed.
+        ``on_owner_change(earlier_address)`` is called when the owner has
+        changed, with the address of the earlier one or None.
     """
 
     def __init__(
@@ -78,6 +79,11 @@
         """Return the seconds since the store last answered this process."""
         return self._follower.age_s(now)
 
+    @property
+    def store_confirmed_at(self):
+        """When the last read of claims that was answered was sent."""
+        return self._follower.confirmed_at
+
     @property
     def store_answers(self):
         """Whether the last read of the cell's records was answered."""
@@ -93,10 +99,15 @@
     async def run(self):
         """Follow members and claims, and probe the owner, until cancelled."""
         async with anyio.create_task_group() as task_group:
-            task_group.start_soon(self._follower.run)
-            task_group.start_soon(self._register)
-            task_group.start_soon(self._probe_owner)
-            task_group.start_soon(self._claim_when_due)
+            for activity, function in (
+                ("records of the cell", self._follower.run),
+                ("registration", self._register),
+                ("probes of the owner", self._probe_owner),
+                ("claims", self._claim_when_due),
+            ):
+                task_group.start_soon(
+                    telemetry.keep_running, _LOG, activity, function
+                )
 
     async def leave(self):
         """Release the ownership, if held, and remove this member's record."""
@@ -111,6 +122,12 @@
                 reason=outcome.err_value.message,
             )
 
+    async def give_up_ownership(self, epoch):
+        """Release the ownership of an epoch, until another claim is known."""
+        while self._election.is_owner and self._election.epoch == epoch:
+            await self._release()
+            await anyio.sleep(_follower.RETRY_DELAY_S)
+
     async def _release(self):
         claim = self._election.claim
         released = election.Claim(claim.epoch, "", self._incarnation, "")
@@ -140,12 +157,16 @@
 
     def _on_records(self, records):
         for record in records:
-            if record.key == _records.OWNER_KEY:
-                self._on_owner_record(record)
-                continue
-            kind, name = _records.split_key(record.key)
-            if kind == "member" and name != self._member.name:
-                self._on_member_record(name, record.value)
+            with telemetry.contain(_LOG, "cell record", key=record.key):
+                self._on_record(record)
+
+    def _on_record(self, record):
+        if record.key == _records.OWNER_KEY:
+            self._on_owner_record(record)
+            return
+        kind, name = _records.split_key(record.key)
+        if kind == "member" and name != self._member.name:
+            self._on_member_record(name, record.value)
 
     def _on_owner_record(self, record):
         claim = _records.decode_claim(record.value)
@@ -153,6 +174,7 @@
             self._log("claim is undecodable", offset=record.offset)
             return
         live = self._follower.loaded
+        earlier_address = self._election.owner_address()
         if self._election.on_claim(claim, _clock.now(), live):
             self._log(
                 "owner has changed",
@@ -160,7 +182,7 @@
                 owner=claim.holder,
                 offset=record.offset,
             )
-            self._on_owner_change()
+            self._on_owner_change(earlier_address)
 
     def _on_member_record(self, name, value):
         member = _records.decode_member(value) if value else None
--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -4,6 +4,7 @@
 and stops to the workers, and stores the progress of jobs.
 """
 
+import functools
 import logging
 import time
 
@@ -55,14 +56,24 @@
         Fetches tickets through the members of the cell.
     epoch : int
         Epoch of the claim that made this process the owner.
+    confirmation : citrondeal.cell._confirmation.OwnerConfirmation
     settings : citrondeal.platform.Settings
     metrics : citrondeal.telemetry.Metrics
     """
 
-    def __init__(self, store, ticket_dispatcher, epoch, settings, metrics):
+    def __init__(
+        self,
+        store,
+        ticket_dispatcher,
+        epoch,
+        confirmation,
+        settings,
+        metrics,
+    ):
         self._store = store
         self._ticket_dispatcher = ticket_dispatcher
         self._epoch = epoch
+        self._confirmation = confirmation
         self._lease_s = settings.max_lease_s
         self._status_s = settings.job_status_ttl_s
         self._metrics = metrics
@@ -110,6 +121,7 @@
             task_group.start_soon(self._follow_workers)
             task_group.start_soon(self._run_writer)
             task_group.start_soon(self._delete_ended_jobs)
+            task_group.start_soon(self._confirm)
             await self._plan()
             task_group.cancel_scope.cancel()
 
@@ -162,15 +174,19 @@
         now = _clock.now()
         unix = time.time()
         for record in records:
-            kind, name = _records.split_key(record.key)
-            if record.key == _records.BARRIER_KEY:
-                self._on_barrier(record)
-            elif kind == "cancel" and record.value:
-                self._scheduler.on_cancel(name, now)
-            elif kind == "job" and record.value:
-                self._on_submission(record, recovered, now, unix)
+            with telemetry.contain(_LOG, "job record", key=record.key):
+                self._on_job_record(record, recovered, now, unix)
         self._plan_needed.set()
 
+    def _on_job_record(self, record, recovered, now, unix):
+        kind, name = _records.split_key(record.key)
+        if record.key == _records.BARRIER_KEY:
+            self._on_barrier(record)
+        elif kind == "cancel" and record.value:
+            self._scheduler.on_cancel(name, now)
+        elif kind == "job" and record.value:
+            self._on_submission(record, recovered, now, unix)
+
     def _on_submission(self, record, recovered, now, unix):
         try:
             submission = workflow.decode_submission(record.value)
@@ -194,18 +210,22 @@
     def _on_workers(self, records):
         now = _clock.now()
         for record in records:
-            if not record.value:
-                self._scheduler.on_worker_unlisted(record.key, now)
-                continue
-            try:
-                info = platform.decode_worker(record.key, record.value)
-            except platform.RecordError as exc:
-                _warn("worker is skipped", worker=record.key, reason=str(exc))
-                continue
-            self._scheduler.on_worker(info, now)
+            with telemetry.contain(_LOG, "worker record", key=record.key):
+                self._on_worker_record(record, now)
         self._start_missing_leases()
         self._plan_needed.set()
 
+    def _on_worker_record(self, record, now):
+        if not record.value:
+            self._scheduler.on_worker_unlisted(record.key, now)
+            return
+        try:
+            info = platform.decode_worker(record.key, record.value)
+        except platform.RecordError as exc:
+            _warn("worker is skipped", worker=record.key, reason=str(exc))
+            return
+        self._scheduler.on_worker(info, now)
+
     async def _follow_workers(self):
         await self._workers.load()
         await self._workers.run()
@@ -214,18 +234,32 @@
         for worker_id, worker in self._scheduler.workers.items():
             if worker_id not in self._leases and self._task_group is not None:
                 lease = _leases.LeaseRenewer(
-                    worker, self._scheduler, self._lease_s, self._on_report
+                    worker,
+                    self._scheduler,
+                    self._lease_s,
+                    self._on_report,
+                    self._confirmation.holds,
                 )
                 self._leases[worker_id] = lease
                 self._task_group.start_soon(self._run_lease, lease)
 
     async def _run_lease(self, lease):
-        await lease.run(self._writer)
+        await telemetry.keep_running(
+            _LOG,
+            "lease renewals",
+            functools.partial(lease.run, self._writer),
+        )
         self._leases.pop(lease.worker_id, None)
 
     def _on_report(self):
         self._plan_needed.set()
 
+    async def _confirm(self):
+        await self._confirmation.run()
+        _warn("another member knows a newer owner", epoch=self._epoch)
+        self._scheduler.on_newer_owner()
+        self._plan_needed.set()
+
     def _on_stored(self, jobs, workers, ends):
         self._scheduler.on_stored(jobs, workers, ends)
         for worker_id in ends:
@@ -276,9 +310,11 @@
                 await self._plan_needed.wait()
             self._plan_needed = anyio.Event()
             started = time.perf_counter()
-            actions = self._scheduler.plan(_clock.now())
-            for action in actions:
-                self._task_group.start_soon(self._execute, action)
+            with telemetry.contain(_LOG, "planning", epoch=self._epoch):
+                now = _clock.now()
+                may_start = self._confirmation.holds(now)
+                for action in self._scheduler.plan(now, may_start):
+                    self._task_group.start_soon(self._execute, action)
             self._metrics.record(
                 "citrondeal.plan.time", time.perf_counter() - started
             )
@@ -286,19 +322,36 @@
         _warn("ownership is lost", epoch=self._epoch)
 
     async def _execute(self, action):
-        if isinstance(action, workflow.Start):
-            await self._start(action)
-        elif isinstance(action, workflow.Stop):
-            await self._stop(action)
-        else:
-            await self._fetch_tickets(action)
+        with telemetry.contain(_LOG, type(action).__name__):
+            if isinstance(action, workflow.Start):
+                await self._start(action)
+            elif isinstance(action, workflow.Stop):
+                await self._stop(action)
+            else:
+                await self._fetch_tickets(action)
         self._plan_needed.set()
 
     async def _start(self, action):
+        # Stands if the exchange fails unexpectedly.
+        outcome = workflow.OrderOutcome.UNKNOWN
+        with telemetry.contain(_LOG, "start", worker=action.worker):
+            outcome = await self._send_start(action)
+        self._metrics.count("citrondeal.starts", 1, outcome=outcome.value)
+        self._scheduler.on_started(
+            action.task, action.run, action.worker, outcome, _clock.now()
+        )
+
+    async def _send_start(self, action):
         lease = self._leases.get(action.worker)
         outcome = workflow.OrderOutcome.REFUSED
-        if lease is not None and lease.worker_clock_known:
-            until_s = lease.worker_clock_s(_clock.now()) + START_VALID_S
+        now = _clock.now()
+        # The process may have been suspended since the decision.
+        if (
+            lease is not None
+            and lease.worker_clock_known
+            and self._confirmation.holds(now)
+        ):
+            until_s = lease.worker_clock_s(now) + START_VALID_S
             outcome = await lease.client.start(action, self._epoch, until_s)
             if outcome is workflow.OrderOutcome.UNKNOWN:
                 # Sending the same run twice is safe: the worker starts it
@@ -306,10 +359,7 @@
                 outcome = outcome_after_repeat(
                     await lease.client.start(action, self._epoch, until_s)
                 )
-        self._metrics.count("citrondeal.starts", 1, outcome=outcome.value)
-        self._scheduler.on_started(
-            action.task, action.run, action.worker, outcome, _clock.now()
-        )
+        return outcome
 
     async def _stop(self, action):
         lease = self._leases.get(action.worker)
@@ -323,16 +373,19 @@
 
     async def _fetch_tickets(self, action):
         asked_at = _clock.now()
-        outcome = await self._ticket_dispatcher.fetch(
-            platform.step_name(action.step), action
-        )
+        grant = None
+        with telemetry.contain(_LOG, "ticket call"):
+            outcome = await self._ticket_dispatcher.fetch(
+                platform.step_name(action.step), action
+            )
+            grant = outcome.ok()
         now = _clock.now()
         granted, valid_until = None, now
-        if outcome.is_ok():
-            granted = outcome.ok_value.tickets
+        if grant is not None:
+            granted = grant.tickets
             # The validity counts from when the tickets were made, which was
             # before they arrived here.
-            valid_until += outcome.ok_value.valid_s - TICKET_RELAY_S
+            valid_until += grant.valid_s - TICKET_RELAY_S
         self._metrics.record("citrondeal.tickets.time", now - asked_at)
         self._scheduler.on_tickets(
             action.step, action.workers, granted, valid_until, now
--- a/src/citrondeal/cell/main.py
+++ b/src/citrondeal/cell/main.py
@@ -9,6 +9,7 @@
 
 from citrondeal.cell import _clock
 from citrondeal.cell import _configuration
+from citrondeal.cell import _confirmation
 from citrondeal.cell import _desk
 from citrondeal.cell import _job_topics
 from citrondeal.cell import _members
@@ -32,6 +33,7 @@
 DRAIN_TIMEOUT_S = 2.0
 LEAVE_TIMEOUT_S = 1.0
 RELAY_TIMEOUT_S = 1.0
+ANNOUNCE_TIMEOUT_S = 1.0
 MAX_RELAYS = 2  # members asked in turn to append for this one
 METRICS_PORT = 9464
 
@@ -56,10 +58,14 @@
         self._lifecycle.set_ready_check(self._is_ready)
         self._lifecycle.set_reload_handler(self._reload)
         self._metrics = telemetry.Metrics("citrondeal-cell")
+        self._metrics.gauge(
+            "citrondeal.unexpected_errors", telemetry.unexpected_errors
+        )
         self._store = platform.StoreClient(settings.store_address)
         self._links = peers.ConnectionPool(self._identity(), task_group)
         self._owner = None
         self._owner_scope = None
+        self._confirmation = None
         self._appender = _job_topics.JobAppender(
             self._append,
             self._relay,
@@ -118,6 +124,7 @@
             "epoch": self._election.epoch,
             "owner": owner.dump() if owner else None,
             "store_calls": self._store.calls,
+            "unexpected_errors": telemetry.unexpected_errors(),
         }
 
     async def start(self):
@@ -127,8 +134,13 @@
         await self._task_group.start(
             peers.serve, host, port, self._identity(), self._answer
         )
-        self._task_group.start_soon(self._appender.run)
-        self._task_group.start_soon(self._join)
+        self._run_in_background("appends", self._appender.run)
+        self._run_in_background("membership", self._join)
+
+    def _run_in_background(self, activity, function):
+        self._task_group.start_soon(
+            telemetry.keep_running, _LOG, activity, function
+        )
 
     def _reload(self):
         """Read the settings again; addresses change only at a restart."""
@@ -154,29 +166,65 @@
 
     async def _join(self):
         await self._members.load()
-        self._task_group.start_soon(self._config.run)
-        await self._members.run()
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(
+                telemetry.keep_running,
+                _LOG,
+                "configuration",
+                self._config.run,
+            )
+            await self._members.run()
 
-    def _on_owner_change(self):
+    def _on_owner_change(self, earlier_address):
         if self._owner_scope is not None:
             self._owner_scope.cancel()
-        if self._election.is_owner:
-            self._task_group.start_soon(self._run_owner, self._election.epoch)
+        if not self._election.is_owner:
+            return
+        epoch = self._election.epoch
+        self._task_group.start_soon(self._run_owner, epoch)
+        if earlier_address not in (None, self._member.address):
+            self._task_group.start_soon(
+                self._announce_claim, earlier_address, epoch
+            )
+
+    async def _announce_claim(self, address, epoch):
+        """Tell the earlier owner, which may not hear from the store."""
+        try:
+            await self._links.call(
+                address, ttypes.Probe(epoch=epoch), ANNOUNCE_TIMEOUT_S
+            )
+        except peers.PeerError as exc:
+            _event(
+                "claim is not announced to the earlier owner",
+                epoch=epoch,
+                reason=str(exc),
+            )
 
     async def _run_owner(self, epoch):
+        self._confirmation = _confirmation.OwnerConfirmation(
+            epoch, self._members, self._links, self._settings.zone
+        )
         owner = _owner.Owner(
             self._store,
             self._ticket_dispatcher,
             epoch,
+            self._confirmation,
             self._settings,
             self._metrics,
         )
+        failed = True
         with anyio.CancelScope() as scope:
             self._owner, self._owner_scope = owner, scope
-            await owner.run()
+            with telemetry.contain(_LOG, "ownership", epoch=epoch):
+                await owner.run()
+                failed = False
+        failed = failed and not scope.cancelled_caught
         if self._owner is owner:
             self._owner, self._owner_scope = None, None
-        _event("ownership has ended", epoch=epoch)
+        _event("ownership has ended", epoch=epoch, failed=failed)
+        if failed:
+            # Another member recovers from what is stored.
+            await self._members.give_up_ownership(epoch)
 
     # Appends
 
@@ -217,7 +265,7 @@
 
     async def _answer(self, peer, value):
         if isinstance(value, ttypes.Probe):
-            return self._answer_probe()
+            return self._answer_probe(value)
         if isinstance(value, ttypes.TicketQuery):
             return await self._ticket_dispatcher.answer(value)
         if isinstance(value, (ttypes.JobStateQuery, ttypes.BacklogQuery)):
@@ -231,9 +279,11 @@
             message=f"unexpected message {type(value).__name__}",
         )
 
-    def _answer_probe(self):
+    def _answer_probe(self, probe):
         now = _clock.now()
         state = self._election
+        if self._confirmation is not None:
+            self._confirmation.on_announcement(probe.epoch)
         return ttypes.ProbeReply(
             epoch=state.epoch,
             owner=state.is_owner,
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -87,6 +87,11 @@
   Scenario: cell the return of the store is noticed soon
     Then a cell follower uses no long poll until the store has answered again
 
+  # Guards against a worker or a member that has left, and is in use again
+  # because the record of its departure was deleted before it was read.
+  Scenario: cell departures are noticed although their records were deleted
+    Then a cell follower passes on the deletion of a key that is stored no longer
+
   # Guards against a large configuration that all members of a region read
   # from the store at once, so that it fills the link between the regions.
   Scenario: cell one member of a zone reads the configuration for all
--- a/src/citrondeal/cell/tests/steps_follower.py
+++ b/src/citrondeal/cell/tests/steps_follower.py
@@ -42,3 +42,38 @@
     store = _Store()
     anyio.run(_read, store, 4)
     assert store.waits[:4] == [WAIT_S, 0.0, 0.0, WAIT_S], store.waits
+
+
+class _CompactedStore:
+    """Holds two keys; one is deleted, and the record of it with it."""
+
+    def __init__(self):
+        self.keys = ["a", "b"]
+
+    async def read_newest(self, topic):
+        records = [platform.Record(key, b"x", 0) for key in self.keys]
+        return result.Ok((9, records))
+
+    async def read(self, topic, start, wait_s):
+        self.keys = ["b"]
+        return result.Err(errors.Failure(errors.Kind.CONFLICT, "deleted"))
+
+
+@then(
+    "a cell follower passes on the deletion of a key that is stored no longer"
+)
+def _(context):
+    seen = {}
+
+    def on_records(records):
+        seen.update({record.key: record.value for record in records})
+
+    async def run():
+        follower = _follower.Follower(
+            _CompactedStore(), "topic", on_records, WAIT_S
+        )
+        await follower.load()
+        await follower.read_once()
+
+    anyio.run(run)
+    assert seen == {"a": b"", "b": b"x"}, seen
--- a/src/citrondeal/cell/tests/steps_leases.py
+++ b/src/citrondeal/cell/tests/steps_leases.py
@@ -28,7 +28,9 @@
     scheduler.on_worker(info, 0.0)
     worker = scheduler.workers["w"]
     scheduler.on_report("w", workflow.Report(0.0, 0, [], []), 0.0, 0.0)
-    lease = _leases.LeaseRenewer(worker, scheduler, LEASE_S, lambda: None)
+    lease = _leases.LeaseRenewer(
+        worker, scheduler, LEASE_S, lambda: None, lambda now: True
+    )
     lease._worker_clock_offset_s = 0.0
 
     async def renew():
--- a/src/citrondeal/cell/tests/steps_members.py
+++ b/src/citrondeal/cell/tests/steps_members.py
@@ -51,7 +51,7 @@
     member = _records.Member("a", "a:1", "zone", 1.0)
     state = election.Election("a", "a")
     context.member = _members.Membership(
-        store, None, member, state, "a", lambda: None
+        store, None, member, state, "a", lambda _: None
     )
     anyio.run(context.member.load)
     assert state.is_owner
--- a/src/citrondeal/workflow/_answers.py
+++ b/src/citrondeal/workflow/_answers.py
@@ -28,6 +28,7 @@
         step = run.task.step
         if outcome is _model.OrderOutcome.OK:
             run.confirmed_at = now
+            self._state.mark_running(step.job)
             if run.state is _jobs.RunState.STARTING:
                 run.state = _jobs.RunState.RUNNING
             return
@@ -67,7 +68,9 @@
         run = worker.runs.get(task_id)
         if run is None or run.number != number:
             return
-        if outcome is _model.OrderOutcome.OK:
+        # Stops that are repeated must not move the time of the confirmation:
+        # the next report has to be requested after it.
+        if outcome is _model.OrderOutcome.OK and run.confirmed_at is None:
             run.confirmed_at = now
 
     def on_tickets(self, step_id, asked, granted, valid_until, now):
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -29,9 +29,15 @@
         self._reserving_gang = None
         self._usable_workers = {}  # by service, then by worker id
 
-    def plan(self, now):
+    def plan(self, now, may_start=True):
         """Return the orders that are due.
 
+        Parameters
+        ----------
+        now : float
+        may_start : bool
+            Whether this owner is sure that it has not been replaced.
+
         Returns
         -------
         list of Start, Stop and FetchTickets
@@ -40,6 +46,8 @@
             return []
         self._expire_leases(now)
         actions = self._due_stops(now)
+        if not may_start:
+            return actions
         self._reserving_gang = None
         self._usable_workers = {}
         for worker in self._state.workers.values():
@@ -231,7 +239,6 @@
         task.run = run
         worker.add(run)
         step = task.step
-        self._state.mark_running(step.job)
         _events.log(
             logging.INFO,
             "start is decided",
--- a/src/citrondeal/workflow/_reports.py
+++ b/src/citrondeal/workflow/_reports.py
@@ -101,6 +101,7 @@
         )
         if task is None or task.step.job.ended:
             return
+        self._state.mark_running(task.step.job)
         if end.checkpoint and not task.done:
             self._record_checkpoint(task, end.checkpoint)
         if end.outcome is _model.RunOutcome.DONE:
@@ -166,6 +167,7 @@
             if run.state is _jobs.RunState.STARTING:
                 run.state = _jobs.RunState.RUNNING
                 run.confirmed_at = now
+                self._state.mark_running(run.task.step.job)
             if reported.percent > run.percent:
                 run.percent = reported.percent
                 run.progress_at = now
--- a/src/citrondeal/workflow/_state.py
+++ b/src/citrondeal/workflow/_state.py
@@ -12,8 +12,9 @@
 # Each epoch numbers its runs within a range of this size, so that numbers
 # increase across changes of the owner without a stored counter.
 RUNS_PER_EPOCH = 100_000
-# An earlier owner may renew leases until it learns of the new one.
-RECOVERY_MARGIN_S = 1.5
+# An earlier owner that is cut off may renew leases for as long as the last
+# confirmation of its epoch counts.
+RECOVERY_MARGIN_S = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/citrondeal/workflow/tests/workflow.feature
+++ b/src/citrondeal/workflow/tests/workflow.feature
@@ -34,6 +34,26 @@
     When a workflow gang of 2 tasks with 2 cores waits for 5 seconds
     Then the workflow gang starts once both running tasks have ended
 
+  # Guards against runs that stay in the state "stopping" because each
+  # repetition of the stop counts as newer than the report that lacks the run.
+  Scenario: workflow a stopped run is gone although its stop is repeated
+    Given a workflow worker whose start got no answer
+    When workflow stops are repeated while each report takes a second
+    Then the workflow resources of the run are free within 3 seconds
+
+  # Guards against a count of waiting jobs that leaves out those whose starts
+  # were decided but did not happen.
+  Scenario: workflow a job waits until one of its tasks has started
+    Then workflow a job whose start was refused still counts as waiting
+    And workflow a job whose start was confirmed does not count as waiting
+    And workflow a job whose start got no answer waits until it is reported
+
+  # Guards against a task in two places: an owner that is cut off from the
+  # store and from the next owner renews leases on a worker that only it
+  # reaches, while the next owner takes them as lapsed.
+  Scenario: workflow a cut off owner stops renewing before its leases are taken as lapsed
+    Then workflow tasks of a worker that only the earlier owner reaches start elsewhere after its last lease
+
   # Guards against jobs whose result is of no more use that start before
   # others.
   Scenario: workflow jobs that are far too late come last
