Refuse malformed messages as a whole, and end the errors they raised

- rows of a runner's report that are empty or hold other types, numbers of more than 308 digits, bytes that are no UTF-8 in answers of the runners, the ticket service and the store, batches that are cut off, deadlines with digits of other scripts: refused with the message.
A report with a malformed row is refused as a whole, since a run that is not listed counts as ended.
- stored submissions whose steps cannot be scheduled ended every owner that read them; they are refused when they are decoded.
Clients can no longer submit negative amounts, or ones too large to be stored.
- Pool.place with held accelerators: the count of fitting tasks ignored an amount that the search of a worker required; both use model.fits now, which ignores accelerators that a task does not need.
- replace_job_table with a running task of a job in no table.
- the gateway: an attempt that failed unexpectedly kept its slot occupied.

Not mended: LeaseDriver keeps its table when its log is replaced by an empty one; the settings tree does so on purpose, and whether leases should is open.

--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -44,6 +44,15 @@
     Then the cell completes all jobs within 25 seconds
     And the cell ran no task twice, after its end or beyond its worker's capacity
 
+  # Guards against one malformed record or message that ends a process.
+  Scenario: cell malformed records and messages end no process
+    Given a cell of 3 members
+    When malformed records are appended to all topics of the cell
+    And malformed messages are sent to all cell members
+    And cell clients submit 6 jobs at all members
+    Then the cell completes all jobs within 15 seconds
+    And all cell members still run
+
   # Guards against a process that starts with incomplete settings.
   Scenario: cell settings are checked
     Then the cell program exits with status 2 and names the missing setting
--- a/src/citrondeal/cell/tests/processes.py
+++ b/src/citrondeal/cell/tests/processes.py
@@ -176,6 +176,14 @@
         """Return the counters of the stand-in."""
         return self.request("GET", f"{self.control}/counts")[1]
 
+    def append(self, topic, key, value):
+        """Append a record to a topic of the store, as another writer."""
+        content = bytes([len(key)]) + key.encode() + value
+        body = len(content).to_bytes(4, "big") + content
+        url = f"http://127.0.0.1:{self.store}/v1/log-append?part=0&topic="
+        response = httpcore.request("POST", url + topic, content=body)
+        assert response.status == 200, response.status
+
     def set_faults(self, **switches):
         """Set fault switches of the stand-in."""
         self.request("POST", f"{self.control}/faults", switches)
--- a/src/citrondeal/gateway/_attempts.py
+++ b/src/citrondeal/gateway/_attempts.py
@@ -1,5 +1,7 @@
 """Dispatch of queued requests to the endpoints that this gateway holds."""
 
+import logging
+
 import anyio
 
 from citrondeal import callers
@@ -8,6 +10,9 @@
 from citrondeal import errors
 from citrondeal.gateway import _components
 from citrondeal import routing
+from citrondeal import telemetry
+
+_LOG = logging.getLogger(__name__)
 
 
 class Dispatcher:
@@ -69,7 +74,12 @@
 
     async def _attempt(self, request, endpoint, key):
         """Run one attempt at an endpoint whose slot has been taken."""
-        if not await self._prepare_dispatch(request, endpoint):
+        try:
+            may_send = await self._prepare_dispatch(request, endpoint)
+        except Exception:
+            self._release_slot(request, endpoint, key)
+            raise  # ends the request
+        if not may_send:
             self._release_slot(request, endpoint, key)
             return
         started = anyio.current_time()
@@ -92,7 +102,17 @@
                 not_after, started
             ),
         }
-        outcome = await self._components.client.attempt(
+        # Stands if the client fails unexpectedly: the endpoint may be at work,
+        # so that slot and request end like those of a lost connection.
+        outcome = endpoints.Outcome(
+            endpoints.Delivery.UNKNOWN, reason="internal error"
+        )
+        with telemetry.contain(_LOG, "attempt", request_id=request.request_id):
+            outcome = await self._call_endpoint(request, endpoint, vm, headers)
+        self._attempt_ended(request, endpoint, key, outcome)
+
+    async def _call_endpoint(self, request, endpoint, vm, headers):
+        return await self._components.client.attempt(
             vm.http,
             request.path,
             headers,
@@ -104,7 +124,6 @@
                 is not None
             ),
         )
-        self._attempt_ended(request, endpoint, key, outcome)
 
     async def _prepare_dispatch(self, request, endpoint):
         """Return whether the request may be sent to the endpoint now.
--- a/src/citrondeal/jobs/_job_table.py
+++ b/src/citrondeal/jobs/_job_table.py
@@ -10,6 +10,7 @@
 import types
 
 from citrondeal import errors
+from citrondeal import numbers
 from citrondeal import placement
 
 KINDS = ("service", "batch", "gang")
@@ -167,12 +168,7 @@
 
 
 def _is_number(value, low, high):
-    return (
-        isinstance(value, int | float)
-        and not isinstance(value, bool)
-        and math.isfinite(value)
-        and low <= value <= high
-    )
+    return numbers.is_finite(value) and low <= value <= high
 
 
 def _is_whole_number(value, low, high):
--- a/src/citrondeal/jobs/_owner.py
+++ b/src/citrondeal/jobs/_owner.py
@@ -9,6 +9,7 @@
 
 from citrondeal.jobs import _assignments
 from citrondeal.jobs import _job_table
+from citrondeal import numbers
 from citrondeal import placement
 
 
@@ -250,6 +251,8 @@
         self._job_table = job_table
         self._log_end_read_at = None
         for assignment in self._assigned.values():
+            if assignment.job is None:
+                continue
             # A job that is not in the new table counts as ended.
             known = job_table.get(assignment.job.id)
             if known is not None:
@@ -1166,7 +1169,7 @@
     try:
         if not isinstance(reply["boot_id"], str) or not reply["boot_id"]:
             return None
-        if not math.isfinite(reply["clock_s"]):
+        if not numbers.is_finite(reply["clock_s"]):
             return None
         tasks = {}
         for task in reply["tasks"]:
@@ -1175,7 +1178,7 @@
             if task["state"] not in (*_assignments.ENDED_STATES, "running"):
                 return None
             if not all(
-                math.isfinite(task[name]) and task[name] >= 0
+                numbers.is_finite(task[name]) and task[name] >= 0
                 for name in ("cores", "memory_mb", "accelerators")
             ):
                 return None
--- a/src/citrondeal/jobs/tests/steps.py
+++ b/src/citrondeal/jobs/tests/steps.py
@@ -12,8 +12,10 @@
 from citrondeal.jobs.tests import mutations
 from citrondeal.jobs.tests import random_records
 
+HUGE = 10**400  # more digits than a float holds
 MALFORMED = [
     None,
+    {"kind": "submit", "job": {"id": "a", "path": "/b", "run_time_s": HUGE}},
     {"kind": "submit"},
     {"kind": "submit", "job": {"id": "a", "cores": "many"}},
     {"kind": "cancel"},
@@ -366,3 +368,33 @@
 @then("jobs restored tables agree in {count:d} examples of seed {seed:d}")
 def restored_tables_agree(context, count, seed):
     random_records.run(seed, count)
+
+
+@then("jobs a job table without the job of a running task is taken over")
+def replace_table(context):
+    [scheduler] = context.schedulers
+    owner = scheduler.owner
+    [worker] = context.workers
+    orphan = {
+        "task": "unknown/0/x",
+        "job": "unknown",
+        "cores": 1,
+        "memory_mb": 10,
+        "accelerators": 0,
+        "state": "running",
+    }
+    reply = worker.sync({"boot_id": ""}, context.now)
+    reply["tasks"] = [orphan]
+    assert owner.sync_request(worker.name, context.now, context.now + 3.0)
+    owner.on_reply(worker.name, reply, context.now, context.now)
+    assert ("unknown", 0) in owner._assigned
+    owner.replace_job_table(jobs.JobTable(), context.now)
+
+
+@then("jobs a reply with a number of too many digits is refused")
+def huge_reply(context):
+    [worker] = context.workers
+    owner = context.schedulers[0].owner
+    owner.sync_request(worker.name, context.now, context.now + 3.0)
+    reply = worker.sync({"boot_id": ""}, context.now) | {"clock_s": HUGE}
+    owner.on_reply(worker.name, reply, context.now, context.now)
--- a/src/citrondeal/ownership/_records.py
+++ b/src/citrondeal/ownership/_records.py
@@ -1,7 +1,8 @@
 """Validation of heartbeat records."""
 
 import dataclasses
-import math
+
+from citrondeal import numbers
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,4 +87,4 @@
 
 
 def _is_duration(value):
-    return type(value) in (int, float) and math.isfinite(value) and value >= 0
+    return numbers.is_finite(value) and value >= 0
--- a/src/citrondeal/placement/_index.py
+++ b/src/citrondeal/placement/_index.py
@@ -202,7 +202,6 @@
     of the limiting resource first.  With the score "best", cores that remain
     without memory, or the reverse, count as worse than an even remainder.
     """
-    cores, memory_mb, accelerators = size
     for group in groups_for(index, size):
         best = None
         best_score = None
@@ -210,17 +209,9 @@
         entries, first = _smaller_range(group, size)
         for position in range(first, len(entries)):
             worker = entries[position][2]
-            available = worker.available
-            if (
-                available[0] < cores
-                or available[1] < memory_mb
-                or available[2] < accelerators
-            ):
+            available = available_to(worker, size, config)
+            if not _model.fits(size, available):
                 continue
-            if available[2] and not accelerators:
-                available = available_to(worker, size, config)
-                if available[0] < cores or available[1] < memory_mb:
-                    continue
             if avoid and worker.name in avoid:
                 continue
             score = _score(worker, available, size, config)
@@ -298,17 +289,10 @@
     for entry in entries:
         worker = entry[2]
         available = worker.available
-        if (
-            available[0] < size[0]
-            or available[1] < size[1]
-            or available[2] < size[2]
-        ):
+        if not _model.fits(size, available_to(worker, size, config)):
             continue
         if avoid and worker.name in avoid:
             continue
-        if available[2] and not size[2]:
-            if not _model.fits(size, available_to(worker, size, config)):
-                continue
         score = (
             rack_counts.get(worker.rack, 0),
             worker.service_task_counts.get(job, 0),
--- a/src/citrondeal/placement/tests/placement.feature
+++ b/src/citrondeal/placement/tests/placement.feature
@@ -152,6 +152,11 @@
     When placement everything urgent is withdrawn
     Then placement 100 tasks run in all
 
+  Scenario: placement starts a gang beside accelerators held for another job
+    # Guards against an error when held accelerators are still in use, so that
+    # their available number is negative.
+    Then placement a gang without accelerators starts beside held ones
+
   Scenario: placement quarantines a worker that fails unrelated jobs
     # Guards against a worker that gets ever more tasks because they fail
     # fast and free it again, and against one that is never probed again.
--- a/src/citrondeal/placement/tests/steps.py
+++ b/src/citrondeal/placement/tests/steps.py
@@ -400,3 +400,25 @@
 @then("placement no worker is quarantined")
 def none_quarantined(context):
     assert context.pool.dump()["quarantined"] == []
+
+
+@then("placement a gang without accelerators starts beside held ones")
+def _(context):
+    pool = placement.Pool()
+    capacity = placement.capacity_of(8, 80_000, 1)
+    pool.set_worker("w", capacity, "r", True, 0.0)
+    with_accelerator = placement.size_of(1, 100, 1)
+    for now, job in enumerate(("a", "b")):
+        spec = placement.JobSpec(job, size=with_accelerator)
+        pool.offer(spec, [0], float(now))
+        pool.place(float(now))
+    reserved = pool.place(12.0)
+    assert any(isinstance(a, placement.Reserve) for a in reserved), reserved
+    size = placement.size_of(1, 100, 0)
+    pool.offer(placement.JobSpec("gang", kind="gang", size=size), [0, 1], 12.0)
+    starts = [
+        action.job
+        for action in pool.place(12.1)
+        if isinstance(action, placement.Start)
+    ]
+    assert starts == ["gang", "gang"], starts
--- a/src/citrondeal/platform/_ingress.py
+++ b/src/citrondeal/platform/_ingress.py
@@ -3,6 +3,7 @@
 import logging
 import re
 import time
+from typing import Annotated
 
 import msgspec
 
@@ -18,6 +19,10 @@
 RETRY_AFTER_S = 1.0
 MAX_SPEC_BYTES = 4000
 MAX_TASKS_PER_STEP = 10_000
+# Largest size of a task in each resource, and longest estimate in
+# milliseconds; larger numbers could not be stored.
+MAX_AMOUNT = 2**31
+MAX_DEADLINE_DIGITS = 9
 
 _LOG = logging.getLogger(__name__)
 
@@ -27,19 +32,22 @@
 _UNSUPPORTED_STEP_FIELDS = ("long-running", "fills")
 
 
+_Amount = Annotated[int, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+
+
 class _Step(msgspec.Struct, rename="kebab"):
     count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: float = 0.0
+    cpu: _Amount = 0
+    mem_mb: _Amount = 0
+    gpu: _Amount = 0
+    estimate_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)] = 0.0
     after: list[int] = []
     saves_progress: bool = False
     gang: bool = False
     same_rack: bool = False
     required_label: str = ""
     data_rack: str = ""
-    max_per_server: int = 0
+    max_per_server: _Amount = 0
     speculative: bool = False
     long_running: bool = False
     fills: bool = False
@@ -193,7 +201,10 @@
 
 def _parse_deadline_s(request):
     text = request.headers.get("x-deadline-ms", "")
-    seconds = int(text) / 1000.0 if text.isdigit() else DEFAULT_DEADLINE_S
+    seconds = DEFAULT_DEADLINE_S
+    # Digits of other scripts and very long numbers are no valid deadlines.
+    if re.fullmatch("[0-9]{1,%d}" % MAX_DEADLINE_DIGITS, text):
+        seconds = int(text) / 1000.0
     return max(ANSWER_MARGIN_S, seconds - ANSWER_MARGIN_S)
 
 
--- a/src/citrondeal/platform/_runners.py
+++ b/src/citrondeal/platform/_runners.py
@@ -6,6 +6,7 @@
 import result
 
 from citrondeal import errors
+from citrondeal import numbers
 from citrondeal.platform import _names
 from citrondeal import web
 from citrondeal import workflow
@@ -36,6 +37,10 @@
     born: int = 0
 
 
+# Values of a row of running and of ended tasks; more may follow.
+_RUNNING_TYPES = (str, int, str, int | float)
+_END_TYPES = (int, str, int, str, str)
+
 _ORDER_REPLY_DECODER = msgspec.json.Decoder(_OrderReply)
 _RENEWAL_REPLY_DECODER = msgspec.json.Decoder(_RenewalReply)
 
@@ -154,7 +159,7 @@
             return result.Ok(
                 _build_report(_RENEWAL_REPLY_DECODER.decode(reply.body))
             )
-        except (msgspec.DecodeError, ValueError, TypeError) as exc:
+        except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
             return _failure(
                 errors.Kind.UNKNOWN_OUTCOME,
                 f"report of the runner cannot be decoded: {exc}",
@@ -187,7 +192,7 @@
     if reply.status == 409:
         try:
             reason = _ORDER_REPLY_DECODER.decode(reply.body).reason
-        except msgspec.DecodeError:
+        except (msgspec.DecodeError, UnicodeDecodeError):
             return workflow.OrderOutcome.UNKNOWN
         return _OUTCOME_BY_REASON.get(reason, workflow.OrderOutcome.REFUSED)
     if reply.status in (400, 429, 503):
@@ -196,23 +201,55 @@
 
 
 def _build_report(reply):
-    running = [
-        workflow.ReportedRun(
-            _names.parse_task_name(row[0]), int(row[1]), row[2], float(row[3])
-        )
-        for row in reply.running
-    ]
-    ended = [
-        workflow.RunEnd(
-            int(row[0]),
-            _names.parse_task_name(row[1]),
-            int(row[2]),
-            workflow.RunOutcome(row[3]),
-            row[4],
-        )
-        for row in reply.ended
-    ]
-    return workflow.Report(reply.clock_ms / 1000.0, reply.born, running, ended)
+    """Return the `workflow.Report` of a decoded answer.
+
+    A malformed row spoils the whole report, because a run that a report does
+    not list counts as ended.
+
+    Raises
+    ------
+    ValueError
+        If a row is malformed.
+    """
+    return workflow.Report(
+        reply.clock_ms / 1000.0,
+        reply.born,
+        [_build_running(row) for row in reply.running],
+        [_build_end(row) for row in reply.ended],
+    )
+
+
+def _build_running(row):
+    _check_row(row, _RUNNING_TYPES)
+    task, number, checkpoint, percent = row[: len(_RUNNING_TYPES)]
+    return workflow.ReportedRun(
+        _names.parse_task_name(task), number, checkpoint, float(percent)
+    )
+
+
+def _build_end(row):
+    _check_row(row, _END_TYPES)
+    number, task, run, outcome, checkpoint = row[: len(_END_TYPES)]
+    return workflow.RunEnd(
+        number,
+        _names.parse_task_name(task),
+        run,
+        workflow.RunOutcome(outcome),
+        checkpoint,
+    )
+
+
+def _check_row(row, types):
+    """Raise ValueError unless a row begins with values of these types."""
+    if len(row) < len(types):
+        raise ValueError(f"row of {len(row)} values, expected {len(types)}")
+    for value, expected in zip(row, types):
+        if expected is str:
+            valid = isinstance(value, str)
+        else:
+            valid = numbers.is_finite(value) and isinstance(value, expected)
+        if not valid:
+            raise ValueError(f"{value!r:.80} is no {expected}")
 
 
 def _failure(kind, message):
--- a/src/citrondeal/platform/_store.py
+++ b/src/citrondeal/platform/_store.py
@@ -203,7 +203,7 @@
             return _unavailable(f"store answered {reply.status}")
         try:
             return result.Ok(_decode_batch(reply.body, start))
-        except (struct.error, IndexError, UnicodeDecodeError) as exc:
+        except (struct.error, ValueError) as exc:
             return _unavailable(f"records of {topic} cannot be decoded: {exc}")
 
     async def read_newest_page(self, topic, after=""):
@@ -277,6 +277,8 @@
         (length,) = _LENGTH_PREFIX.unpack_from(body, position)
         position += _LENGTH_PREFIX.size
         content = body[position : position + length]
+        if len(content) < length:
+            raise ValueError(f"record at offset {offset} is cut off")
         position += length
         split = 1 + content[0] if content else 0
         key = content[1:split].decode("utf-8", "replace")
--- a/src/citrondeal/platform/_tickets.py
+++ b/src/citrondeal/platform/_tickets.py
@@ -68,7 +68,7 @@
             return _failure(f"ticket service answered {reply.status}")
         try:
             advice = _ADVICE_DECODER.decode(reply.body)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
             return _failure(
                 f"answer of the ticket service cannot be decoded: {exc}"
             )
--- a/src/citrondeal/platform/tests/platform.feature
+++ b/src/citrondeal/platform/tests/platform.feature
@@ -26,3 +26,14 @@
     And platform a request without a configuration gets 503
     And platform unsupported jobs are refused with a time to retry
     And platform a job is submitted with its fields decoded
+
+  # Guards against one malformed message that ends the process, or that is
+  # taken for the end of a task.
+  Scenario: platform malformed answers are refused as a whole
+    Then platform reports of runners with a malformed row are refused
+    And platform no answer of a runner raises an error
+    And platform no answer of the ticket service raises an error
+    And platform no answer of the store raises an error
+    And platform a batch that is cut off is refused
+    And platform malformed deadlines count as missing
+    And platform stored submissions that cannot be scheduled are refused
--- a/src/citrondeal/workers/_client.py
+++ b/src/citrondeal/workers/_client.py
@@ -5,13 +5,13 @@
 
 import collections
 import json
-import math
 
 import anyio
 import httpcore
 import result
 
 from citrondeal import errors
+from citrondeal import numbers
 from citrondeal import telemetry
 
 CONNECT_TIMEOUT_S = 1.0
@@ -163,7 +163,7 @@
             f"boot_id is of type {type(reply['boot_id']).__name__},"
             " expected a string"
         )
-    if not math.isfinite(reply["clock_s"]):
+    if not numbers.is_finite(reply["clock_s"]):
         raise ValueError(
             f"clock_s is {reply['clock_s']}, expected a finite number"
         )
@@ -179,7 +179,7 @@
                 " expected a string"
             )
         for name in ("cores", "memory_mb", "accelerators"):
-            if not (math.isfinite(task[name]) and task[name] >= 0):
+            if not (numbers.is_finite(task[name]) and task[name] >= 0):
                 raise ValueError(
                     f"{name} of task {task['task']:.80} is {task[name]},"
                     " expected a finite number of at least 0"
--- a/src/citrondeal/workflow/_records.py
+++ b/src/citrondeal/workflow/_records.py
@@ -1,5 +1,7 @@
 """Encoding and decoding of stored submissions, progress and workers."""
 
+import dataclasses
+
 import msgspec
 
 from citrondeal.workflow import _model
@@ -27,7 +29,14 @@
     RecordError
         If `data` holds no such record.
     """
-    return _decode(_SUBMISSIONS, data)
+    submission = _decode(_SUBMISSIONS, data)
+    for index, step in enumerate(submission.steps):
+        if step.tasks < 1 or any(not 0 <= i < index for i in step.after):
+            raise RecordError(f"step {index} of a submission is invalid")
+        size = dataclasses.astuple(step.size)
+        if min(*size, step.spread, step.estimate_s) < 0:
+            raise RecordError(f"step {index} of a submission is negative")
+    return submission
 
 
 def decode_progress(data):
--- a/src/citrondeal/workflow/tests/steps.py
+++ b/src/citrondeal/workflow/tests/steps.py
@@ -69,6 +69,13 @@
         return
 
 
+class _StartsPartsOfGangs(_planner.Planner):
+    def _start_or_renew_tickets(self, step, chosen, actions, now):
+        if step.spec.gang and len(chosen) > 1:
+            chosen = chosen[:-1]
+        super()._start_or_renew_tickets(step, chosen, actions, now)
+
+
 class _IgnoresSpread(_intake.Intake):
     def on_submission(self, submission, offset, now, recovered=False):
         steps = tuple(
@@ -86,6 +93,7 @@
     "dependencies are ignored": ("planner", _IgnoresDependencies),
     "failures are not counted": ("reports", _CountsNoFailures),
     "leases never lapse": ("planner", _NeverLapses),
+    "gangs start in part": ("planner", _StartsPartsOfGangs),
     "spread is ignored": ("intake", _IgnoresSpread),
 }
 
--- a/src/citrondeal/workflow/tests/workflow.feature
+++ b/src/citrondeal/workflow/tests/workflow.feature
@@ -19,6 +19,7 @@
       | failures are not counted              |
       | leases never lapse                    |
       | spread is ignored                     |
+      | gangs start in part                   |
 
   # Guards against small tasks that take each freed core, so that a larger
   # urgent task never fits.
