--- a/src/citrondeal/cell/_job_topics.py
+++ b/src/citrondeal/cell/_job_topics.py
@@ -14,6 +14,11 @@
 from citrondeal.cell import _records
 
 
+# Topics read at the same time at the start. On a slow link more of them would
+# leave each so small a share that its calls run into their timeouts.
+MAX_PARALLEL_LOADS = 3
+
+
 class JobAppender:
     """Appends submissions and cancellations, in groups for each topic.
 
@@ -75,9 +80,15 @@
 
     async def load(self):
         """Read the newest records of all topics, until it succeeds."""
+        limiter = anyio.Semaphore(MAX_PARALLEL_LOADS)
+
+        async def load(follower):
+            async with limiter:
+                await follower.load()
+
         async with anyio.create_task_group() as task_group:
             for follower in self._followers:
-                task_group.start_soon(follower.load)
+                task_group.start_soon(load, follower)
 
     async def run(self):
         """Read until cancelled; `load` has to be called first."""
--- a/src/citrondeal/election/_election.py
+++ b/src/citrondeal/election/_election.py
@@ -10,6 +10,11 @@
 # An owner is suspected when it has not answered a probe, or has not heard from
 # the store, for this long.
 SUSPECT_S = 0.9
+# Owners that follow each other within this time may be too busy with the
+# recovery of the state to answer. From the second such change on, the time
+# until a suspicion doubles with each.
+QUICK_CHANGE_S = 8.0
+MAX_PATIENCE_FACTOR = 4
 # Another process (a witness) that heard from the owner within this time
 # defers a claim by DEFER_S.
 WITNESS_S = 0.6
@@ -93,6 +98,9 @@
         self._claim = None
         self._owner_heard_at = -math.inf
         self._owner_gone = False
+        self._extra_patience_s = 0.0
+        self._quick_changes = 0
+        self._changed_at = -math.inf
         self._claim_due_at = now + delay_s
 
     @property
@@ -129,7 +137,13 @@
         """Return how long to wait for the holder of the newest claim."""
         if self._owner_gone:
             return self._delay_s * OWNER_GONE_DELAY_SHARE
-        return self._delay_s + (SUSPECT_S if self._claim else 0.0)
+        return self._delay_s + (self._suspect_s() if self._claim else 0.0)
+
+    def _suspect_s(self):
+        """Return after which time a silent owner is suspected."""
+        doublings = max(0, self._quick_changes - 1)
+        factor = min(2**doublings, MAX_PATIENCE_FACTOR)
+        return SUSPECT_S * factor + self._extra_patience_s
 
     def set_delay(self, delay_s):
         """Change the delay, also that of a claim that already waits."""
@@ -137,6 +151,14 @@
             self._claim_due_at += delay_s - self._delay_s
             self._delay_s = delay_s
 
+    def set_extra_patience(self, patience_s):
+        """Suspect a silent owner only after `patience_s` more.
+
+        For a process that probes the owner seldom.
+        """
+        self._claim_due_at += patience_s - self._extra_patience_s
+        self._extra_patience_s = patience_s
+
     def on_store_unreachable(self, now):
         """Postpone the claim, because the store cannot be reached.
 
@@ -186,9 +208,17 @@
         )
         if live:
             self._owner_heard_at = now
+            self._count_quick_change(claim, now)
         self._claim_due_at = now + self._claim_wait_s()
         return True
 
+    def _count_quick_change(self, claim, now):
+        if not claim.holder:
+            return  # a release is no sign of an owner that is too busy
+        quick = now - self._changed_at < QUICK_CHANGE_S
+        self._quick_changes = self._quick_changes + 1 if quick else 0
+        self._changed_at = now
+
     def on_probe(self, epoch, is_owner, store_age_s, now):
         """Record the owner's answer to a probe.
 
@@ -219,7 +249,7 @@
             self._claim_due_at = min(self._claim_due_at, soon)
             return
         self._owner_heard_at = now
-        self._claim_due_at = now + SUSPECT_S + self._delay_s
+        self._claim_due_at = now + self._suspect_s() + self._delay_s
 
     def on_connection_refused(self, epoch, now):
         """Record that nothing listens at the address of the owner.
--- a/src/citrondeal/election/tests/election.feature
+++ b/src/citrondeal/election/tests/election.feature
@@ -18,6 +18,14 @@
     And an election owner whose calls to the store fail is replaced soon
     And an election owner whose address refuses connections is replaced soon
 
+  # Guards against owners that replace each other for ever, because each is
+  # too busy with the recovery of the state to answer probes.
+  Scenario: election owners that follow each other quickly get more time
+    Then an election second owner is suspected as soon as the first
+    And an election fourth owner in quick succession gets four times as long
+    And an election owner that has lasted is suspected as soon as the first
+    And an election owner that is gone is replaced at once all the same
+
   # Guards against a claim by the only process that cannot reach the owner.
   Scenario: election a witness that hears the owner defers a claim
     Then an election claim is deferred by a recent witness only
--- a/src/citrondeal/election/tests/steps.py
+++ b/src/citrondeal/election/tests/steps.py
@@ -175,3 +175,39 @@
     state.on_claim(_claim(), 0.0)
     state.on_store_unreachable(9.0)
     assert abs(_seconds_until_claim(state, 9.0) - DELAY_S) < 0.02
+
+
+def _after_changes(count, interval_s):
+    """Return an election that has seen claims, and the time of the last."""
+    state = _election()
+    now = 0.0
+    for epoch in range(1, count + 1):
+        now += interval_s
+        state.on_claim(_claim(epoch), now)
+    return state, now
+
+
+@then("an election second owner is suspected as soon as the first")
+def _(context):
+    state, now = _after_changes(2, 2.0)
+    assert _seconds_until_claim(state, now) <= DETECTION_LIMIT_S
+
+
+@then("an election fourth owner in quick succession gets four times as long")
+def _(context):
+    state, now = _after_changes(4, 2.0)
+    waited = _seconds_until_claim(state, now) - DELAY_S
+    assert 3.5 <= waited <= 3.7, waited
+
+
+@then("an election owner that has lasted is suspected as soon as the first")
+def _(context):
+    state, now = _after_changes(4, 20.0)
+    assert _seconds_until_claim(state, now) <= DETECTION_LIMIT_S
+
+
+@then("an election owner that is gone is replaced at once all the same")
+def _(context):
+    state, now = _after_changes(4, 2.0)
+    state.on_connection_refused(4, now)
+    assert _seconds_until_claim(state, now) <= DELAY_S
--- a/src/citrondeal/platform/_store.py
+++ b/src/citrondeal/platform/_store.py
@@ -14,7 +14,7 @@
 from citrondeal import web
 
 APPEND_TIMEOUT_S = 1.0
-READ_TIMEOUT_S = 1.5
+READ_TIMEOUT_S = 0.8
 # Added to the time for which the store may delay its answer to a read.  Each
 # part of an answer that arrives leaves at least this time for the rest.
 READ_TIMEOUT_MARGIN_S = 0.7
