Keep the workers of a gang while their tickets are renewed, and ask once

A call of the ticket service about 30 workers takes 1.6 s there, and a ticket is valid for 1.5 s, of which a quarter of the workers gets one.

Ruled out: room (jobs of timetables of 60 tasks start after 0.4 s) and the calls' queue (97 members, 30 of them busy).

Change: a gang keeps its reservation while the call for it is open; it asks about workers with room for twice its tasks, in up to nine calls at a time, before it goes on to those without room, for up to eight times its tasks. An owner has at most 48 orders in flight, so that one on a weak machine still answers its members during a burst.

--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -27,6 +27,9 @@
 PLAN_PERIOD_S = 0.1
 # Events within this time are planned together.
 PLAN_BATCH_S = 0.01
+# More orders at a time would keep a weak machine from answering the probes of
+# the other members, which would then replace it.
+MAX_ORDERS_IN_FLIGHT = 48
 # A worker rejects a start that arrives later than this, so that one that got
 # no answer cannot take effect much later.
 START_VALID_S = 2.5
@@ -79,6 +82,7 @@
         self._metrics = metrics
         self._scheduler = None
         self._plan_needed = anyio.Event()
+        self._orders_in_flight = 0
         self._leases = {}
         self._task_group = None
         self._job_reader = _job_topics.JobReader(
@@ -311,26 +315,39 @@
             self._plan_needed = anyio.Event()
             started = time.perf_counter()
             with telemetry.contain(_LOG, "planning", epoch=self._epoch):
-                now = _clock.now()
-                may_start = self._confirmation.holds(now)
-                for action in self._scheduler.plan(now, may_start):
-                    self._task_group.start_soon(self._execute, action)
+                self._plan_once(_clock.now())
             self._metrics.record(
                 "citrondeal.plan.time", time.perf_counter() - started
             )
             await anyio.sleep(PLAN_BATCH_S)
         _warn("ownership is lost", epoch=self._epoch)
 
+    def _plan_once(self, now):
+        max_starts = MAX_ORDERS_IN_FLIGHT - self._orders_in_flight
+        if not self._confirmation.holds(now):
+            max_starts = 0
+        for action in self._scheduler.plan(now, max_starts):
+            self._task_group.start_soon(self._execute, action)
+
     async def _execute(self, action):
-        with telemetry.contain(_LOG, type(action).__name__):
-            if isinstance(action, workflow.Start):
-                await self._start(action)
-            elif isinstance(action, workflow.Stop):
-                await self._stop(action)
-            else:
+        if isinstance(action, workflow.FetchTickets):
+            with telemetry.contain(_LOG, "tickets"):
                 await self._fetch_tickets(action)
+        else:
+            await self._send_order(action)
         self._plan_needed.set()
 
+    async def _send_order(self, action):
+        self._orders_in_flight += 1
+        try:
+            with telemetry.contain(_LOG, "order", worker=action.worker):
+                if isinstance(action, workflow.Start):
+                    await self._start(action)
+                else:
+                    await self._stop(action)
+        finally:
+            self._orders_in_flight -= 1
+
     async def _start(self, action):
         # Stands if the exchange fails unexpectedly.
         outcome = workflow.OrderOutcome.UNKNOWN
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -1,6 +1,7 @@
 """Planning of orders: starts, stops and requests for tickets."""
 
 import logging
+import math
 
 from citrondeal.workflow import _events
 from citrondeal.workflow import _jobs
@@ -29,14 +30,15 @@
         self._reserving_gang = None
         self._usable_workers = {}  # by service, then by worker id
 
-    def plan(self, now, may_start=True):
+    def plan(self, now, max_starts=math.inf):
         """Return the orders that are due.
 
         Parameters
         ----------
         now : float
-        may_start : bool
-            Whether this owner is sure that it has not been replaced.
+        max_starts : float
+            No step is planned after this number of starts, which a gang may
+            exceed, since it starts as a whole.
 
         Returns
         -------
@@ -46,7 +48,7 @@
             return []
         self._expire_leases(now)
         actions = self._due_stops(now)
-        if not may_start:
+        if max_starts <= 0:
             return actions
         self._reserving_gang = None
         self._usable_workers = {}
@@ -57,7 +59,10 @@
                     worker.info.service, {}
                 )
                 service[worker.id] = worker
+        limit = len(actions) + max_starts
         for step in self._ready_steps(now):
+            if len(actions) >= limit:
+                break
             self._plan_step(step, actions, now)
         return actions
 
@@ -121,6 +126,10 @@
             return
         if step.spec.gang and len(waiting) < len(step.tasks):
             return  # members of an earlier run are still ending
+        if step.spec.gang and step.reserving and step.open_calls:
+            # Another choice now would take workers whose tickets are not
+            # being renewed, and would have to wait for another call.
+            return
         usable = self._usable_workers.get(step.job.policy.service, {})
         allowed = [
             worker
--- a/src/citrondeal/workflow/_tickets.py
+++ b/src/citrondeal/workflow/_tickets.py
@@ -7,11 +7,14 @@
 RETRY_S = 0.3
 # A call takes longer with each worker that it names.
 WORKERS_PER_CALL = 30
-CALLS_PER_ROUND = 4  # for one step at the same time
+CALLS_PER_ROUND = 9  # for one step at the same time
 # A gang that does not fit asks about workers with this many times the capacity
 # that it needs, because only some of them are expected to be free at the same
-# time.
-GANG_CANDIDATE_FACTOR = 3
+# time, and the tickets of one round expire before the next is answered.
+GANG_CANDIDATE_FACTOR = 8
+# The tickets of the first round are worth nothing if the gang then does not
+# fit, so it asks about free workers for this many times its tasks.
+GANG_FIT_MARGIN = 2
 # Expected share of allowed workers before a queue has any answers, and the
 # number of workers asked about whose answers weigh as much as it.
 PRIOR_SHARE = 0.5
@@ -132,6 +135,8 @@
         if step.asked_incarnations.get(w.id) != w.info.born_ms
     ]
     unasked.sort(key=lambda w: (-w.available(step).millicores, w.id))
+    if step.spec.gang:
+        unplaced *= GANG_FIT_MARGIN
     gang_shortfall = _gang_shortfall(step, workers)
     groups = []
     for start in range(0, len(unasked), WORKERS_PER_CALL):
@@ -139,7 +144,7 @@
         fitting_tasks = sum(
             step.spec.size.count_in(w.available(step)) for w in group
         )
-        useful = gang_shortfall > 0 or (fitting_tasks and unplaced > 0)
+        useful = unplaced > 0 and (fitting_tasks or gang_shortfall > 0)
         if groups and (not useful or len(groups) >= CALLS_PER_ROUND):
             break
         groups.append(group)
--- a/src/citrondeal/workflow/tests/harness.py
+++ b/src/citrondeal/workflow/tests/harness.py
@@ -1,5 +1,7 @@
 """Harness for tests of single decisions of the scheduler."""
 
+import math
+
 from citrondeal import workflow
 
 LEASE_S = 10.0
@@ -14,25 +16,34 @@
         self.scheduler = workflow.Scheduler(
             workflow.Config(LEASE_S, STATUS_S), 1
         )
-        self.infos = {
-            name: workflow.WorkerInfo(
-                name,
-                f"{name}:1",
-                "service",
-                "zone",
-                capacity=workflow.Size(cores * 1000, 1000),
-                born_ms=1,
-            )
-            for name in workers
-        }
-        self.running = {name: {} for name in workers}
-        self.ends = {name: [] for name in workers}
+        self.infos = {}
+        self.running = {}
+        self.ends = {}
         self.ticket_calls = []
-        for info in self.infos.values():
-            self.scheduler.on_worker(info, self.now)
+        for name in workers:
+            self._add_worker(name, cores)
+        self.report_all()
+        self.store()
+
+    def add_worker(self, name, cores=4):
+        """Add a worker that answers at once."""
+        self._add_worker(name, cores)
         self.report_all()
         self.store()
 
+    def _add_worker(self, name, cores):
+        self.infos[name] = info = workflow.WorkerInfo(
+            name,
+            f"{name}:1",
+            "service",
+            "zone",
+            capacity=workflow.Size(cores * 1000, 1000),
+            born_ms=1,
+        )
+        self.running[name] = {}
+        self.ends[name] = []
+        self.scheduler.on_worker(info, self.now)
+
     def submit(
         self,
         job,
@@ -70,7 +81,7 @@
         self.scheduler.on_stored(*taken)
         return taken
 
-    def plan(self):
+    def plan(self, max_starts=math.inf):
         """Carry out the due orders.
 
         Returns
@@ -80,7 +91,7 @@
         """
         self.now += 0.05
         started = []
-        for action in self.scheduler.plan(self.now):
+        for action in self.scheduler.plan(self.now, max_starts):
             if isinstance(action, workflow.FetchTickets):
                 self.ticket_calls.append(action)
             elif isinstance(action, workflow.Start):
--- a/src/citrondeal/workflow/tests/steps_policy.py
+++ b/src/citrondeal/workflow/tests/steps_policy.py
@@ -179,3 +179,28 @@
     harness.scheduler.forget_expired_jobs(harness.now)
     assert harness.scheduler.job_state("job") is None
     assert harness.store()[0] == {"job": None}
+
+
+@given(
+    "a workflow burst of {jobs:d} jobs of one task and a gang of {size:d}"
+    " tasks"
+)
+def _(context, jobs, size):
+    context.harness = harnesses.Harness(cores=jobs + size)
+    context.harness.submit("gang", 1.0, tasks=size, gang=True)
+    for number in range(jobs):
+        context.harness.submit(f"j{number:03d}", 1.0, priority=0)
+
+
+@then(
+    "workflow passes of at most {limit:d} starts start all of them, the gang"
+    " whole"
+)
+def _(context, limit):
+    passes = []
+    while starts := context.harness.plan(limit):
+        passes.append(starts)
+    assert passes[-1] == ["gang"] * 10, passes
+    assert all(len(starts) == limit for starts in passes[:-1]), passes
+    started = [job for starts in passes[:-1] for job in starts]
+    assert started == sorted(started) and len(started) == 40, started
--- a/src/citrondeal/workflow/tests/steps_tickets.py
+++ b/src/citrondeal/workflow/tests/steps_tickets.py
@@ -130,3 +130,30 @@
     assert len(context.harness.plan()) == count
     context.harness.submit("gang", 4.0, tasks=tasks, ticketed=True, gang=True)
     assert context.harness.plan() == []
+
+
+@given("a workflow gang whose tickets are renewed while another is valid")
+def _(context):
+    context.harness = harness = harnesses.Harness(workers=("w0", "w1"))
+    harness.submit("first", 4.0)
+    harness.plan()
+    harness.submit("gang", 4.0, tasks=2, ticketed=True, gang=True)
+    harness.plan()
+    harness.grant(harness.ticket_calls[0], VALID_S)
+    harness.now += 2 * VALID_S
+    # The new worker gets a valid ticket, but a task of another job too.
+    harness.add_worker("a2")
+    harness.submit("urgent", 4.0, priority=0)
+    assert harness.plan() == ["urgent"]
+    harness.grant(harness.ticket_calls[0], VALID_S)
+    harness.end_one(next(w for w, r in harness.running.items() if r))
+    (context.renewal,) = harness.ticket_calls
+    assert set(context.renewal.workers) == {"w0", "w1"}, context.renewal
+
+
+@when("the workflow worker with the valid ticket becomes free")
+def _(context):
+    harness = context.harness
+    assert harness.end_one("a2") == []
+    harness.now += VALID_S
+    assert harness.plan() == []
--- a/src/citrondeal/workflow/tests/tickets.feature
+++ b/src/citrondeal/workflow/tests/tickets.feature
@@ -7,6 +7,13 @@
     When workflow fewer cores become free on two other allowed workers
     Then the workflow gang starts with the renewed tickets
 
+  # Guards against a gang whose reservation moves to other workers while it
+  # renews its tickets, so that the renewal is of no use.
+  Scenario: workflow tickets a gang keeps the workers whose tickets it renews
+    Given a workflow gang whose tickets are renewed while another is valid
+    When the workflow worker with the valid ticket becomes free
+    Then the workflow gang starts once its renewal is answered
+
   # Guards against a large gang that makes one call after another, so that its
   # first tickets expire before the last ones are granted.
   Scenario: workflow tickets a large gang makes its calls at the same time
--- a/src/citrondeal/workflow/tests/workflow.feature
+++ b/src/citrondeal/workflow/tests/workflow.feature
@@ -21,6 +21,12 @@
       | spread is ignored                     |
       | gangs start in part                   |
 
+  # Guards against an owner on a weak machine that answers nobody while it
+  # sends the starts of a burst.
+  Scenario: workflow a burst is started in portions and in order
+    Given a workflow burst of 40 jobs of one task and a gang of 10 tasks
+    Then workflow passes of at most 8 starts start all of them, the gang whole
+
   # Guards against small tasks that take each freed core, so that a larger
   # urgent task never fits.
   Scenario: workflow cores are reserved for urgent tasks that do not fit
