Refuse submissions at once while the store stays silent

Each of the eight committers of a process tried an append every 0.5 s, which kept its group for a second, and then two members for a second each, which did the same.

Ruled out: giving the answer earlier while the append goes on, since "not run" would not be true then.

Change: after a failed append no committer of the process sends records until the store has served a call, which the reads of every process show; they are relayed, and refused with a true 503 if that fails. A member that knows of the outage refuses relays at once, and a relay is given up after 0.6 s.

--- a/src/citrondeal/cell/_committer.py
+++ b/src/citrondeal/cell/_committer.py
@@ -17,10 +17,6 @@
 # A record that neither this process nor another could append within this
 # time is given up, unless the store is slow but still serves calls.
 GIVE_UP_AFTER_S = 0.5
-# After a failed append this process does not call the store for this long,
-# unless the store has served another call since. Records are only relayed
-# to other members, and not tried again if that fails.
-FAILURE_PAUSE_S = 0.5
 RETRY_AFTER_S = 1.0  # advice to the client
 
 _LOG = logging.getLogger(__name__)
@@ -36,6 +32,40 @@
     outcome: object = None
 
 
+class StoreOutage:
+    """Whether the store has failed an append and served no call since.
+
+    While it lasts, records are only relayed to other members, and refused
+    at once if that fails: each append would keep clients waiting and end
+    with an unknown outcome. The reads of this process, which go on, show the
+    end of the outage.
+
+    Parameters
+    ----------
+    last_success_age_s : callable
+        Returns the seconds since the store last served a call of this
+        process.
+    """
+
+    def __init__(self, last_success_age_s):
+        self._last_success_age_s = last_success_age_s
+        self._failed_at = None
+
+    def on_append_failed(self, now):
+        """Record that an append of this process has failed."""
+        self._failed_at = now
+
+    def lasts(self, now):
+        """Return whether no call has been served since the last failure."""
+        if self._failed_at is None:
+            return False
+        return not self.served_since(self._failed_at, now)
+
+    def served_since(self, since, now):
+        """Return whether the store has served a call since a time."""
+        return self._last_success_age_s() < now - since
+
+
 class Committer:
     """Appends records in groups.
 
@@ -48,16 +78,14 @@
     relay : callable
         Like `append`, but through another process. Called when `append`
         fails and the store serves no other call of this process either.
-    last_success_age_s : callable
-        Returns the seconds since the store last served a call of this
-        process.
+    outage : StoreOutage
+        Shared by all committers of a process.
     metrics : citrondeal.telemetry.Metrics
     """
 
-    def __init__(self, append, relay, last_success_age_s, metrics):
+    def __init__(self, append, relay, outage, metrics):
         self._append = append
-        self._last_success_age_s = last_success_age_s
-        self._failed_at = -FAILURE_PAUSE_S
+        self._outage = outage
         self._relay = relay
         self._metrics = metrics
         self._pending = []
@@ -104,17 +132,17 @@
     async def _commit(self, group):
         records = [entry.record for entry in group]
         started = _clock.now()
-        if self._is_paused(_clock.now()):
+        if self._outage.lasts(started):
             outcome = _failure(errors.Kind.UNAVAILABLE)
         else:
             outcome = await self._append(records)
             if outcome.is_err():
-                self._failed_at = _clock.now()
+                self._outage.on_append_failed(_clock.now())
         if outcome.is_err():
             self._record_failure(group, outcome.err_value)
             # A store that is slow but serves calls would be slowed down
             # further by the same records from other members.
-            if not self._served_since(started, _clock.now()):
+            if not self._outage.served_since(started, _clock.now()):
                 outcome = await self._relay(records)
         if outcome.is_ok():
             for entry in group:
@@ -125,19 +153,6 @@
         if self._pending:
             await anyio.sleep(RETRY_DELAY_S)
 
-    def _is_paused(self, now):
-        """Whether the store failed recently and has served no call since.
-
-        An append would then probably have an unknown outcome.
-        """
-        return (
-            now - self._failed_at < FAILURE_PAUSE_S
-            and not self._served_since(self._failed_at, now)
-        )
-
-    def _served_since(self, since, now):
-        return self._last_success_age_s() < now - since
-
     def _record_failure(self, group, failure):
         if failure.kind is not errors.Kind.UNAVAILABLE:
             for entry in group:
@@ -156,12 +171,12 @@
     def _requeue_or_finish(self, group, now):
         # While the store is unreachable a record is not kept waiting: the
         # client is told at once to retry later.
-        paused = self._is_paused(now)
+        outage = self._outage.lasts(now)
         for entry in group:
             limit = entry.deadline
-            if not self._served_since(entry.added_at, now):
+            if not self._outage.served_since(entry.added_at, now):
                 limit = min(limit, entry.added_at + GIVE_UP_AFTER_S)
-            if not paused and now < limit:
+            if not outage and now < limit:
                 self._pending.append(entry)
             elif entry.may_be_stored:
                 _finish(entry, _failure(errors.Kind.UNKNOWN_OUTCOME))
--- a/src/citrondeal/cell/_job_topics.py
+++ b/src/citrondeal/cell/_job_topics.py
@@ -24,19 +24,24 @@
 
     Parameters
     ----------
-    append, relay, last_success_age_s : callable
+    append, relay : callable
         See `Committer`.
+    last_success_age_s : callable
+        See `StoreOutage`.
     metrics : citrondeal.telemetry.Metrics
     """
 
     def __init__(self, append, relay, last_success_age_s, metrics):
+        self._outage = _committer.StoreOutage(last_success_age_s)
         self._committers = {
-            topic: _committer.Committer(
-                append, relay, last_success_age_s, metrics
-            )
+            topic: _committer.Committer(append, relay, self._outage, metrics)
             for topic in _records.JOB_TOPICS
         }
 
+    def may_append(self, now):
+        """Return whether no outage of the store is known to this process."""
+        return not self._outage.lasts(now)
+
     async def put(self, record, deadline_s):
         """Append a record; see `Committer.put`."""
         committer = self._committers[_records.job_topic(record.key)]
--- a/src/citrondeal/cell/main.py
+++ b/src/citrondeal/cell/main.py
@@ -32,7 +32,7 @@
 UNREADY_WAIT_S = 2.5
 DRAIN_TIMEOUT_S = 2.0
 LEAVE_TIMEOUT_S = 1.0
-RELAY_TIMEOUT_S = 1.0
+RELAY_TIMEOUT_S = 0.6
 ANNOUNCE_TIMEOUT_S = 1.0
 MAX_RELAYS = 2  # members asked in turn to append for this one
 METRICS_PORT = 9464
@@ -296,7 +296,10 @@
             platform.Record(key.decode("utf-8", "replace"), value)
             for key, value in zip(message.keys, message.values)
         ]
-        if not self._members.store_answers:
+        if not (
+            self._members.store_answers
+            and self._appender.may_append(_clock.now())
+        ):
             return ttypes.Fault(
                 kind=errors.Kind.UNAVAILABLE.value,
                 message=f"{self._settings.name} cannot reach the store",
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -65,6 +65,11 @@
     And a cell record that another member stores is accepted
     And cell records are refused at once while the store is unavailable
 
+  # Guards against clients that wait for a silent store until their deadline,
+  # and get an unknown outcome for a record that need not have been sent.
+  Scenario: cell a store that stays silent is not called with records
+    Then cell records of all topics are refused at once until the store answers
+
   # Guards against members that load a slow store further by relaying each
   # other's records, and against unknown outcomes that another attempt would
   # have settled.
--- a/src/citrondeal/cell/tests/steps_committer.py
+++ b/src/citrondeal/cell/tests/steps_committer.py
@@ -6,7 +6,10 @@
 from behave import then
 import result
 
+from citrondeal.cell import _clock
 from citrondeal.cell import _committer
+from citrondeal.cell import _job_topics
+from citrondeal.cell import _records
 from citrondeal import errors
 from citrondeal import platform
 
@@ -45,7 +48,10 @@
 
     async def run():
         committer = _committer.Committer(
-            store.append, relay.append, lambda: store.served_age_s, _Metrics()
+            store.append,
+            relay.append,
+            _committer.StoreOutage(lambda: store.served_age_s),
+            _Metrics(),
         )
         answers = []
         async with anyio.create_task_group() as task_group:
@@ -109,3 +115,36 @@
     kinds = [outcome.err_value.kind for outcome, _ in answers]
     assert kinds[1:] == [errors.Kind.UNAVAILABLE] * 2, kinds
     assert store.calls == 1, store.calls
+
+
+@then("cell records of all topics are refused at once until the store answers")
+def _(context):
+    store, relay = _Store(errors.Kind.UNKNOWN_OUTCOME), _Store(None)
+    relay.kind = errors.Kind.UNAVAILABLE
+
+    async def run():
+        appender = _job_topics.JobAppender(
+            store.append,
+            relay.append,
+            lambda: store.served_age_s,
+            _Metrics(),
+        )
+        kinds = []
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(appender.run)
+            for number in range(2 * len(_records.JOB_TOPICS)):
+                started = anyio.current_time()
+                record = platform.Record(_records.job_key(f"{number:x}"), b"x")
+                outcome = await appender.put(record, DEADLINE_S)
+                assert anyio.current_time() - started < MAX_REFUSAL_S
+                kinds.append(outcome.err_value.kind)
+                await anyio.sleep(0.1)
+            assert not appender.may_append(_clock.now())
+            store.served_age_s = 0.0
+            assert appender.may_append(_clock.now())
+            task_group.cancel_scope.cancel()
+        return kinds
+
+    kinds = anyio.run(run)
+    assert store.calls == 1, store.calls
+    assert set(kinds[1:]) == {errors.Kind.UNAVAILABLE}, kinds
