Let all members probe the owner again, and bench the scheduler under load

The probes of a large cell are to be thinned out another way: the age of the owner's contact has to be counted without its long poll first.

--- /dev/null
+++ b/bench/workflow.py
@@ -0,0 +1,411 @@
+"""Waiting, credit and planning time of a cell under a synthetic load.
+
+A load like that of a large cell is scheduled in virtual time: urgent small
+jobs, wide batch steps, and gangs whose tickets few workers get and expire
+before a second round of calls is answered.  Prints one JSON line.
+
+Examples
+--------
+``python -m bench.workflow --workers 270 --load 1.3 --seed 2``
+"""
+
+import collections
+import dataclasses
+import heapq
+import json
+import logging
+import math
+import random
+import time
+
+import fire
+
+from citrondeal import workflow
+
+STEP_S = 0.02
+CALL_OVERHEAD_S = 0.03
+ORDER_DELAY_S = 0.02
+TICKET_VALID_S = 1.4
+LEASE_S = 10.0
+DRAIN_S = 30.0  # time after the last submission for jobs to end
+WORKERS_OF_LOAD = 270  # number of workers for which the rates are given
+MAX_STEPS = 3
+LATE_FACTOR = 3  # a job is of some use until this many times its objective
+LATE_SHARE = 0.2
+
+
+@dataclasses.dataclass(frozen=True)
+class Kind:
+    """One kind of job.
+
+    Attributes
+    ----------
+    rate : float
+        Jobs a second with `WORKERS_OF_LOAD` workers.
+    credit : float
+        Credit of a job of mean size that ends within its objective.
+    width, cores, run_s, memory_gb : tuple of float
+        Mean, spread and maximum of a log-normal distribution: number of
+        tasks, cores and memory of each, and its run time.
+    allowed_share : float
+        Share of the workers that get a ticket.
+    estimate_factor : float
+        Largest ratio of the estimated and the actual run time.
+    """
+
+    name: str
+    rate: float
+    priority: int
+    credit: float
+    stretch: float
+    target_s: float
+    allowed_share: float
+    ticket_base_s: float
+    ticket_each_s: float
+    width: tuple
+    cores: tuple
+    memory_gb: tuple
+    run_s: tuple
+    steps: float
+    gang_share: float
+    estimate_factor: float
+
+    @property
+    def mean_work(self):
+        """Core-seconds of a job of mean size."""
+        return self.steps * self.width[0] * self.cores[0] * self.run_s[0]
+
+
+KINDS = (
+    Kind(
+        name="gangs",
+        rate=2.93,
+        priority=1,
+        credit=6.95,
+        stretch=2.2,
+        target_s=1.2,
+        allowed_share=0.25,
+        ticket_base_s=1.28,
+        ticket_each_s=0.012,
+        width=(20.0, 0.8, 120.0),
+        cores=(9.0, 0.4, 15.0),
+        memory_gb=(17.0, 0.5, 33.0),
+        run_s=(6.2, 0.5, 16.0),
+        steps=1.2,
+        gang_share=1.0,
+        estimate_factor=1.9,
+    ),
+    Kind(
+        name="batch",
+        rate=6.11,
+        priority=2,
+        credit=2.08,
+        stretch=4.0,
+        target_s=3.0,
+        allowed_share=0.45,
+        ticket_base_s=0.18,
+        ticket_each_s=0.0026,
+        width=(15.0, 0.6, 76.0),
+        cores=(5.5, 0.45, 17.0),
+        memory_gb=(10.0, 0.6, 30.0),
+        run_s=(3.4, 0.5, 8.4),
+        steps=1.5,
+        gang_share=0.0,
+        estimate_factor=1.9,
+    ),
+    Kind(
+        name="urgent",
+        rate=43.4,
+        priority=0,
+        credit=0.41,
+        stretch=1.5,
+        target_s=0.5,
+        allowed_share=0.7,
+        ticket_base_s=0.026,
+        ticket_each_s=0.0004,
+        width=(3.1, 0.8, 19.0),
+        cores=(7.9, 0.45, 24.0),
+        memory_gb=(8.1, 0.6, 24.0),
+        run_s=(1.0, 0.5, 2.5),
+        steps=1.0,
+        gang_share=0.3,
+        estimate_factor=1.2,
+    ),
+)
+
+
+@dataclasses.dataclass
+class _Job:
+    kind: Kind
+    began: float
+    objective_s: float
+    credit: float
+    run_s: list
+
+
+@dataclasses.dataclass
+class _Run:
+    number: int
+    began: float
+    ends: float
+
+
+class Cell:
+    """A scheduler with workers and a ticket service in virtual time.
+
+    Parameters
+    ----------
+    workers, members : int
+        `members` ticket calls are made at the same time.
+    load : float
+        Factor of the rates of all kinds.
+    seed : int
+    """
+
+    def __init__(self, workers, members, load, seed):
+        self._random = random.Random(seed)
+        self._load = load * workers / WORKERS_OF_LOAD
+        self._members = members
+        self._scheduler = workflow.Scheduler(workflow.Config(LEASE_S), 1)
+        self._now = 100.0
+        self._jobs = {}
+        self._waiting_calls = []
+        self._open_calls = []
+        self._orders = []
+        self._count = 0
+        self._speeds = {}
+        self._running = {}
+        self._ends = {}
+        self._end_counts = collections.Counter()
+        self.owed = collections.Counter()
+        self.earned = collections.Counter()
+        self.pass_times_s = []
+        self.starts = 0
+        self.ticket_calls = 0
+        for index in range(workers):
+            self._add_worker(f"w{index:04d}", index)
+        self._scheduler.on_stored(*self._scheduler.take_changes())
+
+    def _add_worker(self, name, index):
+        size = workflow.Size(32_000, 64_000)
+        info = workflow.WorkerInfo(
+            name, f"{name}:1", "service", "zone", capacity=size, born_ms=1
+        )
+        self._speeds[name] = self._random.choice((0.8, 1.0, 1.25))
+        self._running[name] = {}
+        self._ends[name] = []
+        self._scheduler.on_worker(info, self._now)
+        self._report(name)
+
+    def run(self, seconds):
+        """Submit jobs for `seconds`, and run until they have ended."""
+        last = self._now + seconds
+        while self._now < last + DRAIN_S and (self._now < last or self._jobs):
+            self._now += STEP_S
+            if self._now < last:
+                self._submit_jobs()
+            self._plan()
+            self._answer_calls()
+            self._start_tasks()
+            self._end_tasks()
+            self._scheduler.on_stored(*self._scheduler.take_changes())
+            self._settle_jobs()
+
+    def _draw(self, mean, spread, maximum):
+        value = self._random.lognormvariate(
+            math.log(mean) - spread * spread / 2, spread
+        )
+        return min(max(value, mean / 20), maximum)
+
+    def _submit_jobs(self):
+        for kind in KINDS:
+            expected = kind.rate * self._load * STEP_S
+            count = int(expected)
+            count += self._random.random() < expected - count
+            for _ in range(count):
+                self._submit(kind)
+
+    def _submit(self, kind):
+        rng = self._random
+        self._count += 1
+        job_id = f"{self._count:016x}"
+        gang = rng.random() < kind.gang_share
+        steps = []
+        run_s = []
+        work = 0.0
+        for index in range(min(MAX_STEPS, max(1, round(kind.steps)))):
+            tasks = max(1, round(self._draw(*kind.width)))
+            cores = self._draw(*kind.cores)
+            memory_mb = self._draw(*kind.memory_gb) * 1000
+            run_s.append(self._draw(*kind.run_s))
+            error = rng.uniform(1.0, kind.estimate_factor)
+            error = error if rng.random() < 0.5 else 1 / error
+            size = workflow.Size(int(cores * 1000), int(memory_mb))
+            after = (index - 1,) if index else ()
+            step = workflow.Step(
+                tasks, size, run_s[-1] * error, after=after, gang=gang
+            )
+            steps.append(step)
+            work += tasks * cores * run_s[-1]
+        policy = workflow.Policy(
+            kind.name,
+            "service",
+            kind.priority,
+            3,
+            kind.stretch,
+            kind.target_s,
+            ticketed=True,
+            ticket_base_s=kind.ticket_base_s,
+            ticket_each_s=kind.ticket_each_s,
+        )
+        call_s = kind.ticket_base_s + 30 * kind.ticket_each_s
+        chain_s = sum(run_s) + call_s * len(run_s)
+        credit = kind.credit * min(4.0, 0.3 + 0.7 * work / kind.mean_work)
+        objective_s = kind.stretch * chain_s + kind.target_s
+        self._jobs[job_id] = _Job(kind, self._now, objective_s, credit, run_s)
+        self.owed[kind.name] += credit
+        submission = workflow.Submission(job_id, "", tuple(steps), policy)
+        self._scheduler.on_submission(submission, 0, self._now)
+
+    def _plan(self):
+        started = time.process_time()
+        actions = self._scheduler.plan(self._now)
+        self.pass_times_s.append(time.process_time() - started)
+        for action in actions:
+            if isinstance(action, workflow.FetchTickets):
+                self._count += 1
+                order = (not action.renewal, action.priority, action.due_at)
+                entry = (order, self._count, action)
+                heapq.heappush(self._waiting_calls, entry)
+            elif isinstance(action, workflow.Start):
+                self.starts += 1
+                self._orders.append((self._now + ORDER_DELAY_S, action))
+            else:
+                self._running[action.worker].pop(action.task, None)
+                self._scheduler.on_stopped(
+                    action.task,
+                    action.run,
+                    action.worker,
+                    workflow.OrderOutcome.OK,
+                    self._now,
+                )
+
+    def _answer_calls(self):
+        while self._waiting_calls and len(self._open_calls) < self._members:
+            _, _, call = heapq.heappop(self._waiting_calls)
+            self.ticket_calls += 1
+            due = self._now + call.expected_s + CALL_OVERHEAD_S
+            self._open_calls.append((due, call))
+        due_calls = [
+            call for due, call in self._open_calls if due <= self._now
+        ]
+        self._open_calls = [c for c in self._open_calls if c[0] > self._now]
+        for call in due_calls:
+            granted = {w: "t" for w in call.workers if self._allowed(call, w)}
+            self._scheduler.on_tickets(
+                call.step,
+                call.workers,
+                granted,
+                self._now + TICKET_VALID_S,
+                self._now,
+            )
+
+    def _allowed(self, call, worker):
+        """Return whether a worker may run a step, which never changes."""
+        job = self._jobs.get(call.step.job)
+        draw = random.Random(f"{call.step.job}.{call.step.step}.{worker}")
+        return job is not None and draw.random() < job.kind.allowed_share
+
+    def _start_tasks(self):
+        due = [order for at, order in self._orders if at <= self._now]
+        self._orders = [o for o in self._orders if o[0] > self._now]
+        for order in due:
+            run_s = self._jobs[order.task.job].run_s[order.task.step]
+            run_s *= self._random.uniform(0.85, 1.15)
+            ends = self._now + run_s / self._speeds[order.worker]
+            run = _Run(order.run, self._now, ends)
+            self._running[order.worker][order.task] = run
+            self._scheduler.on_started(
+                order.task,
+                order.run,
+                order.worker,
+                workflow.OrderOutcome.OK,
+                self._now,
+            )
+
+    def _end_tasks(self):
+        for name, runs in self._running.items():
+            done = [t for t, run in runs.items() if run.ends <= self._now]
+            if not done:
+                continue
+            self._ends[name] = []
+            for task in done:
+                self._end_counts[name] += 1
+                end = workflow.RunEnd(
+                    self._end_counts[name],
+                    task,
+                    runs.pop(task).number,
+                    workflow.RunOutcome.DONE,
+                    "",
+                )
+                self._ends[name].append(end)
+            self._report(name)
+
+    def _report(self, name):
+        running = [
+            workflow.ReportedRun(task, run.number, "", self._percent(run))
+            for task, run in self._running[name].items()
+        ]
+        report = workflow.Report(self._now, 1, running, self._ends[name])
+        self._scheduler.on_report(name, report, self._now, self._now)
+
+    def _percent(self, run):
+        share = (self._now - run.began) / (run.ends - run.began)
+        return min(99.0, 100.0 * share)
+
+    def _settle_jobs(self):
+        for job_id, job in list(self._jobs.items()):
+            if not self._scheduler.jobs[job_id].ended:
+                continue
+            took_s = self._now - job.began
+            if took_s <= job.objective_s:
+                self.earned[job.kind.name] += job.credit
+            elif took_s <= LATE_FACTOR * job.objective_s:
+                self.earned[job.kind.name] += LATE_SHARE * job.credit
+            del self._jobs[job_id]
+
+
+def run(workers=270, members=97, load=1.0, seed=1, seconds=34.0):
+    """Schedule one load and print the figures.
+
+    Parameters
+    ----------
+    workers, members : int
+    load : float
+    seed : int
+    seconds : float
+        Time in which jobs are submitted.
+    """
+    logging.disable(logging.CRITICAL)
+    cell = Cell(workers, members, load, seed)
+    cell.run(seconds)
+    times = sorted(cell.pass_times_s)
+    figures = {
+        "workers": workers,
+        "load": load,
+        "seed": seed,
+        "credit": {
+            k: round(cell.earned[k] / v, 3) for k, v in cell.owed.items()
+        },
+        "all": round(sum(cell.earned.values()) / sum(cell.owed.values()), 3),
+        "starts": cell.starts,
+        "ticket_calls": cell.ticket_calls,
+        "pass_ms_mean": round(1000 * sum(times) / len(times), 2),
+        "pass_ms_p99": round(1000 * times[int(0.99 * len(times))], 2),
+        "pass_ms_max": round(1000 * times[-1], 2),
+    }
+    print(json.dumps(figures))
+
+
+if __name__ == "__main__":
+    fire.Fire(run, serialize=lambda value: None)
--- a/src/citrondeal/cell/_members.py
+++ b/src/citrondeal/cell/_members.py
@@ -16,11 +16,6 @@
 LONG_POLL_S = 1.0
 PROBE_PERIOD_S = 0.25
 PROBE_TIMEOUT_S = 0.5
-# The strongest members of each zone probe the owner often. The others would
-# cost the owner of a large cell more than all its decisions, and only claim
-# if these have all failed.
-WATCHERS_PER_ZONE = 3
-SELDOM_PROBE_PERIOD_S = 2.0
 WITNESS_COUNT = 3  # members asked about the owner before a claim
 
 _LOG = logging.getLogger(__name__)
@@ -59,7 +54,6 @@
         self._incarnation = incarnation
         self._on_owner_change = on_owner_change
         self._others = {}
-        self._watchers = {member.name}
         self._round_trip_s = 0.0
         self._leaving = False
         self._follower = _follower.Follower(
@@ -205,17 +199,6 @@
         else:
             self._others[name] = member
         self._election.set_delay(self._claim_delay_s())
-        self._watchers = _select_watchers(
-            [self._member, *self._others.values()]
-        )
-        self._election.set_extra_patience(
-            self._probe_period_s() - PROBE_PERIOD_S
-        )
-
-    def _probe_period_s(self):
-        if self._member.name in self._watchers:
-            return PROBE_PERIOD_S
-        return SELDOM_PROBE_PERIOD_S
 
     def _claim_delay_s(self):
         own_cores = self._member.cores
@@ -231,7 +214,7 @@
             address = self._election.owner_address()
             if address is not None and not self._election.is_owner:
                 await self._probe(address)
-            await anyio.sleep(self._probe_period_s())
+            await anyio.sleep(PROBE_PERIOD_S)
 
     async def _probe(self, address):
         epoch = self._election.epoch
@@ -268,11 +251,7 @@
         claim = self._election.claim
         if claim is None or self._election.owner_gone:
             return False
-        others = [
-            member
-            for member in self._others.values()
-            if member.name in self._watchers and member.name != claim.holder
-        ]
+        others = [m for m in self._others.values() if m.name != claim.holder]
         deferred = False
 
         async def probe_witness(address):
@@ -322,15 +301,3 @@
 
     def _log(self, message, **fields):
         telemetry.event(_LOG, logging.INFO, message, **fields)
-
-
-def _select_watchers(members):
-    """Return the names of the members that probe the owner often."""
-    by_zone = {}
-    for member in sorted(members, key=lambda m: (-m.cores, m.name)):
-        by_zone.setdefault(member.zone, []).append(member.name)
-    return {
-        name
-        for names in by_zone.values()
-        for name in names[:WATCHERS_PER_ZONE]
-    }
--- a/src/citrondeal/election/_election.py
+++ b/src/citrondeal/election/_election.py
@@ -98,7 +98,6 @@
         self._claim = None
         self._owner_heard_at = -math.inf
         self._owner_gone = False
-        self._extra_patience_s = 0.0
         self._quick_changes = 0
         self._changed_at = -math.inf
         self._claim_due_at = now + delay_s
@@ -143,7 +142,7 @@
         """Return after which time a silent owner is suspected."""
         doublings = max(0, self._quick_changes - 1)
         factor = min(2**doublings, MAX_PATIENCE_FACTOR)
-        return SUSPECT_S * factor + self._extra_patience_s
+        return SUSPECT_S * factor
 
     def set_delay(self, delay_s):
         """Change the delay, also that of a claim that already waits."""
@@ -151,14 +150,6 @@
             self._claim_due_at += delay_s - self._delay_s
             self._delay_s = delay_s
 
-    def set_extra_patience(self, patience_s):
-        """Suspect a silent owner only after `patience_s` more.
-
-        For a process that probes the owner seldom.
-        """
-        self._claim_due_at += patience_s - self._extra_patience_s
-        self._extra_patience_s = patience_s
-
     def on_store_unreachable(self, now):
         """Postpone the claim, because the store cannot be reached.
 
