Log where a submission is stored and which answer denied a job

What operators could not see: an accepted job that was answered 410 left no line.

The logic is unchanged, except that the outcome of an append carries the offset.

--- a/src/citrondeal/cell/_committer.py
+++ b/src/citrondeal/cell/_committer.py
@@ -32,6 +32,22 @@
     outcome: object = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stored:
+    """Where a record was stored.
+
+    Attributes
+    ----------
+    offset : int
+        Offset of the record in its topic; -1 if it was relayed.
+    relayed : bool
+        Whether another member has appended it.
+    """
+
+    offset: int
+    relayed: bool
+
+
 class StoreOutage:
     """Whether the store has failed an append and served no call since.
 
@@ -103,8 +119,8 @@
         Returns
         -------
         result.Result
-            ``Ok`` once it is stored; ``Err`` of kind ``unavailable`` if it
-            is certainly not stored, else ``unknown_outcome``.
+            ``Ok(Stored)`` once it is stored; ``Err`` of kind ``unavailable``
+            if it is certainly not stored, else ``unknown_outcome``.
         """
         now = _clock.now()
         entry = _PendingRecord(record, now + deadline_s, now, anyio.Event())
@@ -132,6 +148,7 @@
     async def _commit(self, group):
         records = [entry.record for entry in group]
         started = _clock.now()
+        relayed = False
         if self._outage.lasts(started):
             outcome = _failure(errors.Kind.UNAVAILABLE)
         else:
@@ -143,10 +160,12 @@
             # A store that is slow but serves calls would be slowed down
             # further by the same records from other members.
             if not self._outage.served_since(started, _clock.now()):
+                relayed = True
                 outcome = await self._relay(records)
         if outcome.is_ok():
-            for entry in group:
-                _finish(entry, result.Ok(None))
+            for index, entry in enumerate(group):
+                offset = -1 if relayed else outcome.ok_value + index
+                _finish(entry, result.Ok(Stored(offset, relayed)))
             return
         self._record_failure(group, outcome.err_value)
         self._requeue_or_finish(group, _clock.now())
--- a/src/citrondeal/cell/_desk.py
+++ b/src/citrondeal/cell/_desk.py
@@ -113,12 +113,16 @@
         started = _clock.now()
         outcome = await self._appender.put(record, deadline_s)
         catalog = self.catalog()
+        stored = outcome.ok()
         telemetry.event(
             _LOG,
             logging.INFO,
             message,
             job=job,
-            outcome="ok" if outcome.is_ok() else outcome.err_value.kind.value,
+            outcome="ok" if stored else outcome.err_value.kind.value,
+            topic=_records.job_topic(record.key),
+            offset=stored.offset if stored else None,
+            relayed=stored.relayed if stored else None,
             took_s=round(_clock.now() - started, 3),
             deadline_s=deadline_s,
             config_version=catalog.version if catalog else 0,
@@ -170,6 +174,18 @@
             owner_age_s=round(state.owner_age_s(now), 3),
         )
 
+    def _log_unknown(self, job, owner):
+        telemetry.event(
+            _LOG,
+            logging.INFO,
+            "job is unknown to the owner",
+            job=job,
+            epoch=owner.scheduler.epoch,
+            view_age_s=round(owner.view_age_s, 3),
+            recovered=owner.recovered,
+            positions=owner.positions,
+        )
+
     async def _query_owner_once(self, query):
         if self._members.election.is_owner:
             return self.answer_as_owner(query)
@@ -216,4 +232,6 @@
                 message="the owner has not read submissions recently enough"
                 f" to tell whether job {query.job_id} exists",
             )
+        if state is None:
+            self._log_unknown(query.job_id, owner)
         return ttypes.JobState(state="" if state is None else state.value)
--- a/src/citrondeal/cell/_follower.py
+++ b/src/citrondeal/cell/_follower.py
@@ -52,6 +52,11 @@
         """Offset that the next append is expected to get."""
         return self._end
 
+    @property
+    def position(self):
+        """Offset of the next record to read."""
+        return self._position
+
     @property
     def loaded(self):
         """Whether the newest records have been read once."""
--- a/src/citrondeal/cell/_job_topics.py
+++ b/src/citrondeal/cell/_job_topics.py
@@ -79,6 +79,11 @@
     def _deliver(self, index, records):
         self._on_records(records, not self._followers[index].loaded)
 
+    @property
+    def positions(self):
+        """Offset of the next record to read, by topic."""
+        return [follower.position for follower in self._followers]
+
     def age_s(self, now):
         """Return the seconds since the last answer, for the slowest topic."""
         return max(follower.age_s(now) for follower in self._followers)
--- a/src/citrondeal/cell/_members.py
+++ b/src/citrondeal/cell/_members.py
@@ -181,6 +181,12 @@
         if claim is None:
             self._log("claim is undecodable", offset=record.offset)
             return
+        if claim == self._election.claim:
+            self._log(
+                "claim is delivered again",
+                epoch=claim.epoch,
+                offset=record.offset,
+            )
         live = self._follower.loaded
         earlier_address = self._election.owner_address()
         if self._election.on_claim(claim, _clock.now(), live):
--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -81,6 +81,7 @@
         self._status_s = settings.job_status_ttl_s
         self._metrics = metrics
         self._scheduler = None
+        self._recovered = False
         self._plan_needed = anyio.Event()
         self._orders_in_flight = 0
         self._leases = {}
@@ -102,13 +103,25 @@
         """The `workflow.Scheduler` of this epoch; None before the recovery."""
         return self._scheduler
 
+    @property
+    def recovered(self):
+        """Whether all that earlier owners stored has been restored."""
+        return self._recovered
+
+    @property
+    def view_age_s(self):
+        """Seconds since the answer of the store to the oldest last read."""
+        return self._job_reader.age_s(_clock.now())
+
+    @property
+    def positions(self):
+        """Offsets up to which the topics of submissions have been read."""
+        return self._job_reader.positions
+
     @property
     def is_current(self):
         """Whether submissions have been read recently enough to deny a job."""
-        return (
-            self._scheduler is not None
-            and self._job_reader.age_s(_clock.now()) < MAX_VIEW_AGE_S
-        )
+        return self._scheduler is not None and self.view_age_s < MAX_VIEW_AGE_S
 
     async def run(self):
         """Recover the state, then schedule until superseded or cancelled."""
@@ -154,6 +167,7 @@
             else:
                 scheduler.restore_ended_job(job, progress, now)
         scheduler.recover_workers(list(state["worker"].values()), now)
+        self._recovered = True
         telemetry.event(
             _LOG,
             logging.INFO,
@@ -162,6 +176,8 @@
             took_s=round(_clock.now() - started, 3),
             jobs=len(scheduler.jobs),
             workers=len(scheduler.workers),
+            with_progress=len(state["job"]),
+            positions=self.positions,
         )
         return True
 
@@ -305,6 +321,15 @@
                 count=len(jobs),
                 reason=outcome.err_value.message,
             )
+            return
+        telemetry.event(
+            _LOG,
+            logging.INFO,
+            "records of ended jobs are deleted",
+            topic=topic,
+            offset=outcome.ok_value,
+            jobs=jobs,
+        )
 
     # Decisions
 
--- a/src/citrondeal/cell/main.py
+++ b/src/citrondeal/cell/main.py
@@ -221,7 +221,14 @@
         failed = failed and not scope.cancelled_caught
         if self._owner is owner:
             self._owner, self._owner_scope = None, None
-        _event("ownership has ended", epoch=epoch, failed=failed)
+        claim = self._election.claim
+        _event(
+            "ownership has ended",
+            epoch=epoch,
+            failed=failed,
+            newest_epoch=claim.epoch,
+            holder=claim.holder,
+        )
         if failed:
             # Another member recovers from what is stored.
             await self._members.give_up_ownership(epoch)
@@ -254,6 +261,9 @@
                     )
                 continue
             if isinstance(reply, ttypes.Ok):
+                _event(
+                    "records are relayed", count=len(records), by=member.name
+                )
                 return result.Ok(None)
             if reply.kind != errors.Kind.UNAVAILABLE:
                 failure = errors.Failure(
@@ -306,6 +316,11 @@
             )
         outcome = await self._append(records)
         if outcome.is_ok():
+            _event(
+                "records of another member are appended",
+                records=[record.key for record in records],
+                offset=outcome.ok_value,
+            )
             return ttypes.Ok()
         failure = outcome.err_value
         return ttypes.Fault(kind=failure.kind.value, message=failure.message)
--- a/src/citrondeal/cell/tests/steps_committer.py
+++ b/src/citrondeal/cell/tests/steps_committer.py
@@ -92,7 +92,7 @@
     [(outcome, _)] = _put_records(
         _Store(errors.Kind.UNKNOWN_OUTCOME), _Store(None)
     )
-    assert outcome.is_ok(), outcome
+    assert outcome.ok_value == _committer.Stored(-1, relayed=True), outcome
 
 
 @then(
