Answer no query before the recovery of an owner is complete

What clients saw: a job that was accepted, completed and queried again was answered 410.

Cause: Owner published its scheduler before it read anything, and took its view for current as soon as the last topic of submissions was loaded. Ended jobs whose submissions had been deleted are restored after that, when the event loop resumes the recovery. Queries of other members that the loop handles in between found no such job in a view that counted as current. The busier the process, the more queries wait for that moment.

Evidence: a query in each turn of the event loop, against an owner that recovers from a store with the end of one job: two answers without a state before "completed" (scripted store, before this change); the scenario failed.

Ruled out: the order of the reads. The state is read after the fence and before the submissions, so a job whose submission is deleted in between has its stored end in what was read.

Change: the scheduler of an owner is published once everything is restored. Until then queries are retried for their time limit, as for a member that is not the owner. The scenario passes.

--- a/src/citrondeal/cell/_desk.py
+++ b/src/citrondeal/cell/_desk.py
@@ -182,7 +182,6 @@
             job=job,
             epoch=owner.scheduler.epoch,
             view_age_s=round(owner.view_age_s, 3),
-            recovered=owner.recovered,
             positions=owner.positions,
         )
 
--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -101,12 +101,8 @@
     @property
     def scheduler(self):
         """The `workflow.Scheduler` of this epoch; None before the recovery."""
-        return self._scheduler
-
-    @property
-    def recovered(self):
-        """Whether all that earlier owners stored has been restored."""
-        return self._recovered
+        # While records are read, ended jobs are not known yet.
+        return self._scheduler if self._recovered else None
 
     @property
     def view_age_s(self):
@@ -121,7 +117,7 @@
     @property
     def is_current(self):
         """Whether submissions have been read recently enough to deny a job."""
-        return self._scheduler is not None and self.view_age_s < MAX_VIEW_AGE_S
+        return self._recovered and self.view_age_s < MAX_VIEW_AGE_S
 
     async def run(self):
         """Recover the state, then schedule until superseded or cancelled."""
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -111,6 +111,11 @@
   Scenario: cell a member that starts while the store is silent claims in order
     Then a cell member that waited for the store counts only its answer
 
+  # Guards against an accepted job that is answered 410, because its query
+  # arrives after the submissions are read and before its end is restored.
+  Scenario: cell an owner answers no query before its recovery is complete
+    Then a cell owner names no other state of an ended job while it recovers
+
   # Guards against a large configuration that all members of a region read
   # from the store at once, so that it fills the link between the regions.
   Scenario: cell one member of a zone reads the configuration for all
