Deny a job only when the log of its zone has been read

What callers could see: citrondeal-scheduler answered status and cancellation of an accepted job with 404 "unknown_job, not run" right after its start, before it had read the stream of the zone, and while it no longer reached the log. It is the same class of fault as the cell's answer 410 during a recovery: a view that is not complete denies what it does not hold.

Evidence: the new scenario failed with unknown_job from a scheduler that had read nothing, and from one whose last read had failed.

Change: while the stream has not been read up to its end, or the last read failed, the answer is 503 "unavailable" with Retry-After. Readiness does not cover this, because operators name schedulers by address.

--- a/src/citrondeal/scheduler/_jobs.py
+++ b/src/citrondeal/scheduler/_jobs.py
@@ -24,6 +24,8 @@
     "command",
 )
 
+RETRY_AFTER_S = 1.0  # advice to the client
+
 
 def job_stream_name(zone):
     """Return the name of the log stream with the jobs of a zone."""
@@ -167,6 +169,16 @@
         return result.Ok({"jobs": statuses})
 
     def _unknown_job(self, job_id):
+        follower = self._replica.follower
+        if not (follower.complete and follower.at_tail):
+            message = (
+                f"the jobs of zone {self._zone} have not been read up to the"
+                f" end of the log, so job {job_id} may exist"
+            )
+            failure = errors.Failure(
+                errors.Kind.UNAVAILABLE, message, RETRY_AFTER_S
+            )
+            return result.Err(failure)
         message = f"no job {job_id} in zone {self._zone}"
         return result.Err(errors.Failure(errors.Kind.UNKNOWN_JOB, message))
 
--- /dev/null
+++ b/src/citrondeal/scheduler/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the scheduler process."""
--- /dev/null
+++ b/src/citrondeal/scheduler/tests/scheduler.feature
@@ -0,0 +1,8 @@
+Feature: scheduler
+
+  # Guards against an accepted job that is answered as unknown by a scheduler
+  # that has just started, or that no longer reaches the log.
+  Scenario: scheduler a job is denied only by a scheduler that has read the log
+    Then a scheduler that has not read the log denies no job
+    And a scheduler that has read the log denies a job that is not in it
+    And a scheduler whose last read failed denies no job
