Start no second owner when the known claim is read again

Callers saw every query of a job answered 503 for the rest of the run, with a live process that held the ownership.

A member that reads "records were deleted before they were read" loads the newest records again, so it gets the newest claim a second time. Election.on_claim took it for a change of the owner. If the claim was the member's own, its running Owner was cancelled and another one started with the same epoch, whose sequence numbers began at 0 again. The store answers a repeat of the last five numbers with the first answer, so progress counted as stored that was not; other numbers get 409 reason=seq, which ends the Owner while the claim stands.

A claim that equals the known one now changes nothing, neither the owner nor the time at which it was last heard. A release has the epoch of its claim and still counts.

Ruled out: ignoring every claim of the known epoch, which would drop releases.

The stand-in of the platform gets POST /compact, answers reads below the first kept offset with 410, and repeats only the last five appends of a producer as the protocol says.

--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -27,6 +27,22 @@
     Then the cell has another owner within 4 seconds
     And the cell owner that was stopped exited with status 0
 
+  # Guards against a second owner with the epoch of the first, whose progress
+  # the store takes for repeats: it is not stored, or the cell is left without
+  # an owner that answers.
+  Scenario: cell an owner goes on after the store has deleted its history
+    Given a cell of 3 members
+    When cell clients submit 12 jobs at all members
+    Then the cell completes all jobs within 15 seconds
+    When the cell store deletes records that the owner has not read
+    And cell clients submit 12 jobs at all members
+    Then the cell completes all jobs within 15 seconds
+    And the cell has had one owner since the records were deleted
+    And the cell ran no task twice, after its end or beyond its worker's capacity
+
+  Scenario: cell a claim that is read again starts no second owner
+    Then a cell member that reads its claim again reports no change of the owner
+
   # Guards against false refusals and lost work while the store is unavailable.
   Scenario: cell jobs go on while the store is unavailable
     Given a cell of 3 members
--- a/src/citrondeal/cell/tests/processes.py
+++ b/src/citrondeal/cell/tests/processes.py
@@ -188,6 +188,10 @@
         """Set fault switches of the stand-in."""
         self.request("POST", f"{self.control}/faults", switches)
 
+    def compact_store(self):
+        """Delete the history of all topics of the store."""
+        self.request("POST", f"{self.control}/compact")
+
     def stop(self):
         """Stop all processes that this cell started."""
         for member in self.members:
--- a/src/citrondeal/cell/tests/steps.py
+++ b/src/citrondeal/cell/tests/steps.py
@@ -14,6 +14,8 @@
 
 from citrondeal.cell.tests import processes
 
+REREAD_EVENT = "records were deleted before they were read"
+
 
 @given("a cell of {members:d} members")
 def _(context, members):
@@ -66,6 +68,32 @@
     context.stopped = owner
 
 
+@when("the cell store deletes records that the owner has not read")
+def _(context):
+    owner = context.cell.wait(context.cell.owner)
+    context.starts_before = _ownership_starts(owner)
+    owner.process.send_signal(signal.SIGSTOP)
+    # The first record answers the read that the store holds for the owner;
+    # the second is deleted unread.
+    for _ in range(2):
+        context.cell.append("keyed.citrondeal.cell", "member/none", b"")
+        time.sleep(0.1)
+    context.cell.compact_store()
+    owner.process.send_signal(signal.SIGCONT)
+    context.owner = owner
+    context.cell.wait(lambda: REREAD_EVENT in owner.log.read_text())
+
+
+def _ownership_starts(member):
+    return member.log.read_text().count('"state is recovered"')
+
+
+@then("the cell has had one owner since the records were deleted")
+def _(context):
+    starts = _ownership_starts(context.owner)
+    assert starts == context.starts_before, starts
+
+
 @when("the cell store is unavailable for {seconds:d} seconds")
 def _(context, seconds):
     context.cell.set_faults(store_down=1.0)
--- a/src/citrondeal/cell/tests/steps_members.py
+++ b/src/citrondeal/cell/tests/steps_members.py
@@ -105,3 +105,32 @@
     )
     anyio.run(membership.load)
     assert membership._claim_delay_s() < SILENCE_S, membership._claim_delay_s()
+
+
+class _CompactedStore(_Store):
+    """Answers each read that the records were deleted."""
+
+    async def read(self, topic, start, wait_s):
+        return result.Err(errors.Failure(errors.Kind.CONFLICT, "deleted"))
+
+
+@then(
+    "a cell member that reads its claim again reports no change of the owner"
+)
+def _(context):
+    store = _CompactedStore()
+    member = _records.Member("a", "a:1", "zone", 1.0)
+    state = election.Election("a", "a")
+    changes = []
+    membership = _members.Membership(
+        store, None, member, state, "a", changes.append
+    )
+
+    async def run():
+        await store.append("", [_claim(1, "a")])
+        await membership.load()
+        await membership._follower.read_once()
+
+    anyio.run(run)
+    assert state.is_owner
+    assert changes == [None], changes
--- a/src/citrondeal/election/_election.py
+++ b/src/citrondeal/election/_election.py
@@ -187,9 +187,16 @@
         Returns
         -------
         bool
-            False if its epoch is older than that of the known claim.
+            False if it changes nothing: its epoch is older than that of the
+            known claim, or it is the known claim, read again.
         """
-        if self._claim is not None and claim.epoch < self._claim.epoch:
+        known = self._claim
+        if known is not None and claim.epoch < known.epoch:
+            return False
+        if claim == known:
+            # Delivered again when the newest records are read anew. It must
+            # not start an owner with an epoch that is in use, and is no sign
+            # that the owner is alive.
             return False
         self._claim = claim
         # Released, or claimed by an earlier incarnation of this process.
--- a/src/citrondeal/election/tests/election.feature
+++ b/src/citrondeal/election/tests/election.feature
@@ -8,6 +8,7 @@
     And an election process claims soon after the owner falls silent
     And an election process claims when the owner has no contact to the store
     And an election older claim changes nothing
+    And an election claim that is delivered again changes nothing
 
   # Guards against a takeover that waits for the suspicion timeout although
   # the owner is known to be gone.
--- a/src/citrondeal/election/tests/steps.py
+++ b/src/citrondeal/election/tests/steps.py
@@ -68,6 +68,19 @@
     assert state.epoch == 5 and state.claim.holder == "b"
 
 
+@then("an election claim that is delivered again changes nothing")
+def _(context):
+    state = _election()
+    assert state.on_claim(_claim(), 0.0)
+    assert not state.on_claim(_claim(), 1.0)
+    assert state.owner_age_s(1.0) == 1.0
+    assert _seconds_until_claim(state, 1.0) <= DETECTION_LIMIT_S - 1.0
+    # The release has the epoch of the claim.
+    assert state.on_claim(_claim(holder=""), 2.0)
+    assert not state.on_claim(_claim(holder=""), 2.5)
+    assert state.owner_gone
+
+
 @then("an election released ownership is claimed without suspicion")
 def _(context):
     state = _election()
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -5,10 +5,12 @@
 start after the end of the task was acknowledged (``after_end``) and a start
 that exceeds the capacity of its runner (``over``).  Fault switches:
 ``store_down`` (answers 503) and ``store_lost`` (share of appends that take
-effect but are answered with the status of a lost answer).
+effect but are answered with the status of a lost answer).  ``POST /compact``
+deletes the history of all topics; the newest record of each key stays.
 """
 
 import base64
+import collections
 import json
 import random
 import struct
@@ -27,16 +29,35 @@
 # the request took effect, as if the answer had been lost on the way.
 LOST_ANSWER_STATUS = 599
 TICKET_VALID_S = 2.5
+# A producer that repeats one of its last appends gets the first answer again.
+REPEATABLE_APPENDS = 5
 
 
 class Partition:
-    """Records of one topic, with the last sequence of each producer."""
+    """Records of one topic, with the last appends of each producer.
+
+    Attributes
+    ----------
+    records : list of (str, bytes)
+        All records ever appended, also those that can no longer be read.
+    first : int
+        Offset of the first record that can still be read.
+    epochs : dict of str to (int, int)
+        Epoch and sequence number of the last append of each producer.
+    replies : dict of str to deque
+        By producer, the last appends of its epoch: sequence and answer.
+    """
 
     def __init__(self):
         self.records = []
+        self.first = 0
         self.epochs = {}
         self.replies = {}
 
+    def compact(self):
+        """Delete the history; `newest` still returns the newest records."""
+        self.first = len(self.records)
+
     def newest(self):
         """Return offset and value of the newest record of each key."""
         newest_by_key = {}
@@ -85,8 +106,8 @@
             )
             producer = request.query.get("producer")
             if producer is not None:
-                key = (producer, request.query["epoch"], request.query["seq"])
-                partition.replies[key] = answer
+                sequence = int(request.query["seq"])
+                partition.replies[producer].append((sequence, answer))
         if random.random() < self.faults["store_lost"]:
             return web.Response(LOST_ANSWER_STATUS)
         return answer
@@ -108,13 +129,18 @@
         last_epoch, last_sequence = partition.epochs.get(producer, (-1, -1))
         if epoch < last_epoch:
             return web.json_response({"reason": "fenced"}, 409)
-        earlier_reply = partition.replies.get(
-            (producer, query["epoch"], query["seq"])
-        )
-        if earlier_reply is not None:
-            return earlier_reply
-        if epoch == last_epoch and sequence != last_sequence + 1:
-            return web.json_response({"reason": "seq"}, 409)
+        if epoch > last_epoch:
+            partition.replies[producer] = collections.deque(
+                maxlen=REPEATABLE_APPENDS
+            )
+        else:
+            for earlier_sequence, reply in partition.replies[producer]:
+                if earlier_sequence == sequence:
+                    return reply
+            if sequence != last_sequence + 1:
+                return web.json_response(
+                    {"reason": "seq", "seq": last_sequence + 1}, 409
+                )
         partition.epochs[producer] = (epoch, sequence)
         return None
 
@@ -124,10 +150,14 @@
             return web.Response(503)
         partition = self.partition(request.query["topic"])
         start = int(request.query["from"])
+        if start < partition.first:
+            return web.json_response({"first": partition.first}, 410)
         limit = time.monotonic() + int(request.query.get("wait-ms", 0)) / 1000
         while len(partition.records) <= start and time.monotonic() < limit:
             await anyio.sleep(0.01)
-        body = struct.pack(">QQ", len(partition.records), 0)
+        if start < partition.first:
+            return web.json_response({"first": partition.first}, 410)
+        body = struct.pack(">QQ", len(partition.records), partition.first)
         for key, value in partition.records[start:]:
             content = bytes([len(key)]) + key.encode() + value
             body += struct.pack(">I", len(content)) + content
@@ -367,6 +397,12 @@
             {"good": granted, "valid-ms": TICKET_VALID_S * 1000}
         )
 
+    async def compact(self, request):
+        """Answer ``POST /compact``: delete the history of all topics."""
+        for partition in self.store.topics.values():
+            partition.compact()
+        return web.Response(200)
+
     async def report_counts(self, request):
         """Answer ``GET /counts``."""
         return web.json_response({**self.counts, "jobs": sorted(self.jobs)})
@@ -376,6 +412,7 @@
         control = web.App()
         control.add_route("POST", "/v1/advise", self.grant_tickets)
         control.add_route("POST", "/faults", self.faults.handle)
+        control.add_route("POST", "/compact", self.compact)
         control.add_route("GET", "/counts", self.report_counts)
         apps = [
             (f"127.0.0.1:{first_port}", self.store.app()),
