Append claims at the end of what a member has read

No caller has reported this; it was found by reading.

Follower.end was the end of the topic that the store names in the header of a read, although a read returns at most 512 KB of records. A claim or a release conditioned on it could follow a newer claim that its writer had not read, and two owners would get one epoch: the second one's progress is taken for repeats of the first one's. The condition is now the offset after the last record read, so the store rejects such an append.

Failed before: "a member claims only at the end of what it has read" with Claim(epoch=2, holder='a') behind the claim of epoch 2 of 'b'. The step that compares the claims now checks the holder too.

--- a/src/citrondeal/cell/_follower.py
+++ b/src/citrondeal/cell/_follower.py
@@ -40,7 +40,6 @@
         self._wait_s = wait_s
         self._period_s = period_s
         self._position = 0
-        self._end = 0
         self._keys = set()
         self._answered_at = None
         self._confirmed_at = -math.inf
@@ -49,8 +48,11 @@
 
     @property
     def end(self):
-        """Offset that the next append is expected to get."""
-        return self._end
+        """Offset after the last record that was read.
+
+        An append at this offset succeeds only if no record has been missed.
+        """
+        return self._position
 
     @property
     def position(self):
@@ -100,7 +102,6 @@
             self._on_failure(outcome.err_value)
             return False
         self._position, records = outcome.ok_value
-        self._end = self._position
         records = self._deletions(records) + records
         self._deliver(records)
         self._on_answer(sent_at)
@@ -143,7 +144,6 @@
         if outcome.is_ok():
             batch = outcome.ok_value
             self._on_answer(sent_at)
-            self._end = batch.end_offset
             self._position = batch.next_offset
             self._deliver(batch.records)
         elif outcome.err_value.kind is errors.Kind.CONFLICT:
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -160,6 +160,13 @@
     When a cell member leaves without having read the claim of another member
     Then the cell claim of the other member is still the newest
 
+  # Guards against two claims with one epoch, because a read was cut off at
+  # its largest size before the newer claim.
+  Scenario: cell a member claims only at the end of what it has read
+    Given a cell member that has read only a part of the records
+    When the cell member claims the ownership
+    Then the cell claim of the other member is still the newest
+
   Scenario: cell a member that leaves releases its ownership
     Given a cell member that owns the cell
     When a cell member leaves
--- a/src/citrondeal/cell/tests/steps_members.py
+++ b/src/citrondeal/cell/tests/steps_members.py
@@ -59,6 +59,40 @@
     assert state.is_owner
 
 
+class _PartialStore(_Store):
+    """Answers a read with one record, as if more were too large."""
+
+    async def read(self, topic, start, wait_s):
+        end = len(self.records)
+        records = self.records[start : start + 1]
+        return result.Ok(
+            platform.Batch(end, start + len(records), list(records))
+        )
+
+
+@given("a cell member that has read only a part of the records")
+def _(context):
+    context.store = store = _PartialStore()
+    member = _records.Member("a", "a:1", "zone", 1.0)
+    context.member = _members.Membership(
+        store, None, member, election.Election("a", "a"), "a", lambda _: None
+    )
+
+    async def run():
+        await store.append("", [_claim(1, "b")])
+        await context.member.load()
+        other = platform.Record("member/c", b"")
+        await store.append("", [other, _claim(2, "b")])
+        await context.member._follower.read_once()
+
+    anyio.run(run)
+
+
+@when("the cell member claims the ownership")
+def _(context):
+    anyio.run(context.member._claim)
+
+
 @when("a cell member leaves without having read the claim of another member")
 def _(context):
     anyio.run(context.store.append, "", [_claim(2, "b")])
@@ -67,7 +101,8 @@
 
 @then("the cell claim of the other member is still the newest")
 def _(context):
-    assert context.store.claim().epoch == 2, context.store.claim()
+    claim = context.store.claim()
+    assert (claim.epoch, claim.holder) == (2, "b"), claim
 
 
 @when("a cell member leaves")
