Take no repeat of another writer's append as stored progress

Callers could get 410 for an accepted job after the next change of the owner: its submission was deleted because its end counted as stored, and the store had no record of the end.

Each ProgressWriter began at sequence number 0. A second writer of the same epoch therefore repeated numbers of the first one; the store answers such a repeat with the first answer and appends nothing. Other numbers are answered 409 reason=seq, which was taken for "a newer owner exists".

A writer now begins at a random number, so that the numbers of a second writer of an epoch don't follow and are rejected. 409 reason=seq is of kind conflict, and the log says that another writer has used the epoch.

Ruled out: a check that offsets rise, which would not notice the repeat of the first append; a counter kept by the process, which does not cover writers of other processes.

Failed before: "progress under an epoch in use is not taken as stored" with the end of a job reported as stored and 0 records appended; "an append out of sequence is noticed" with kind barred.

--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -16,6 +16,7 @@
 from citrondeal.cell import _leases
 from citrondeal.cell import _records
 from citrondeal.cell import _writer
+from citrondeal import errors
 from citrondeal import platform
 from citrondeal import telemetry
 from citrondeal import workflow
@@ -284,8 +285,14 @@
         self._plan_needed.set()
 
     async def _run_writer(self):
-        await self._writer.run(self._scheduler)
-        _warn("a newer owner writes to the store", epoch=self._epoch)
+        failure = await self._writer.run(self._scheduler)
+        _warn(
+            "a newer owner writes to the store"
+            if failure.kind is errors.Kind.BARRED
+            else "another writer has used the epoch",
+            epoch=self._epoch,
+            reason=failure.message,
+        )
         self._scheduler.on_newer_owner()
         self._plan_needed.set()
 
--- a/src/citrondeal/cell/_writer.py
+++ b/src/citrondeal/cell/_writer.py
@@ -1,6 +1,7 @@
 """Stores the progress of jobs and workers under the owner's epoch."""
 
 import logging
+import secrets
 
 import anyio
 
@@ -14,6 +15,14 @@
 GROUP_DELAY_S = 0.02
 MAX_IDLE_S = 0.5
 RETRY_DELAY_S = 0.15
+# A writer begins at a random sequence number below this. The store answers a
+# repeat of one of a producer's last appends with the first answer, so that a
+# second writer of an epoch that began at the same number would take progress
+# as stored that is not; numbers that do not follow are rejected.
+MAX_FIRST_SEQUENCE = 2**30
+
+# Kinds of failures after which the epoch cannot store anything more.
+REJECTED = frozenset({errors.Kind.BARRED, errors.Kind.CONFLICT})
 
 _LOG = logging.getLogger(__name__)
 
@@ -34,7 +43,7 @@
         self._store = store
         self._epoch = epoch
         self._on_stored = on_stored
-        self._sequence = 0
+        self._sequence = secrets.randbelow(MAX_FIRST_SEQUENCE)
         self._wakeup = anyio.Event()
         self._failing = False
 
@@ -52,27 +61,37 @@
         Returns
         -------
         bool
-            False if a newer owner exists.
+            False if the store rejects the epoch, see `run`.
         """
         barrier = platform.Record(
             _records.BARRIER_KEY, str(self._epoch).encode()
         )
-        producer = platform.Producer(_records.PRODUCER, self._epoch, 0)
-        if await self._append(_records.STATE_TOPIC, [barrier], producer) < 0:
+        producer = platform.Producer(
+            _records.PRODUCER, self._epoch, self._sequence
+        )
+        outcome = await self._append(_records.STATE_TOPIC, [barrier], producer)
+        if outcome.is_err():
             return False
-        self._sequence = 1
-        offsets = []
+        self._sequence += 1
+        outcomes = []
 
         async def append(topic):
-            offsets.append(await self._append(topic, [barrier], producer))
+            outcomes.append(await self._append(topic, [barrier], producer))
 
         async with anyio.create_task_group() as task_group:
             for topic in _records.JOB_TOPICS:
                 task_group.start_soon(append, topic)
-        return min(offsets) >= 0
+        return all(outcome.is_ok() for outcome in outcomes)
 
     async def run(self, scheduler):
-        """Store changes until a newer owner exists."""
+        """Store changes until the store rejects one.
+
+        Returns
+        -------
+        citrondeal.errors.Failure
+            Of kind ``barred`` if a newer owner exists, ``conflict`` if
+            another writer has used the epoch.
+        """
         while True:
             with anyio.move_on_after(MAX_IDLE_S):
                 await self._wakeup.wait()
@@ -84,11 +103,11 @@
                 producer = platform.Producer(
                     _records.PRODUCER, self._epoch, self._sequence
                 )
-                offset = await self._append(
+                outcome = await self._append(
                     _records.STATE_TOPIC, records, producer
                 )
-                if offset < 0:
-                    return
+                if outcome.is_err():
+                    return outcome.err_value
                 self._sequence += 1
             if records or ends:
                 self._on_stored(jobs, workers, ends)
@@ -98,20 +117,17 @@
 
         Returns
         -------
-        int
-            Offset of the first record, or -1 if a newer owner exists.
+        result.Result
+            ``Ok(int)`` with the offset of the first record; ``Err`` of a
+            kind in `REJECTED` if the append can never succeed.
         """
         while True:
             outcome = await self._store.append(
                 topic, records, producer=producer
             )
-            if outcome.is_ok():
-                self._log_transition(None)
-                return outcome.ok_value
-            if outcome.err_value.kind is errors.Kind.BARRED:
-                self._log_transition(outcome.err_value)
-                return -1
-            self._log_transition(outcome.err_value)
+            self._log_transition(outcome.err())
+            if outcome.is_ok() or outcome.err_value.kind in REJECTED:
+                return outcome
             await anyio.sleep(RETRY_DELAY_S)
 
     def _log_transition(self, failure):
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -43,6 +43,15 @@
   Scenario: cell a claim that is read again starts no second owner
     Then a cell member that reads its claim again reports no change of the owner
 
+  # Guards against a wrong sequence number that is taken for a newer owner.
+  Scenario: cell an append out of sequence is noticed
+    Then a cell append out of sequence is told from one that is fenced
+
+  # Guards against progress that counts as stored because the store took it
+  # for a repeat of an earlier owner's.
+  Scenario: cell progress under an epoch in use is not taken as stored
+    Then a cell writer with an epoch in use reports no progress as stored
+
   # Guards against false refusals and lost work while the store is unavailable.
   Scenario: cell jobs go on while the store is unavailable
     Given a cell of 3 members
--- a/src/citrondeal/platform/_store.py
+++ b/src/citrondeal/platform/_store.py
@@ -85,6 +85,10 @@
     end: int = -1
 
 
+class _Rejected(msgspec.Struct):
+    reason: str = ""
+
+
 class _Item(msgspec.Struct):
     key: str
     value: str
@@ -98,6 +102,7 @@
 
 
 _APPENDED_DECODER = msgspec.json.Decoder(_Appended)
+_REJECTED_DECODER = msgspec.json.Decoder(_Rejected)
 _NEWEST_DECODER = msgspec.json.Decoder(_Newest)
 
 
@@ -105,8 +110,9 @@
     """Client of the store.
 
     Failures are of kind ``unavailable`` if nothing was done, ``conflict``
-    if a condition did not hold, ``barred`` if the producer is fenced, and
-    ``unknown_outcome`` if the call may have taken effect or may still do so.
+    if a condition did not hold or a sequence number does not follow the last
+    one, ``barred`` if the producer is fenced, and ``unknown_outcome`` if the
+    call may have taken effect or may still do so.
 
     Parameters
     ----------
@@ -300,12 +306,21 @@
     if reply.status == 412:
         return _failure(errors.Kind.CONFLICT, text)
     if reply.status == 409:
-        return _failure(errors.Kind.BARRED, text + f" {reply.body!r}")
+        out_of_sequence = _rejection_reason(reply.body) == "seq"
+        kind = errors.Kind.CONFLICT if out_of_sequence else errors.Kind.BARRED
+        return _failure(kind, text + f" {reply.body!r}")
     if reply.status in (429, 503, 507):
         return _unavailable(text)
     return _failure(errors.Kind.UNKNOWN_OUTCOME, text)
 
 
+def _rejection_reason(body):
+    try:
+        return _REJECTED_DECODER.decode(body).reason
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return ""
+
+
 def _decode_reply(decoder, body, convert):
     try:
         return result.Ok(convert(decoder.decode(body)))
