--- a/src/citrondeal/cell/main.py
+++ b/src/citrondeal/cell/main.py
@@ -14,6 +14,7 @@
 from citrondeal.cell import _job_topics
 from citrondeal.cell import _members
 from citrondeal.cell import _owner
+from citrondeal.cell import _ownership
 from citrondeal.cell import _records
 from citrondeal.cell import _tickets
 from citrondeal import election
@@ -63,8 +64,6 @@
         )
         self._store = platform.StoreClient(settings.store_address)
         self._links = peers.ConnectionPool(self._identity(), task_group)
-        self._owner = None
-        self._owner_scope = None
         self._confirmation = None
         self._appender = _job_topics.JobAppender(
             self._append,
@@ -92,6 +91,9 @@
             self._incarnation,
             self._on_owner_change,
         )
+        self._ownership = _ownership.Ownership(
+            self._members, self._create_owner, task_group
+        )
         self._config = _configuration.Configuration(
             self._store, self._links, self._member, self._other_members
         )
@@ -99,7 +101,7 @@
             self._appender,
             self._links,
             self._members,
-            lambda: self._owner,
+            lambda: self._ownership.owner,
             lambda: self._config.catalog,
         )
 
@@ -115,14 +117,15 @@
 
     def dump(self):
         """Return the state of the process as values that JSON can encode."""
-        owner = self._owner.scheduler if self._owner else None
+        owner = self._ownership.owner
+        scheduler = owner.scheduler if owner else None
         catalog = self._config.catalog
         return {
             "process": self._settings.name,
             "usage": lifecycle.usage(),
             "config_version": catalog.version if catalog else 0,
             "epoch": self._election.epoch,
-            "owner": owner.dump() if owner else None,
+            "owner": scheduler.dump() if scheduler else None,
             "store_calls": self._store.calls,
             "unexpected_errors": telemetry.unexpected_errors(),
         }
@@ -176,12 +179,10 @@
             await self._members.run()
 
     def _on_owner_change(self, earlier_address):
-        if self._owner_scope is not None:
-            self._owner_scope.cancel()
+        self._ownership.on_owner_change()
         if not self._election.is_owner:
             return
         epoch = self._election.epoch
-        self._task_group.start_soon(self._run_owner, epoch)
         if earlier_address not in (None, self._member.address):
             self._task_group.start_soon(
                 self._announce_claim, earlier_address, epoch
@@ -200,11 +201,11 @@
                 reason=str(exc),
             )
 
-    async def _run_owner(self, epoch):
+    def _create_owner(self, epoch):
         self._confirmation = _confirmation.OwnerConfirmation(
             epoch, self._members, self._links, self._settings.zone
         )
-        owner = _owner.Owner(
+        return _owner.Owner(
             self._store,
             self._ticket_dispatcher,
             epoch,
@@ -212,26 +213,6 @@
             self._settings,
             self._metrics,
         )
-        failed = True
-        with anyio.CancelScope() as scope:
-            self._owner, self._owner_scope = owner, scope
-            with telemetry.contain(_LOG, "ownership", epoch=epoch):
-                await owner.run()
-                failed = False
-        failed = failed and not scope.cancelled_caught
-        if self._owner is owner:
-            self._owner, self._owner_scope = None, None
-        claim = self._election.claim
-        _event(
-            "ownership has ended",
-            epoch=epoch,
-            failed=failed,
-            newest_epoch=claim.epoch,
-            holder=claim.holder,
-        )
-        if failed:
-            # Another member recovers from what is stored.
-            await self._members.give_up_ownership(epoch)
 
     # Appends
 
@@ -371,8 +352,7 @@
         """Release the ownership, then serve until new connections cease."""
         with anyio.move_on_after(LEAVE_TIMEOUT_S):
             await self._members.leave()
-        if self._owner_scope is not None:
-            self._owner_scope.cancel()
+        self._ownership.cancel()
         await anyio.sleep(UNREADY_WAIT_S)
 
     async def stop(self):
