Give the ownership up when its owner ends without a successor

Callers saw 503 for every query, and no job started, as long as the process whose owner had ended lived.

An Owner ends when the store rejects its progress or when it learns of a higher epoch. Only one that ended with an exception gave its ownership up. After any other end the claim stood: the process answered probes as the owner, so that no member claimed, and it had no Owner to answer queries.

From the end of the Owner on, probes are answered like by a process that has started again, which lets members claim also while the release can't be stored.

Ruled out: starting another Owner under the same epoch, whose appends and run numbers would not be told from those of the first; releasing at once, which costs a rejected store call at each ordinary takeover.

Failed before: "an ownership without an owner is given up" (claim still held after 5 s), "an owner that has ended does not hide a newer claim" (no release was tried), "an ownership that is lost at once starts no owner" (the owner ran).

--- a/src/citrondeal/cell/_members.py
+++ b/src/citrondeal/cell/_members.py
@@ -122,10 +122,16 @@
                 reason=outcome.err_value.message,
             )
 
+    def owns(self, epoch):
+        """Return whether the newest claim is the own one of this epoch."""
+        return self._election.is_owner and self._election.epoch == epoch
+
     async def give_up_ownership(self, epoch):
         """Release the ownership of an epoch, until another claim is known."""
-        while self._election.is_owner and self._election.epoch == epoch:
-            await self._release()
+        while self.owns(epoch):
+            # A release that cannot be read back would only load the store.
+            if self.store_answers:
+                await self._release()
             await anyio.sleep(_follower.RETRY_DELAY_S)
 
     async def _release(self):
--- a/src/citrondeal/cell/main.py
+++ b/src/citrondeal/cell/main.py
@@ -273,13 +273,16 @@
     def _answer_probe(self, probe):
         now = _clock.now()
         state = self._election
+        # A process whose owner has ended is to be replaced like one that has
+        # started again.
+        is_owner = self._ownership.active
         if self._confirmation is not None:
             self._confirmation.on_announcement(probe.epoch)
         return ttypes.ProbeReply(
             epoch=state.epoch,
-            owner=state.is_owner,
+            owner=is_owner,
             store_age_s=self._members.store_age_s(now),
-            owner_age_s=0.0 if state.is_owner else state.owner_age_s(now),
+            owner_age_s=0.0 if is_owner else state.owner_age_s(now),
         )
 
     async def _answer_relay(self, message):
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -40,6 +40,24 @@
     And the cell has had one owner since the records were deleted
     And the cell ran no task twice, after its end or beyond its worker's capacity
 
+  # Guards against a cell without an owner that answers, while its members
+  # find that the process that claimed last is alive.
+  Scenario: cell an ownership without an owner is given up
+    Given a cell member whose owner ends although its claim is the newest
+    When the cell member has run its owner
+    Then the cell member has released its ownership
+
+  # Guards against a release that hides the claim of the next owner.
+  Scenario: cell an owner that has ended does not hide a newer claim
+    Given a cell member whose owner ends because of a claim that is not read
+    When the cell member has run its owner
+    Then the cell ownership is still that of the newer claim
+
+  # Guards against an owner that runs beside a newer one, because it was
+  # started only after the newer claim had been read.
+  Scenario: cell an ownership that is lost at once starts no owner
+    Then a cell owner that is replaced before it starts does nothing
+
   Scenario: cell a claim that is read again starts no second owner
     Then a cell member that reads its claim again reports no change of the owner
 
