Count the age of an owner's view from the request of its reads

Callers could get 410 for a job that was accepted while the owner was suspended (SIGSTOP, a frozen machine).

The age of the view counted from the arrival of the last answer. An answer that had waited in the socket of a suspended process made its view new, although it shows only what was stored when the read was sent, or soon after. The age now counts from the time of the request. An ordinary pair of long polls takes up to 1.1 s, so the limit is 2 s instead of 1.2 s after the answer (which allowed up to 2.4 s after the request); a job has to be known 3 s after its acknowledgement.

Ruled out: comparing clocks around each turn of the event loop, which does not cover a slow link.

--- a/src/citrondeal/cell/_follower.py
+++ b/src/citrondeal/cell/_follower.py
@@ -89,6 +89,15 @@
             return math.inf
         return now - self._answered_at
 
+    def view_age_s(self, now):
+        """Return the seconds since a time up to which all was read.
+
+        The answer of the store may have waited for this process, if it was
+        suspended, so that only the time of the request counts. Infinite when
+        `age_s` is.
+        """
+        return max(self.age_s(now), now - self._confirmed_at)
+
     async def load(self):
         """Read the newest records of all keys, and retry until it succeeds."""
         while not await self.try_load():
--- a/src/citrondeal/cell/_job_topics.py
+++ b/src/citrondeal/cell/_job_topics.py
@@ -85,8 +85,8 @@
         return [follower.position for follower in self._followers]
 
     def age_s(self, now):
-        """Return the seconds since the last answer, for the slowest topic."""
-        return max(follower.age_s(now) for follower in self._followers)
+        """Return the age of the view of the topic that was read last."""
+        return max(follower.view_age_s(now) for follower in self._followers)
 
     async def load(self):
         """Read the newest records of all topics, until it succeeds."""
--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -35,8 +35,10 @@
 # no answer cannot take effect much later.
 START_VALID_S = 2.5
 # The owner says that a job does not exist only if all topics of submissions
-# have been read within this time.
-MAX_VIEW_AGE_S = 1.2
+# have been read up to a time that is not longer ago than this. Two long polls
+# take up to 1.1 s; a job has to be known 3 s after its acknowledgement, of
+# which the way of the answer takes up to 0.5 s.
+MAX_VIEW_AGE_S = 2.0
 # The age of a submission is the difference of two machines' wall clocks,
 # which may be wrong, so it is limited to this.
 MAX_SUBMISSION_AGE_S = 60.0
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -70,6 +70,12 @@
   Scenario: cell progress under an epoch in use is not taken as stored
     Then a cell writer with an epoch in use reports no progress as stored
 
+  # Guards against an owner that was suspended, and that denies jobs which were
+  # accepted meanwhile, because it takes an answer of the store that waited
+  # for it as new.
+  Scenario: cell an answer of the store counts from when it was requested
+    Then a cell view of submissions is as old as the request it was read with
+
   # Guards against false refusals and lost work while the store is unavailable.
   Scenario: cell jobs go on while the store is unavailable
     Given a cell of 3 members
--- /dev/null
+++ b/src/citrondeal/cell/tests/steps_views.py
@@ -0,0 +1,37 @@
+"""Steps for what an owner may conclude from what it has read."""
+
+import anyio
+from behave import then
+import result
+
+from citrondeal.cell import _clock
+from citrondeal.cell import _job_topics
+from citrondeal import platform
+
+SUSPENDED_S = 0.3
+
+
+class _LateStore:
+    """Answers reads at once, but its answers are received late."""
+
+    async def read_newest(self, topic):
+        return result.Ok((0, []))
+
+    async def read(self, topic, start, wait_s):
+        await anyio.sleep(SUSPENDED_S)
+        return result.Ok(platform.Batch(0, 0, []))
+
+
+@then("a cell view of submissions is as old as the request it was read with")
+def _(context):
+    reader = _job_topics.JobReader(_LateStore(), lambda *args: None, 0.0)
+
+    async def run():
+        await reader.load()
+        async with anyio.create_task_group() as task_group:
+            for follower in reader._followers:
+                task_group.start_soon(follower.read_once)
+        return reader.age_s(_clock.now())
+
+    age_s = anyio.run(run)
+    assert age_s >= SUSPENDED_S, age_s
