Load the newest records again when a read skips deleted ones

No caller has reported this; it was found by reading. A submission that is never read is answered 410 by the owner until the next change of the owner.

The protocol answers a read of deleted records with 410. A store that checks this when the read arrives, and deletes its history while it holds the read, would answer 200 with records from a later offset on. They were taken as complete. Such an answer now counts like 410: the newest record of each key is read again.

Failed before: "a read that skips records is not taken as complete" with Ok(Batch(end_offset=9, next_offset=7, records=[])) for a read from 5.

--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -76,6 +76,11 @@
   Scenario: cell an answer of the store counts from when it was requested
     Then a cell view of submissions is as old as the request it was read with
 
+  # Guards against submissions that are never read, because the store deleted
+  # them while it held a read.
+  Scenario: cell a read that skips records is not taken as complete
+    Then a cell read that begins after the requested record is a conflict
+
   # Guards against false refusals and lost work while the store is unavailable.
   Scenario: cell jobs go on while the store is unavailable
     Given a cell of 3 members
--- a/src/citrondeal/cell/tests/steps_views.py
+++ b/src/citrondeal/cell/tests/steps_views.py
@@ -1,12 +1,16 @@
 """Steps for what an owner may conclude from what it has read."""
 
+import struct
+
 import anyio
 from behave import then
 import result
 
 from citrondeal.cell import _clock
 from citrondeal.cell import _job_topics
+from citrondeal import errors
 from citrondeal import platform
+from citrondeal import web
 
 SUSPENDED_S = 0.3
 
@@ -35,3 +39,23 @@
 
     age_s = anyio.run(run)
     assert age_s >= SUSPENDED_S, age_s
+
+
+class _FixedAnswer:
+    """Stands for `web.Client`; answers each request in the same way."""
+
+    def __init__(self, body):
+        self._reply = web.Reply(200, body)
+
+    async def request(self, *args, **kwargs):
+        return result.Ok(self._reply)
+
+
+@then("a cell read that begins after the requested record is a conflict")
+def _(context):
+    store = platform.StoreClient("127.0.0.1:1")
+    store._client = _FixedAnswer(struct.pack(">QQ", 9, 7))
+    outcome = anyio.run(store.read, "topic", 5, 0.0)
+    assert outcome.is_err(), outcome
+    assert outcome.err_value.kind is errors.Kind.CONFLICT, outcome
+    assert anyio.run(store.read, "topic", 7, 0.0).is_ok()
--- a/src/citrondeal/platform/_store.py
+++ b/src/citrondeal/platform/_store.py
@@ -201,13 +201,14 @@
             return _unavailable(outcome.err_value.message)
         reply = outcome.ok_value
         if reply.status == 410:
-            return _failure(
-                errors.Kind.CONFLICT,
-                f"records of {topic} from offset {start} on were deleted",
-            )
+            return _deleted(topic, start)
         if reply.status != 200:
             return _unavailable(f"store answered {reply.status}")
         try:
+            _, first = _READ_HEADER.unpack_from(reply.body)
+            if first > start:
+                # Records were deleted while the store held the read.
+                return _deleted(topic, start)
             return result.Ok(_decode_batch(reply.body, start))
         except (struct.error, ValueError) as exc:
             return _unavailable(f"records of {topic} cannot be decoded: {exc}")
@@ -275,9 +276,9 @@
 
 
 def _decode_batch(body, start):
-    end, first = _READ_HEADER.unpack_from(body)
+    end, _ = _READ_HEADER.unpack_from(body)
     position = _READ_HEADER.size
-    offset = max(start, first)
+    offset = start
     records = []
     while position < len(body):
         (length,) = _LENGTH_PREFIX.unpack_from(body, position)
@@ -335,5 +336,12 @@
     return result.Err(errors.Failure(kind, message))
 
 
+def _deleted(topic, start):
+    return _failure(
+        errors.Kind.CONFLICT,
+        f"records of {topic} from offset {start} on were deleted",
+    )
+
+
 def _unavailable(message):
     return _failure(errors.Kind.UNAVAILABLE, message)
