Answer no query from an owner that is superseded

Callers could get 410 for an accepted job, or "running" after "completed", from an owner that had learned of a newer one.

An owner stops deciding when it knows a newer owner, but ended up to 0.1 s later, and answered queries until then. If it had missed records that were deleted (a suspended process, a history that was compacted), it reads the newer owner's barrier together with topics from which that owner has deleted the submissions of ended jobs. Such jobs don't exist in its view, which was read just now. It now answers that it does not own the cell, and the member asks again.

Ruled out: refusing answers while the epoch is only unconfirmed. A job is denied only if all topics were read within 2 s, and a newer owner writes its barrier to each topic before it can delete anything from it.

Failed before: "a superseded owner answers no query" got a JobState without a state.

--- a/src/citrondeal/cell/_desk.py
+++ b/src/citrondeal/cell/_desk.py
@@ -209,7 +209,11 @@
             A fault if this process cannot answer as the owner now.
         """
         owner = self._owner()
-        if owner is None or owner.scheduler is None:
+        if (
+            owner is None
+            or owner.scheduler is None
+            or owner.scheduler.superseded
+        ):
             return ttypes.Fault(
                 kind="unavailable",
                 message="this process does not own the cell,"
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -81,6 +81,11 @@
   Scenario: cell a read that skips records is not taken as complete
     Then a cell read that begins after the requested record is a conflict
 
+  # Guards against an earlier owner that denies a job, or names an old state of
+  # it, after it has learned of a newer owner.
+  Scenario: cell a superseded owner answers no query
+    Then a cell owner that has read the barrier of a newer one answers no query
+
   # Guards against false refusals and lost work while the store is unavailable.
   Scenario: cell jobs go on while the store is unavailable
     Given a cell of 3 members
--- a/src/citrondeal/cell/tests/steps_views.py
+++ b/src/citrondeal/cell/tests/steps_views.py
@@ -7,11 +7,15 @@
 import result
 
 from citrondeal.cell import _clock
+from citrondeal.cell import _desk
 from citrondeal.cell import _job_topics
 from citrondeal import errors
+from citrondeal.peers.gen.peers import ttypes
 from citrondeal import platform
 from citrondeal import web
+from citrondeal import workflow
 
+JOB = "00000000000000aa"
 SUSPENDED_S = 0.3
 
 
@@ -59,3 +63,33 @@
     assert outcome.is_err(), outcome
     assert outcome.err_value.kind is errors.Kind.CONFLICT, outcome
     assert anyio.run(store.read, "topic", 7, 0.0).is_ok()
+
+
+class _Owner:
+    """An owner that has read all submissions just now."""
+
+    is_current = True
+    view_age_s = 0.0
+    positions = ()
+
+    def __init__(self):
+        self.scheduler = workflow.Scheduler(workflow.Config(), 1)
+
+
+class _OwnMembers:
+    """The membership of a process that owns the cell."""
+
+    class election:
+        is_owner = True
+
+
+@then("a cell owner that has read the barrier of a newer one answers no query")
+def _(context):
+    owner = _Owner()
+    requests = _desk.ClientRequests(
+        None, None, _OwnMembers, lambda: owner, lambda: None
+    )
+    query = ttypes.JobStateQuery(queue="queue", job_id=JOB)
+    assert isinstance(requests.answer_as_owner(query), ttypes.JobState)
+    owner.scheduler.on_barrier(2)
+    assert isinstance(requests.answer_as_owner(query), ttypes.Fault)
