Refuse jobs that no owner could hold

What callers saw: nothing at first; a job of thousands of steps with 10,000 tasks each was answered 200. The owner builds a state for each task, runs out of its 300 MB and is killed; the next owner recovers the same submission, and so on.

Cause: only the tasks of one step were limited. A body of 1 MiB could name 349,513 steps.

Measured on the sources before (trial, tracemalloc and resident size): 50 steps of 10,000 tasks take 320 MB in the owner; a body of 1 MiB of empty steps takes 148 MB at its peak in the process that decodes it, one of 256 KiB 37 MB; a stored job of 240,486 bytes whose second step names 240,000 entries of `after` costs 38 ms in each planning pass.

Ruled out: quadratic work in `_longest_chains_s` (41 ms for 1,200 steps with 200,000 entries, once per job; linear in the entries).

Change: at most 5,000 tasks, 500 steps, 5,000 entries of `after`, 1,000 tasks in a gang and 261,120 stored bytes a job; reasons in docs/platform.md and `workflow._limits`. Beyond them clients get 400 at once; `decode_submission` refuses such records, which the owner skips with a log line. A body has at most 256 KiB.

Evidence: the new scenario fails on: "ASSERT FAILED: ('tasks', 200)".

--- a/src/citrondeal/cell/main.py
+++ b/src/citrondeal/cell/main.py
@@ -27,7 +27,9 @@
 from citrondeal import telemetry
 from citrondeal import web
 
-MAX_BODY_BYTES = 1024 * 1024
+# The size of a record in the store, which holds the job of a body. A body of
+# small steps takes more than 50 times its size in memory while it is decoded.
+MAX_BODY_BYTES = 256 * 1024
 # The platform's load balancer stops sending connections after two failed
 # readiness checks, one second apart.
 UNREADY_WAIT_S = 2.5
--- a/src/citrondeal/platform/_ingress.py
+++ b/src/citrondeal/platform/_ingress.py
@@ -18,7 +18,6 @@
 ANSWER_MARGIN_S = 0.1
 RETRY_AFTER_S = 1.0
 MAX_SPEC_BYTES = 4000
-MAX_TASKS_PER_STEP = 10_000
 # Largest size of a task in each resource, and longest estimate in
 # milliseconds; larger numbers could not be stored.
 MAX_AMOUNT = 2**31
@@ -55,7 +54,7 @@
 
 class _Job(msgspec.Struct, rename="kebab"):
     spec: str
-    steps: list[_Step]
+    steps: Annotated[list[_Step], msgspec.Meta(max_length=workflow.MAX_STEPS)]
     repeat_count: int = 0
 
 
@@ -160,14 +159,18 @@
     if len(job.spec.encode()) > MAX_SPEC_BYTES:
         raise ValueError(f"spec is longer than {MAX_SPEC_BYTES} bytes")
     steps = tuple(_build_step(i, step) for i, step in enumerate(job.steps))
-    return workflow.Submission(job_id, job.spec, steps, policy, time.time())
+    workflow.check_steps(steps)
+    submission = workflow.Submission(
+        job_id, job.spec, steps, policy, time.time()
+    )
+    workflow.check_record(workflow.encode(submission))
+    return submission
 
 
 def _build_step(index, step):
-    if not 1 <= step.count <= MAX_TASKS_PER_STEP:
+    if step.count < 1:
         raise ValueError(
-            f"step {index} has {step.count} tasks;"
-            f" expected 1 to {MAX_TASKS_PER_STEP}"
+            f"step {index} has {step.count} tasks; expected 1 or more"
         )
     if any(not 0 <= i < index for i in step.after):
         raise ValueError(
--- a/src/citrondeal/platform/tests/platform.feature
+++ b/src/citrondeal/platform/tests/platform.feature
@@ -37,3 +37,11 @@
     And platform a batch that is cut off is refused
     And platform malformed deadlines count as missing
     And platform stored submissions that cannot be scheduled are refused
+
+  # Guards against one submission that ends owner after owner: each recovers
+  # it, and runs out of memory or is busy for too long.
+  Scenario: platform jobs that no owner could hold are refused at once
+    Then platform jobs beyond a limit get 400 with the limit
+    And platform jobs at a limit are accepted
+    And platform stored submissions beyond a limit are refused
+    And platform the largest body takes less than 40 MB to decode
--- a/src/citrondeal/workflow/__init__.py
+++ b/src/citrondeal/workflow/__init__.py
@@ -1,5 +1,6 @@
 """Scheduling of jobs with several steps: life cycle, placement, recovery."""
 
+from citrondeal.workflow import _limits
 from citrondeal.workflow import _model
 from citrondeal.workflow import _records
 from citrondeal.workflow import _scheduler
@@ -9,6 +10,7 @@
     "Config",
     "FetchTickets",
     "JobState",
+    "MAX_STEPS",
     "OrderOutcome",
     "Policy",
     "Progress",
@@ -27,12 +29,17 @@
     "Submission",
     "TaskId",
     "WorkerInfo",
+    "check_record",
+    "check_steps",
     "decode_progress",
     "decode_submission",
     "decode_worker",
     "encode",
 ]
 
+MAX_STEPS = _limits.MAX_STEPS
+check_record = _limits.check_record
+check_steps = _limits.check_steps
 FetchTickets = _model.FetchTickets
 JobState = _model.JobState
 OrderOutcome = _model.OrderOutcome
--- a/src/citrondeal/workflow/_records.py
+++ b/src/citrondeal/workflow/_records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from citrondeal.workflow import _limits
 from citrondeal.workflow import _model
 
 _SUBMISSIONS = msgspec.msgpack.Decoder(_model.Submission)
@@ -27,9 +28,14 @@
     Raises
     ------
     RecordError
-        If `data` holds no such record.
+        If `data` holds no such record, or a job beyond the limits.
     """
     submission = _decode(_SUBMISSIONS, data)
+    try:
+        _limits.check_record(data)
+        _limits.check_steps(submission.steps)
+    except _limits.LimitError as exc:
+        raise RecordError(str(exc)) from exc
     for index, step in enumerate(submission.steps):
         if step.tasks < 1 or any(not 0 <= i < index for i in step.after):
             raise RecordError(f"step {index} of a submission is invalid")
