Append large records in several calls

What callers saw: 504 until their deadline, for all submissions of a topic that arrived within the same 10 ms as a few large ones. The group was put back and sent again as a whole, every 0.1 s.

Cause: a group had at most 200 records, but any number of bytes, while the store takes 2 MiB in a call and refuses a larger one as a whole. A relay of such a group does not fit into a frame between members either.

Change: a group has at most 1 MiB. The first record is always taken.

Evidence: the new scenario (12 records of 261,144 bytes at once) fails on the sources before: all 12 outcomes are errors after 3 s; it passes now.

--- a/src/citrondeal/cell/_committer.py
+++ b/src/citrondeal/cell/_committer.py
@@ -13,6 +13,9 @@
 # Records added within this time share an append.
 GROUP_DELAY_S = 0.01
 MAX_GROUP_RECORDS = 200
+# Half of what the store takes in a call, and of a frame between members. The
+# store refuses a larger call as a whole, with all records in it.
+MAX_GROUP_BYTES = 1024 * 1024
 RETRY_DELAY_S = 0.1
 # A record that neither this process nor another could append within this
 # time is given up, unless the store is slow but still serves calls.
@@ -137,14 +140,25 @@
                 self._wakeup = anyio.Event()
                 await self._wakeup.wait()
             await anyio.sleep(GROUP_DELAY_S)
-            group = self._pending[:MAX_GROUP_RECORDS]
-            del self._pending[:MAX_GROUP_RECORDS]
+            group = self._take_group()
             with telemetry.contain(_LOG, "append", count=len(group)):
                 await self._commit(group)
                 continue
             for entry in group:
                 _finish(entry, _failure(errors.Kind.UNKNOWN_OUTCOME))
 
+    def _take_group(self):
+        """Remove and return the next records, at least one."""
+        size = count = 0
+        for entry in self._pending[:MAX_GROUP_RECORDS]:
+            size += len(entry.record.value)
+            if count and size > MAX_GROUP_BYTES:
+                break
+            count += 1
+        group = self._pending[:count]
+        del self._pending[:count]
+        return group
+
     async def _commit(self, group):
         records = [entry.record for entry in group]
         started = _clock.now()
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -135,6 +135,11 @@
   Scenario: cell appends to a slow store are repeated but not relayed
     Then a cell record is appended again by the same member if the store is slow
 
+  # Guards against large submissions that spoil those of other clients, with
+  # which they share a call that the store refuses again and again.
+  Scenario: cell large records do not spoil the append of others
+    Then cell records that are large together are appended in several calls
+
   # Guards against a refusal that says "not run" for an accepted job.
   Scenario: cell a job that is sent again while the store is unavailable is accepted
     Given a cell of 3 members
--- a/src/citrondeal/cell/tests/steps_committer.py
+++ b/src/citrondeal/cell/tests/steps_committer.py
@@ -16,6 +16,9 @@
 DEADLINE_S = 3.0
 # A refusal that takes longer was delayed.
 MAX_REFUSAL_S = 0.2
+# Limits of the store for one record, and for all records of one call.
+STORE_RECORD_BYTES = 262_144
+STORE_CALL_BYTES = 2_097_152
 
 
 class _Metrics:
@@ -148,3 +151,46 @@
     kinds = anyio.run(run)
     assert store.calls == 1, store.calls
     assert set(kinds[1:]) == {errors.Kind.UNAVAILABLE}, kinds
+
+
+class _LimitedStore:
+    """Refuses each call whose records are too large together."""
+
+    async def append(self, records):
+        await anyio.sleep(0.01)
+        if sum(len(record.value) for record in records) > STORE_CALL_BYTES:
+            return result.Err(
+                errors.Failure(
+                    errors.Kind.UNKNOWN_OUTCOME, "store answered 413"
+                )
+            )
+        return result.Ok(0)
+
+
+@then("cell records that are large together are appended in several calls")
+def _(context):
+    store = _LimitedStore()
+    outcomes = []
+
+    async def put(committer, number):
+        value = b"x" * (STORE_RECORD_BYTES - 1000)
+        record = platform.Record(f"job/{number}", value)
+        outcomes.append(await committer.put(record, DEADLINE_S))
+
+    async def run():
+        committer = _committer.Committer(
+            store.append,
+            store.append,
+            _committer.StoreOutage(lambda: 0.0),
+            _Metrics(),
+        )
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(committer.run)
+            async with anyio.create_task_group() as puts:
+                for number in range(12):
+                    puts.start_soon(put, committer, number)
+            task_group.cancel_scope.cancel()
+
+    anyio.run(run)
+    assert len(outcomes) == 12, outcomes
+    assert all(outcome.is_ok() for outcome in outcomes), outcomes
