Start wide steps in portions

A step of thousands of small tasks gets all its starts in one planning pass.

Ruled out: gangs, which start as a whole and have at most 1,000 tasks.

Change: a step that is no gang stops at the limit and continues in the next pass. Placement and requests for tickets still consider all waiting tasks.

Evidence: the new scenario fails on the sources before: "ASSERT FAILED: [500]" (starts in the first pass, at most 48 allowed).

--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -29,6 +29,7 @@
         self._state = state
         self._reserving_gang = None
         self._usable_workers = {}  # by service, then by worker id
+        self._action_limit = math.inf  # of the current pass
 
     def plan(self, now, max_starts=math.inf):
         """Return the orders that are due.
@@ -37,8 +38,8 @@
         ----------
         now : float
         max_starts : float
-            No step is planned after this number of starts, which a gang may
-            exceed, since it starts as a whole.
+            Largest number of starts, which a gang may exceed, since it starts
+            as a whole.
 
         Returns
         -------
@@ -59,9 +60,9 @@
                     worker.info.service, {}
                 )
                 service[worker.id] = worker
-        limit = len(actions) + max_starts
+        self._action_limit = len(actions) + max_starts
         for step in self._ready_steps(now):
-            if len(actions) >= limit:
+            if len(actions) >= self._action_limit:
                 break
             self._plan_step(step, actions, now)
         return actions
@@ -194,6 +195,8 @@
             self._state.reserve(step, [])
         number = self._state.take_run_number() if step.spec.gang else None
         for task, worker, ticket in ready:
+            if number is None and len(actions) >= self._action_limit:
+                break  # a wide step continues in the next pass
             if ticket is not None:
                 actions.append(self._start(task, worker, ticket, number, now))
 
--- a/src/citrondeal/workflow/tests/steps_policy.py
+++ b/src/citrondeal/workflow/tests/steps_policy.py
@@ -204,3 +204,14 @@
     assert all(len(starts) == limit for starts in passes[:-1]), passes
     started = [job for starts in passes[:-1] for job in starts]
     assert started == sorted(started) and len(started) == 40, started
+
+
+@then("workflow passes of at most {limit:d} starts start a step of {count:d}")
+def _(context, limit, count):
+    workers = tuple(f"w{number}" for number in range(5))
+    harness = harnesses.Harness(cores=count, workers=workers)
+    harness.submit("wide", 1.0, tasks=count)
+    sizes = []
+    while starts := harness.plan(limit):
+        sizes.append(len(starts))
+    assert max(sizes) <= limit and sum(sizes) == count, sizes
--- a/src/citrondeal/workflow/tests/workflow.feature
+++ b/src/citrondeal/workflow/tests/workflow.feature
@@ -27,6 +27,11 @@
     Given a workflow burst of 40 jobs of one task and a gang of 10 tasks
     Then workflow passes of at most 8 starts start all of them, the gang whole
 
+  # Guards against one step of thousands of tasks that stalls owner after
+  # owner: each sends all its starts at once and is replaced meanwhile.
+  Scenario: workflow a wide step is started in portions
+    Then workflow passes of at most 48 starts start a step of 500
+
   # Guards against small tasks that take each freed core, so that a larger
   # urgent task never fits.
   Scenario: workflow cores are reserved for urgent tasks that do not fit
