Store large progress in several calls

A call that the store refuses for its size is repeated for ever ("progress cannot be stored" is logged once): no progress is stored, no end acknowledged, no worker used. The next owner finds the same jobs and workers and has the same changes to store.

Cause: all changes went into one call, which the store takes up to 2 MiB; and two records had no bound: the numbers of the failed runs of a job, and the tasks on a worker that does not answer, which are many if they are tiny.

Ruled out: the map of the tasks that are done (at most 1.6 KB a job); order and atomicity, since jobs come before workers and ends are acknowledged only after the last call.

Change: calls of at most 1 MiB. A job ends as failed at 20,000 failed runs in all, which no job with up to five attempts a task can reach. The list of a silent worker with more than 5,000 runs is left out, so that the next owner waits for its answer or for its leases to lapse.

--- a/src/citrondeal/cell/_writer.py
+++ b/src/citrondeal/cell/_writer.py
@@ -23,6 +23,9 @@
 
 # Kinds of failures after which the epoch cannot store anything more.
 REJECTED = frozenset({errors.Kind.BARRED, errors.Kind.CONFLICT})
+# Half of what the store takes in a call. It refuses a larger call as a whole,
+# and each next owner would have the same changes to store.
+MAX_APPEND_BYTES = 1024 * 1024
 
 _LOG = logging.getLogger(__name__)
 
@@ -99,12 +102,12 @@
             self._wakeup = anyio.Event()
             jobs, workers, ends = scheduler.take_changes()
             records = _to_records(jobs, workers)
-            if records:
+            for group in _split(records):
                 producer = platform.Producer(
                     _records.PRODUCER, self._epoch, self._sequence
                 )
                 outcome = await self._append(
-                    _records.STATE_TOPIC, records, producer
+                    _records.STATE_TOPIC, group, producer
                 )
                 if outcome.is_err():
                     return outcome.err_value
@@ -154,6 +157,23 @@
     return records
 
 
+def _split(records):
+    """Yield the records in order, in groups for one call each.
+
+    The changes of jobs come before those of workers, so an owner that finds
+    only the first groups knows no less than before.
+    """
+    group, size = [], 0
+    for record in records:
+        size += len(record.key) + len(record.value)
+        if group and size > MAX_APPEND_BYTES:
+            yield group
+            group, size = [], len(record.key) + len(record.value)
+        group.append(record)
+    if group:
+        yield group
+
+
 def _encode_or_delete(value):
     """Return the bytes to store; empty for None, which deletes the key."""
     return b"" if value is None else workflow.encode(value)
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -140,6 +140,11 @@
   Scenario: cell large records do not spoil the append of others
     Then cell records that are large together are appended in several calls
 
+  # Guards against an owner that tries the same call for ever, because the
+  # store refuses it for its size, and a next owner that does the same.
+  Scenario: cell large progress is stored
+    Then cell progress that is too large for one call is stored in several
+
   # Guards against a refusal that says "not run" for an accepted job.
   Scenario: cell a job that is sent again while the store is unavailable is accepted
     Given a cell of 3 members
--- a/src/citrondeal/workflow/_jobs.py
+++ b/src/citrondeal/workflow/_jobs.py
@@ -168,6 +168,7 @@
         self.stored_state = STATES.QUEUED
         self.ended_at = now
         self.submission_dropped = False
+        self.failed_runs = 0
         remaining = _longest_chains_s(submission.steps)
         self.steps = [
             StepState(self, i, spec, remaining[i])
@@ -234,6 +235,7 @@
         for key, runs in progress.failures.items():
             step, _, index = key.partition(".")
             self.steps[int(step)].tasks[int(index)].failures.update(runs)
+            self.failed_runs += len(runs)
 
 
 def _bitmap(step):
--- a/src/citrondeal/workflow/_limits.py
+++ b/src/citrondeal/workflow/_limits.py
@@ -5,8 +5,7 @@
 """
 
 # The capacity target is 2,900 running tasks in all. An owner needs about
-# 0.7 KB of memory for each task, and the stored progress of a job with so many
-# tasks, each of which has failed eight times, still fits in a record.
+# 0.7 KB of memory for each task.
 MAX_TASKS = 5_000
 MAX_STEPS = 500
 # Entries of `Step.after` in all steps; each planning pass may look at them.
@@ -16,6 +15,10 @@
 MAX_GANG_TASKS = 1_000
 # A record of the store has 262,144 bytes, of which the key needs some.
 MAX_RECORD_BYTES = 256 * 1024 - 1024
+# The stored progress takes up to 13 bytes for each task that has failed, and
+# up to 9 for each failed run; with this number it fits in a record. No job
+# with up to five attempts for each task reaches it.
+MAX_FAILED_RUNS = 20_000
 
 
 class LimitError(ValueError):
--- a/src/citrondeal/workflow/_persistence.py
+++ b/src/citrondeal/workflow/_persistence.py
@@ -2,6 +2,10 @@
 
 from citrondeal.workflow import _model
 
+# More tasks would not fit in a record of the store. Without the list, a next
+# owner waits until the worker answers or its leases have lapsed.
+MAX_STORED_RUNS = 5_000
+
 
 class Persistence:
     """Collects changes, and records which of them are stored.
@@ -48,7 +52,7 @@
     def _stored_worker(self, worker):
         if self._state.workers.get(worker.id) is not worker:
             return None
-        if worker.reachable:
+        if worker.reachable or len(worker.runs) > MAX_STORED_RUNS:
             return _model.StoredWorker(worker.info)
         return _model.StoredWorker(worker.info, tuple(worker.runs))
 
--- a/src/citrondeal/workflow/tests/steps_policy.py
+++ b/src/citrondeal/workflow/tests/steps_policy.py
@@ -7,6 +7,8 @@
 from citrondeal import workflow
 from citrondeal.workflow.tests import harness as harnesses
 
+STORE_RECORD_BYTES = 262_144
+
 
 @given("a workflow worker with 4 cores and a backlog of 2-core tasks")
 def _(context):
@@ -215,3 +217,52 @@
     while starts := harness.plan(limit):
         sizes.append(len(starts))
     assert max(sizes) <= limit and sum(sizes) == count, sizes
+
+
+@then(
+    "workflow the progress of {tasks:d} tasks that fail {times:d} times fits"
+    " in a record"
+)
+def _(context, tasks, times):
+    harness = harnesses.Harness()
+    step = workflow.Step(tasks, workflow.Size(1000, 10))
+    policy = workflow.Policy("queue", "service", max_attempts=times + 1)
+    submission = workflow.Submission("a", "", (step,), policy)
+    harness.scheduler.on_submission(submission, 0, harness.now)
+    for number in range(1, times + 1):
+        first = (number - 1) * tasks + 1
+        run = 10**6 + number
+        harness.ends["w0"] = [
+            workflow.RunEnd(
+                first + index,
+                workflow.TaskId("a", 0, 0, index),
+                run,
+                workflow.RunOutcome.FAILED,
+                "",
+            )
+            for index in range(tasks)
+        ]
+        harness.report_all()
+        jobs, _, _ = harness.store()
+        for progress in jobs.values():
+            size = len(workflow.encode(progress))
+            assert size < STORE_RECORD_BYTES, size
+    assert harness.scheduler.job_state("a") is workflow.JobState.FAILED
+
+
+@then("workflow the record of a silent worker with {count:d} runs is small")
+def _(context, count):
+    harness = harnesses.Harness()
+    policy = workflow.Policy("queue", "service")
+    step = workflow.Step(4_000, workflow.Size())
+    for number in range(count // 4_000):
+        name = f"{number:016x}"
+        harness.scheduler.on_submission(
+            workflow.Submission(name, "", (step,), policy), 0, harness.now
+        )
+    assert len(harness.plan()) == count
+    harness.scheduler.on_renewal_failed("w0", "silent", harness.now)
+    _, workers, _ = harness.store()
+    size = len(workflow.encode(workers["w0"]))
+    assert size < STORE_RECORD_BYTES, size
+    assert not harness.scheduler.workers["w0"].usable
--- a/src/citrondeal/workflow/tests/workflow.feature
+++ b/src/citrondeal/workflow/tests/workflow.feature
@@ -32,6 +32,12 @@
   Scenario: workflow a wide step is started in portions
     Then workflow passes of at most 48 starts start a step of 500
 
+  # Guards against progress that the store refuses, whoever is the owner, so
+  # that nothing more is stored and no end is acknowledged.
+  Scenario: workflow very many runs still fit in a record
+    Then workflow the progress of 5000 tasks that fail 12 times fits in a record
+    And workflow the record of a silent worker with 12000 runs is small
+
   # Guards against small tasks that take each freed core, so that a larger
   # urgent task never fits.
   Scenario: workflow cores are reserved for urgent tasks that do not fit
