Limit the endpoints that one idempotent request can end

What callers saw: a request that crashes the endpoint which runs it was sent to one endpoint after the other. Seen with real code of two gateways and a server that closes each connection: 4 endpoints for one send, 16 if the gateway forwards, 40 for ten sends of one id, 24 for six sends at six gateways.

Cause: the number of tries was limited for one send at one gateway only. A forward counts as one try, and the receiver has tries of its own. Nothing was remembered beyond the answer.

Ruled out: non-idempotent requests, which are never sent again once a byte was sent. Timeouts do not count: a slow endpoint is not evidence of a crash.

Change: the endpoint client tells a broken connection from a timeout. A gateway counts the breaks of an id for 600 s (at most 10,000 ids) and answers `unknown_outcome` after three, at once for further sends. A send with `Request-Attempt` above 1 and a forwarded request end with their first break. A log line and a counter tell each break.

Remains: each gateway counts for itself, so sends without an attempt number can end up to three endpoints a gateway.

--- a/src/citrondeal/dedup/_ledger.py
+++ b/src/citrondeal/dedup/_ledger.py
@@ -68,7 +68,9 @@
         self._answer_cache = _answer_cache.AnswerCache(
             self._config.answer_bytes
         )
-        self._idempotent = _idempotent.IdempotentRequests()
+        self._idempotent = _idempotent.IdempotentRequests(
+            self._config.window_s
+        )
         self._call_number = 0
         self._is_closed = False
         self._forgotten = 0
@@ -185,7 +187,8 @@
         if record is not None and record.active is not None:
             return self._join(request_id, record, attempt or 2)
         if idempotent or request_id in self._idempotent:
-            return self._idempotent.begin(request_id)
+            is_repeat = attempt is not None and attempt > 1
+            return self._idempotent.begin(request_id, now, is_repeat)
         if record is not None and record.state == _records.State.DONE:
             return self._cached_answer(request_id)
         if record is not None and record.state == _records.State.UNKNOWN:
@@ -417,8 +420,8 @@
         now : float
             Monotonic seconds.
         retry : bool
-            Whether an idempotent request returns to the queue. Ignored
-            for others.
+            Whether an idempotent request returns to the queue, unless too
+            many endpoints broke off. Ignored for others.
         """
         failure = errors.Failure(errors.Kind.UNKNOWN_OUTCOME, message)
         if request_id in self._idempotent:
@@ -429,6 +432,14 @@
         self._conclude(request_id, record, _records.State.UNKNOWN, now)
         return [_model.Refuse(request_id, failure)]
 
+    def broke_off(self, request_id, now):
+        """Count an endpoint that broke off an idempotent request.
+
+        Call this before `unknown` or `answer_lost`, and also if the request
+        has ended meanwhile.
+        """
+        self._idempotent.broke_off(request_id, now)
+
     def answer_lost(self, request_id, message, now):
         """Handle a dispatch that ran and whose answer is lost."""
         failure = errors.Failure(errors.Kind.ANSWER_LOST, message)
@@ -524,7 +535,7 @@
         if request_id in self._idempotent:
             if failure.run == errors.Run.NOT_RUN:
                 return self._idempotent.not_run(request_id, failure, retry)
-            return self._idempotent.unknown(request_id, failure, retry)
+            return self._idempotent.forward_unknown(request_id, failure, retry)
         record = self._records[request_id]
         if failure.kind == errors.Kind.IN_PROGRESS:
             return self._yield_to_other(request_id, record, now)
@@ -563,7 +574,7 @@
             if not sent:
                 return self._idempotent.not_run(request_id, failure, retry)
             failure = errors.Failure(errors.Kind.UNKNOWN_OUTCOME, message)
-            return self._idempotent.unknown(request_id, failure, retry)
+            return self._idempotent.forward_unknown(request_id, failure, retry)
         record = self._records[request_id]
         if record.state != _records.State.FORWARDED:
             return []
@@ -604,7 +615,14 @@
             message = f"Gateway {self._process} is stopping."
             return [self._reject(request_id, permit, "UNAVAILABLE", message)]
         if idempotent:
-            return self._idempotent.begin(request_id)
+            failure = self._idempotent.exhausted(request_id, now)
+            if failure is not None:
+                return [
+                    self._reject(
+                        request_id, permit, failure.kind.name, failure.message
+                    )
+                ]
+            return self._idempotent.begin(request_id, now, is_repeat=True)
         if record is not None and record.state == _records.State.DONE:
             return self._cached_answer(request_id)
         if record is not None and record.state == _records.State.UNKNOWN:
--- a/src/citrondeal/endpoints/_client.py
+++ b/src/citrondeal/endpoints/_client.py
@@ -69,6 +69,9 @@
         Body of a complete answer.
     reason : str
         Why there is no complete answer; empty if there is one.
+    broke_off : bool
+        Whether the connection ended after the request had started, as it
+        does if the endpoint crashes.
     """
 
     delivery: Delivery
@@ -76,6 +79,7 @@
     headers: dict = dataclasses.field(default_factory=dict)
     body: bytes = b""
     reason: str = ""
+    broke_off: bool = False
 
 
 class _Withdrawn(Exception):
@@ -175,13 +179,16 @@
                 progress,
                 f"the attempt did not complete within {timeout_s:g} s",
             )
+        except httpcore.TimeoutException as exc:
+            return _failed_outcome(progress, str(exc) or type(exc).__name__)
         except (
             httpcore.NetworkError,
             httpcore.ProtocolError,
-            httpcore.TimeoutException,
             OSError,
         ) as exc:
-            return _failed_outcome(progress, str(exc) or type(exc).__name__)
+            return _failed_outcome(
+                progress, str(exc) or type(exc).__name__, broke_off=True
+            )
 
     async def _send(
         self, pool, address, path, headers, body, timeout_s, progress
@@ -295,9 +302,10 @@
     }
 
 
-def _failed_outcome(progress, reason):
+def _failed_outcome(progress, reason, broke_off=False):
     if not progress.request_started:
         return Outcome(Delivery.NOT_SENT, reason=reason)
+    delivery = Delivery.UNKNOWN
     if progress.answer_started:
-        return Outcome(Delivery.INCOMPLETE, reason=reason)
-    return Outcome(Delivery.UNKNOWN, reason=reason)
+        delivery = Delivery.INCOMPLETE
+    return Outcome(delivery, reason=reason, broke_off=broke_off)
--- a/src/citrondeal/gateway/_attempts.py
+++ b/src/citrondeal/gateway/_attempts.py
@@ -202,6 +202,8 @@
                 request,
                 endpoint,
             )
+            if outcome.broke_off and request.idempotent:
+                self._record_break(request, endpoint, outcome, now)
             self._after_unknown(request, outcome, now)
         self.dispatch_queued(request.service)
 
@@ -233,6 +235,18 @@
         )
         self._request_handler.finish_dispatch(request, actions, now)
 
+    def _record_break(self, request, endpoint, outcome, now):
+        self._components.metrics.count("citrondeal.requests.breaks")
+        telemetry.event(
+            _LOG,
+            logging.WARNING,
+            "endpoint broke off a request",
+            request_id=request.request_id,
+            endpoint=endpoint,
+            reason=outcome.reason,
+        )
+        self._components.ledger.broke_off(request.request_id, now)
+
     def _after_unknown(self, request, outcome, now):
         if request.ended.is_set():
             self._components.queues.finished(request.key, now, succeeded=False)
