--- a/src/citrondeal/jobs/tests/jobs.feature
+++ b/src/citrondeal/jobs/tests/jobs.feature
@@ -269,3 +269,12 @@
     When jobs 1 s pass
     Then jobs a job table without the job of a running task is taken over
     And jobs a reply with a number of too many digits is refused
+
+  Scenario: jobs a task that crashes its worker has a budget
+    # Guards against one task that ends worker after worker: a run that ends
+    # with a restart of its worker was counted nowhere. The default of
+    # max_restarts allows four runs.
+    Given jobs a scheduler that owns a pool of 6 workers
+    When jobs "a" with 1 tasks is submitted and 0 s pass
+    And jobs each worker that runs "a" restarts, for 120 s
+    Then jobs at most 4 workers restarted because of "a"
--- a/src/citrondeal/jobs/tests/steps.py
+++ b/src/citrondeal/jobs/tests/steps.py
@@ -398,3 +398,20 @@
     owner.sync_request(worker.name, context.now, context.now + 3.0)
     reply = worker.sync({"boot_id": ""}, context.now) | {"clock_s": HUGE}
     owner.on_reply(worker.name, reply, context.now, context.now)
+
+
+@when('jobs each worker that runs "{job}" restarts, for {seconds:d} s')
+def _(context, job, seconds):
+    context.crashes = 0
+    for _ in range(seconds * 2):
+        step(context)
+        for worker in context.workers:
+            tasks = worker.running(context.now)
+            if any(task["job"] == job for task in tasks):
+                worker.reboot()
+                context.crashes += 1
+
+
+@then('jobs at most {limit:d} workers restarted because of "{job}"')
+def _(context, limit, job):
+    assert 1 <= context.crashes <= limit, context.crashes
