Refuse deeply nested values in all decoders

What callers saw: 500 for a body nested 100,000 deep, where 400 is due. A configuration record of that depth fails the activity that reads it, in each member, again every 0.5 s; a claim or member record does the same to the membership, so that a restarted member never joins; a stored worker ends the recovery of owner after owner.

Cause: such a value raises RecursionError in msgspec and in the json module. It is neither a DecodeError nor a ValueError.

Ruled out: frames between members.

Change: all decoders of records, answers and bodies treat it as malformed.

Evidence: both scenarios fail on the sources before with "RecursionError: maximum recursion depth exceeded".

Remains: one such record in the project's own log service makes the whole batch undecodable, so its readers wait there.

--- a/src/citrondeal/cell/_records.py
+++ b/src/citrondeal/cell/_records.py
@@ -94,5 +94,5 @@
 def _decode(decoder, data):
     try:
         return decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
         return None
--- a/src/citrondeal/jobs/tests/jobs.feature
+++ b/src/citrondeal/jobs/tests/jobs.feature
@@ -269,6 +269,7 @@
     When jobs 1 s pass
     Then jobs a job table without the job of a running task is taken over
     And jobs a reply with a number of too many digits is refused
+    And jobs a deeply nested reply of a worker is refused
 
   Scenario: jobs a task that crashes its worker has a budget
     # Guards against one task that ends worker after worker: a run that ends
--- a/src/citrondeal/jobs/tests/steps.py
+++ b/src/citrondeal/jobs/tests/steps.py
@@ -11,6 +11,7 @@
 from citrondeal.jobs.tests import machine
 from citrondeal.jobs.tests import mutations
 from citrondeal.jobs.tests import random_records
+from citrondeal.workers import _client as workers_client
 
 HUGE = 10**400  # more digits than a float holds
 MALFORMED = [
@@ -415,3 +416,9 @@
 @then('jobs at most {limit:d} workers restarted because of "{job}"')
 def _(context, limit, job):
     assert 1 <= context.crashes <= limit, context.crashes
+
+
+@then("jobs a deeply nested reply of a worker is refused")
+def _(context):
+    content = b"[" * 100_000 + b"]" * 100_000
+    assert workers_client._parse_reply(content).is_err()
--- a/src/citrondeal/logservice/_log.py
+++ b/src/citrondeal/logservice/_log.py
@@ -99,7 +99,7 @@
             )
         try:
             return result.Ok(int(json.loads(response.content)["offset"]))
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, RecursionError, TypeError):
             return _failure(
                 errors.Kind.UNKNOWN_OUTCOME,
                 "log service's answer to the append to stream"
@@ -146,7 +146,7 @@
             )
         try:
             return result.Ok(_decode_batch(json.loads(response.content)))
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, RecursionError, TypeError):
             return _failure(
                 errors.Kind.UNAVAILABLE,
                 f"log service's answer to the read of stream {stream} cannot"
--- a/src/citrondeal/logservice/_vms.py
+++ b/src/citrondeal/logservice/_vms.py
@@ -209,7 +209,7 @@
             )
         try:
             vms, invalid = parse_rows(json.loads(response.content)["vms"])
-        except (ValueError, KeyError, TypeError):
+        except (ValueError, KeyError, RecursionError, TypeError):
             return _unavailable(
                 "answer of the VM list service cannot be decoded"
             )
--- a/src/citrondeal/operators/api.py
+++ b/src/citrondeal/operators/api.py
@@ -164,6 +164,9 @@
     """Return the validated body as `result.Result`."""
     try:
         return result.Ok(msgspec.json.decode(request.body, type=model))
+    except RecursionError:
+        message = "body is nested too deeply"
+        return result.Err(errors.Failure(errors.Kind.MALFORMED, message))
     except msgspec.DecodeError as exc:
         message = _models.describe_decode_error(exc)
         return result.Err(errors.Failure(errors.Kind.MALFORMED, message))
--- a/src/citrondeal/platform/_ingress.py
+++ b/src/citrondeal/platform/_ingress.py
@@ -119,7 +119,7 @@
     try:
         job = _JOB_DECODER.decode(request.body)
         submission = _build_submission(job_id, job, queue.policy)
-    except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
+    except (msgspec.DecodeError, RecursionError, ValueError) as exc:
         return _refuse(request, errors.Kind.MALFORMED, str(exc))
     unsupported = _unsupported_reason(job)
     if unsupported:
--- a/src/citrondeal/platform/_records.py
+++ b/src/citrondeal/platform/_records.py
@@ -176,5 +176,5 @@
 def _decode(decoder, data):
     try:
         return decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as exc:
         raise RecordError(str(exc)) from exc
--- a/src/citrondeal/platform/_runners.py
+++ b/src/citrondeal/platform/_runners.py
@@ -159,7 +159,7 @@
             return result.Ok(
                 _build_report(_RENEWAL_REPLY_DECODER.decode(reply.body))
             )
-        except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as exc:
+        except (msgspec.DecodeError, RecursionError, ValueError) as exc:
             return _failure(
                 errors.Kind.UNKNOWN_OUTCOME,
                 f"report of the runner cannot be decoded: {exc}",
@@ -192,7 +192,7 @@
     if reply.status == 409:
         try:
             reason = _ORDER_REPLY_DECODER.decode(reply.body).reason
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
             return workflow.OrderOutcome.UNKNOWN
         return _OUTCOME_BY_REASON.get(reason, workflow.OrderOutcome.REFUSED)
     if reply.status in (400, 429, 503):
--- a/src/citrondeal/platform/_store.py
+++ b/src/citrondeal/platform/_store.py
@@ -325,7 +325,7 @@
 def _decode_reply(decoder, body, convert):
     try:
         return result.Ok(convert(decoder.decode(body)))
-    except (msgspec.DecodeError, ValueError) as exc:
+    except (msgspec.DecodeError, RecursionError, ValueError) as exc:
         return _failure(
             errors.Kind.UNKNOWN_OUTCOME,
             f"answer of the store cannot be decoded: {exc}",
--- a/src/citrondeal/platform/_tickets.py
+++ b/src/citrondeal/platform/_tickets.py
@@ -68,7 +68,11 @@
             return _failure(f"ticket service answered {reply.status}")
         try:
             advice = _ADVICE_DECODER.decode(reply.body)
-        except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        except (
+            msgspec.DecodeError,
+            RecursionError,
+            UnicodeDecodeError,
+        ) as exc:
             return _failure(
                 f"answer of the ticket service cannot be decoded: {exc}"
             )
--- a/src/citrondeal/platform/tests/platform.feature
+++ b/src/citrondeal/platform/tests/platform.feature
@@ -45,3 +45,10 @@
     And platform jobs at a limit are accepted
     And platform stored submissions beyond a limit are refused
     And platform the largest body takes less than 40 MB to decode
+
+  # Guards against one record that ends an activity of process after process,
+  # because its depth raises an error that no decoder expects.
+  Scenario: platform deeply nested values are refused
+    Then platform deeply nested records are refused
+    And platform deeply nested answers are refused
+    And platform a deeply nested body gets 400
--- a/src/citrondeal/workers/_client.py
+++ b/src/citrondeal/workers/_client.py
@@ -152,7 +152,7 @@
     try:
         reply = json.loads(content)
         _check_reply(reply)
-    except (ValueError, KeyError, TypeError) as exc:
+    except (ValueError, KeyError, RecursionError, TypeError) as exc:
         return _failure(errors.Kind.UNKNOWN_OUTCOME, f"invalid reply: {exc!r}")
     return result.Ok(reply)
 
--- a/src/citrondeal/workflow/_records.py
+++ b/src/citrondeal/workflow/_records.py
@@ -70,7 +70,7 @@
 def _decode(decoder, data):
     try:
         return decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as exc:
         raise RecordError(
             f"stored {decoder.type.__name__} cannot be decoded: {exc}"
         ) from exc
