Refuse entries and reports of workers that end each owner

What callers saw: accepted jobs that never ran. A cell of three real processes with the stand-in completes none of six jobs within 15 s once three such entries are in the list of workers.

Cause: an entry was taken over if its fields had the right types. A number beyond 64 bits and an id over 248 bytes raise an error when the owner stores the worker; an address without a port does when it makes the client. Both end the owner, and the next one reads the same entry. An entry over 262,144 bytes is a record that the store refuses, so that nothing more is stored. The run number of a report is stored as well.

Ruled out: numbers in jobs, which have been limited to 2^31 at the border; times of other clocks, which JSON limits to finite floats.

Change: such entries are skipped with a log line, and such reports refused as a whole. A stored worker of an earlier version for which no client can be made no longer ends the owner either.

Evidence: the new scenario fails on the sources before with "ValueError: bytes must be in range(0, 256)"; the extended scenario of malformed records fails there with "the condition did not hold within 15 s".

--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -252,15 +252,20 @@
     def _start_missing_leases(self):
         for worker_id, worker in self._scheduler.workers.items():
             if worker_id not in self._leases and self._task_group is not None:
-                lease = _leases.LeaseRenewer(
-                    worker,
-                    self._scheduler,
-                    self._lease_s,
-                    self._on_report,
-                    self._confirmation.holds,
-                )
-                self._leases[worker_id] = lease
-                self._task_group.start_soon(self._run_lease, lease)
+                # A stored worker that cannot be used must not end each owner.
+                with telemetry.contain(_LOG, "lease", worker=worker_id):
+                    self._start_lease(worker)
+
+    def _start_lease(self, worker):
+        lease = _leases.LeaseRenewer(
+            worker,
+            self._scheduler,
+            self._lease_s,
+            self._on_report,
+            self._confirmation.holds,
+        )
+        self._leases[worker.id] = lease
+        self._task_group.start_soon(self._run_lease, lease)
 
     async def _run_lease(self, lease):
         await telemetry.keep_running(
--- a/src/citrondeal/cell/tests/steps_malformed.py
+++ b/src/citrondeal/cell/tests/steps_malformed.py
@@ -1,6 +1,7 @@
 """Steps that write malformed records and messages to a running cell."""
 
 import contextlib
+import json
 import socket
 import struct
 
@@ -12,6 +13,7 @@
 from citrondeal import workflow
 
 CALL_TIMEOUT_S = 2.0
+DEPTH = 100_000
 
 
 def _bad_submission():
@@ -21,6 +23,21 @@
     return workflow.encode(workflow.Submission("0", "", (step,), policy))
 
 
+def _bad_worker(**fields):
+    """Return an entry of a worker that cannot be used or stored."""
+    entry = {
+        "service": "lanes",
+        "address": "127.0.0.1:1",
+        "zone": "z",
+        "state": "ready",
+        "capacity": {"cpu": 1000, "mem-mb": 1000},
+        "labels": [],
+        "clock-ms": 1,
+        "born": 1,
+    }
+    return json.dumps(entry | fields).encode()
+
+
 @when("malformed records are appended to all topics of the cell")
 def _(context):
     job_topic = _records.JOB_TOPICS[0]
@@ -36,6 +53,16 @@
         for name in names:
             for value in values:
                 context.cell.append(topic, name, value)
+    deep = b'{"x":' + b"[" * DEPTH + b"]" * DEPTH + b"}"
+    context.cell.append(platform.OPERATOR_TOPIC, platform.CONFIG_KEY, deep)
+    workers = {
+        "deep": deep,
+        "port": _bad_worker(address="127.0.0.1:x"),
+        "huge": _bad_worker(capacity={"cpu": 10**30, "mem-mb": 1}),
+        "i" * 250: _bad_worker(),
+    }
+    for name, value in workers.items():
+        context.cell.append(platform.WORKERS_TOPIC, name, value)
 
 
 @when("malformed messages are sent to all cell members")
--- a/src/citrondeal/platform/_records.py
+++ b/src/citrondeal/platform/_records.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import re
 from typing import Annotated
 from typing import Literal
 
@@ -9,6 +10,14 @@
 
 from citrondeal import workflow
 
+# An owner stores the entry of each worker in use, under a key with its id. A
+# key has at most 255 bytes, and a record 262,144.
+MAX_WORKER_ID_BYTES = 128
+MAX_WORKER_BYTES = 16 * 1024
+MAX_PORT = 65535
+
+_ADDRESS_PATTERN = re.compile(r"[^\s/]+:([0-9]{1,5})")
+
 
 class RecordError(ValueError):
     """A record is malformed; the message says why."""
@@ -92,10 +101,14 @@
     limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
+# Larger numbers could not be stored, and would end each owner that tries.
+_Number = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class _Capacity(msgspec.Struct, rename="kebab"):
-    cpu: Annotated[int, msgspec.Meta(ge=0)]
-    mem_mb: Annotated[int, msgspec.Meta(ge=0)]
-    gpu: Annotated[int, msgspec.Meta(ge=0)] = 0
+    cpu: _Number
+    mem_mb: _Number
+    gpu: _Number = 0
 
 
 class _Runner(msgspec.Struct, rename="kebab"):
@@ -106,7 +119,7 @@
     capacity: _Capacity
     labels: list[str]
     clock_ms: float
-    born: int = 0
+    born: _Number = 0
 
 
 _CONFIG_DECODER = msgspec.json.Decoder(_Config)
@@ -152,11 +165,17 @@
     Raises
     ------
     RecordError
-        If `data` is not a valid description of a runner.
+        If `data` is not a valid description of a runner, or if it is too
+        large to be stored.
     """
+    if len(worker.encode()) > MAX_WORKER_ID_BYTES:
+        raise RecordError(f"id is longer than {MAX_WORKER_ID_BYTES} bytes")
+    if len(data) > MAX_WORKER_BYTES:
+        raise RecordError(f"entry is longer than {MAX_WORKER_BYTES} bytes")
     runner = _decode(_RUNNER_DECODER, data)
-    if ":" not in runner.address:
-        raise RecordError(f"address {runner.address!r} is not host:port")
+    address = _ADDRESS_PATTERN.fullmatch(runner.address)
+    if address is None or int(address[1]) > MAX_PORT:
+        raise RecordError(f"address {runner.address!r:.80} is not host:port")
     return workflow.WorkerInfo(
         worker=worker,
         address=runner.address,
--- a/src/citrondeal/platform/_runners.py
+++ b/src/citrondeal/platform/_runners.py
@@ -1,6 +1,7 @@
 """Client of the runners, which are the workers of the platform."""
 
 import dataclasses
+from typing import Annotated
 
 import msgspec
 import result
@@ -15,6 +16,8 @@
 # Added to the time for which a runner may delay its answer to a renewal.
 RENEWAL_TIMEOUT_MARGIN_S = 0.7
 MAX_CONNECTIONS = 8
+# The number of a run is stored; larger ones do not fit in a record.
+MAX_NUMBER = 2**63
 
 _OUTCOME_BY_REASON = {
     "fence": workflow.OrderOutcome.FENCED,
@@ -34,7 +37,7 @@
     clock_ms: float
     running: list[list] = []
     ended: list[list] = []
-    born: int = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)] = 0
 
 
 # Values of a row of running and of ended tasks; more may follow.
@@ -247,7 +250,11 @@
         if expected is str:
             valid = isinstance(value, str)
         else:
-            valid = numbers.is_finite(value) and isinstance(value, expected)
+            valid = (
+                numbers.is_finite(value)
+                and isinstance(value, expected)
+                and abs(value) < MAX_NUMBER
+            )
         if not valid:
             raise ValueError(f"{value!r:.80} is no {expected}")
 
--- a/src/citrondeal/platform/tests/platform.feature
+++ b/src/citrondeal/platform/tests/platform.feature
@@ -52,3 +52,10 @@
     Then platform deeply nested records are refused
     And platform deeply nested answers are refused
     And platform a deeply nested body gets 400
+
+  # Guards against the entry or the report of one worker that ends owner after
+  # owner: it is taken over and fails when it is stored or used.
+  Scenario: platform what a worker says can be stored or is refused
+    Then platform each entry of a worker is skipped or can be stored
+    And platform an entry with an address that names no port is skipped
+    And platform reports with numbers that cannot be stored are refused
--- a/src/citrondeal/platform/tests/steps_limits.py
+++ b/src/citrondeal/platform/tests/steps_limits.py
@@ -5,8 +5,12 @@
 
 from behave import then
 
+from citrondeal.cell import _records
 from citrondeal.cell import main
+from citrondeal import platform
+from citrondeal.platform import _store
 from citrondeal.platform.tests import steps
+from citrondeal.platform.tests import steps_fuzz
 from citrondeal import workflow
 
 PATH = "/a/" + "0" * 16
@@ -91,3 +95,65 @@
         tracemalloc.stop()
     assert status == 400, status
     assert peak < MAX_DECODE_BYTES, peak
+
+
+def _store_worker(worker, record):
+    """Do what an owner does with the entry of a worker."""
+    info = platform.decode_worker(worker, json.dumps(record).encode())
+    platform.RunnerClient(worker, info.address)
+    stored = workflow.encode(workflow.StoredWorker(info))
+    key = _records.worker_key(worker)
+    data = _store._encode_record(platform.Record(key, stored))
+    assert len(data) <= 262_144, len(data)
+    workflow.decode_worker(stored)
+
+
+def _is_skipped(worker, record):
+    try:
+        _store_worker(worker, record)
+    except platform.RecordError:
+        return True
+    return False
+
+
+@then("platform each entry of a worker is skipped or can be stored")
+def _(context):
+    good = steps.WORKER_RECORD
+    assert not _is_skipped("i-1", good)
+    assert not _is_skipped("i" * 128, good)
+    assert _is_skipped("i" * 250, good)
+    assert _is_skipped("i-1", {**good, "labels": ["x" * 300_000]})
+    for huge in (2**63, 2**64, 10**30, -(10**30)):
+        assert _is_skipped("i-1", {**good, "born": huge}), huge
+        for name in ("cpu", "mem-mb", "gpu"):
+            capacity = {**good["capacity"], name: huge}
+            record = {**good, "capacity": capacity}
+            assert _is_skipped("i-1", record), (name, huge)
+
+
+@then("platform an entry with an address that names no port is skipped")
+def _(context):
+    for address in (
+        "a:",
+        "a:b",
+        ":1",
+        "a:1:",
+        "a:99999",
+        "a: 1",
+        "a:\u0661",
+    ):
+        record = {**steps.WORKER_RECORD, "address": address}
+        assert _is_skipped("i-1", record), address
+
+
+@then("platform reports with numbers that cannot be stored are refused")
+def _(context):
+    task = steps_fuzz.TASK
+    for huge in (2**63, 10**30, -(10**30)):
+        for fields in (
+            {"born": huge},
+            {"running": [[task, huge, "", 0]]},
+            {"ended": [[1, task, huge, "failed", ""]]},
+            {"ended": [[huge, task, 1, "failed", ""]]},
+        ):
+            assert steps_fuzz._renew(steps_fuzz._report(**fields)).is_err()
