Give up answers that are too large

A server whose answers are very large fills the memory of each process that calls it. A worker that does so ends the owner (300 MB), then the next one, which asks it as well.

Cause: the HTTP client for the store, the workers and the ticket service kept all of an answer, of any length.

Ruled out: frames between members, limited to 2 MiB before they are read; answers of endpoints, limited to 1.5 MiB.

The largest that is expected is a page of 1 MB of records, in base64.

--- a/src/citrondeal/web/_client.py
+++ b/src/citrondeal/web/_client.py
@@ -18,6 +18,9 @@
 MAX_EXTENSION_S = 10.0
 CONNECT_TIMEOUT_S = 0.5
 READ_SIZE_BYTES = 65536
+# Twice the largest answer that is expected, a page of 1 MB of records in
+# base64. A server that sends more must not exhaust the memory of its clients.
+MAX_ANSWER_BYTES = 3 * 1024 * 1024
 # A server may close an idle connection at any moment, so connections that were
 # idle for longer than this are not reused.
 MAX_IDLE_S = 10.0
@@ -48,6 +51,10 @@
     """No byte of the request can have reached the server."""
 
 
+class _AnswerTooLarge(Exception):
+    """The body of an answer exceeds `MAX_ANSWER_BYTES`."""
+
+
 class _StaleConnection(Exception):
     """A reused connection ended before the first byte of the answer."""
 
@@ -68,6 +75,7 @@
         self._has_answered = False
         self._complete = False
         self._chunks = []
+        self._body_size = 0
         self._parser = httptools.HttpResponseParser(self)
 
     def on_headers_complete(self):
@@ -78,6 +86,7 @@
     def on_body(self, chunk):
         """Store a part of the body."""
         self._chunks.append(chunk)
+        self._body_size += len(chunk)
 
     def on_message_complete(self):
         """Mark the answer as complete."""
@@ -90,6 +99,7 @@
         """
         self._complete = False
         self._chunks = []
+        self._body_size = 0
         try:
             await self.stream.send(data)
             chunk = await self.stream.receive(READ_SIZE_BYTES)
@@ -102,6 +112,10 @@
         while not self._complete:
             on_chunk()
             self._parser.feed_data(await self.stream.receive(READ_SIZE_BYTES))
+            if self._body_size > MAX_ANSWER_BYTES:
+                raise _AnswerTooLarge(
+                    f"answer is larger than {MAX_ANSWER_BYTES} bytes"
+                )
         return Reply(self._parser.get_status_code(), b"".join(self._chunks))
 
 
@@ -193,7 +207,7 @@
             return _failure(errors.Kind.UNAVAILABLE, exc)
         except _CONNECTION_ERRORS as exc:
             return _failure(errors.Kind.UNKNOWN_OUTCOME, exc)
-        except httptools.HttpParserError as exc:
+        except (httptools.HttpParserError, _AnswerTooLarge) as exc:
             return _failure(errors.Kind.UNKNOWN_OUTCOME, exc)
         return _failure(errors.Kind.UNKNOWN_OUTCOME, "timeout")
 
--- a/src/citrondeal/web/tests/steps.py
+++ b/src/citrondeal/web/tests/steps.py
@@ -126,6 +126,39 @@
     _assert_unknown_outcome(b"no HTTP at all\r\n\r\n", True)
 
 
+class _EndlessServer(_Server):
+    """Sends an answer of 200 MB in parts and counts the bytes it sent."""
+
+    def __init__(self):
+        super().__init__()
+        self.sent = 0
+
+    async def handle(self, stream):
+        with contextlib.suppress(
+            anyio.BrokenResourceError, anyio.ClosedResourceError
+        ):
+            await stream.receive()
+            head = "HTTP/1.1 200 OK\r\nContent-Length: 200000000\r\n\r\n"
+            await stream.send(head.encode())
+            while True:
+                await stream.send(bytes(65_536))
+                self.sent += 65_536
+
+
+@then("web a call whose answer is larger than {limit:d} MB ends early")
+def _(context, limit):
+    server = _EndlessServer()
+
+    async def scenario(client):
+        outcome = await client.request("GET", "/x", timeout_s=5.0)
+        kind = outcome.err_value.kind
+        assert kind is errors.Kind.UNKNOWN_OUTCOME, outcome
+
+    _run(server, scenario)
+    # The buffers of the connection hold a few MB more.
+    assert server.sent < limit * 2_000_000, server.sent
+
+
 def _answer_once(listener):
     """Answer one request and close the connection after the second one."""
     connection, _ = listener.accept()
--- a/src/citrondeal/web/tests/web.feature
+++ b/src/citrondeal/web/tests/web.feature
@@ -27,3 +27,8 @@
   # the turn of the event loop in which a part of the answer arrived.
   Scenario: web a deadline that passes while data arrives is a timeout
     Then web a call whose deadline passes as a part arrives has an unknown outcome
+
+  # Guards against one server whose answers exhaust the memory of each process
+  # that calls it.
+  Scenario: web the client gives up an answer that is too large
+    Then web a call whose answer is larger than 8 MB ends early
