Restart failing activities less often, and log equal errors less

One record that fails an activity costs each process two restarts a second for ever, each with a traceback; an error for each worker or in each planning pass (at least ten a second) costs as many tracebacks, and can stall an owner until it is replaced by one that reads the same record.

Cause: `keep_running` had a fixed delay of 0.5 s and `contain` no limit.

Ruled out: giving up after a number of restarts. The activities are needed for as long as the process runs, and their cause may pass.

Change: the delay doubles up to 5 s while the activity fails within 10 s of its start; leases of about 10 s outlive it. Of equal errors (activity and type) five are logged in 10 s, with the number of those that were not; all are counted.

--- a/src/citrondeal/telemetry/_errors.py
+++ b/src/citrondeal/telemetry/_errors.py
@@ -2,13 +2,23 @@
 
 import contextlib
 import logging
+import time
 
 import anyio
 
 from citrondeal.telemetry import _logs
 
-# A background activity that failed starts again after this long.
+# A background activity that failed starts again after this long, and after
+# twice as long each time that it fails soon, up to the limit. Leases of tasks
+# last about 10 s, so the limit is shorter.
 RESTART_DELAY_S = 0.5
+RESTART_LIMIT_S = 5.0
+# An activity that ran for this long has not failed soon.
+STABLE_AFTER_S = 10.0
+# Errors of one activity and type that are logged within a period. An error in
+# each planning pass or lease would otherwise cost more time than the work.
+LOG_PERIOD_S = 10.0
+MAX_LOGGED = 5
 
 
 class _ErrorCounter:
@@ -16,6 +26,26 @@
 
     def __init__(self):
         self.total = 0
+        self._periods = {}  # (start, errors) by activity and type of error
+
+    def add(self, activity, exc, now):
+        """Count an error.
+
+        Returns
+        -------
+        int or None
+            Number of errors of this kind that were not logged in the period
+            before; None if this one is not to be logged.
+        """
+        self.total += 1
+        key = (activity, type(exc))
+        start, count = self._periods.get(key, (now, 0))
+        omitted = 0
+        if now - start >= LOG_PERIOD_S:
+            omitted = max(0, count - MAX_LOGGED)
+            start, count = now, 0
+        self._periods[key] = (start, count + 1)
+        return omitted if count < MAX_LOGGED else None
 
 
 _COUNTER = _ErrorCounter()
@@ -30,6 +60,9 @@
 def contain(logger, activity, **fields):
     """Log and count an unexpected error of the body instead of raising it.
 
+    Of the errors of one activity and type, `MAX_LOGGED` are logged in each
+    `LOG_PERIOD_S`; all are counted.
+
     Parameters
     ----------
     logger : logging.Logger
@@ -42,13 +75,16 @@
     try:
         yield
     except Exception as exc:
-        _COUNTER.total += 1
+        omitted = _COUNTER.add(activity, exc, time.monotonic())
+        if omitted is None:
+            return
         _logs.event(
             logger,
             logging.ERROR,
             "unexpected error",
             activity=activity,
             reason=repr(exc),
+            omitted=omitted,
             **fields,
         )
         logger.warning("traceback of an unexpected error", exc_info=True)
@@ -57,6 +93,8 @@
 async def keep_running(logger, activity, function):
     """Run a background activity, again after each unexpected error.
 
+    The delay before it runs again grows while it keeps failing soon.
+
     Parameters
     ----------
     logger : logging.Logger
@@ -64,7 +102,12 @@
     function : callable
         ``await function()`` runs the activity.
     """
+    delay_s = RESTART_DELAY_S
     while True:
+        started = anyio.current_time()
         with contain(logger, activity):
             return await function()
-        await anyio.sleep(RESTART_DELAY_S)
+        if anyio.current_time() - started >= STABLE_AFTER_S:
+            delay_s = RESTART_DELAY_S
+        await anyio.sleep(delay_s)
+        delay_s = min(2 * delay_s, RESTART_LIMIT_S)
--- a/src/citrondeal/telemetry/tests/telemetry.feature
+++ b/src/citrondeal/telemetry/tests/telemetry.feature
@@ -5,3 +5,11 @@
   Scenario: telemetry the counted traffic equals the bytes on the socket
     Then telemetry exchanges with the platform are counted exactly
     And telemetry exchanges with a worker are counted exactly
+
+  # Guards against an activity that fails at once, again and again, and takes
+  # the time of the others with its restarts and log lines.
+  Scenario: telemetry an activity that keeps failing costs little
+    Then telemetry an activity that fails at once starts at most 20 times a minute
+    And telemetry an activity that fails after a while starts again soon
+    And telemetry 1000 equal errors in a row are counted but not all logged
+    And telemetry the number of errors that were not logged is told
