Keep stored jobs that earlier versions accepted

An earlier version accepted 10,000 tasks a step.

Change: a stored submission is skipped only beyond ten times a limit. At 0.7 KB a task an owner can hold such a job; those beyond are what ends it.

Evidence: the new step fails with the limits of the border applied to stored submissions: five steps of 10,000 tasks are refused. The bounds of the step before are those of the stored jobs now; new jobs keep the limits, checked by the steps around it.

--- a/src/citrondeal/platform/tests/platform.feature
+++ b/src/citrondeal/platform/tests/platform.feature
@@ -44,6 +44,7 @@
     Then platform jobs beyond a limit get 400 with the limit
     And platform jobs at a limit are accepted
     And platform stored submissions beyond a limit are refused
+    And platform stored submissions that earlier versions accepted are known
     And platform the largest body takes less than 40 MB to decode
 
   # Guards against one record that ends an activity of process after process,
--- a/src/citrondeal/workflow/_limits.py
+++ b/src/citrondeal/workflow/_limits.py
@@ -19,34 +19,38 @@
 # up to 9 for each failed run; with this number it fits in a record. No job
 # with up to five attempts for each task reaches it.
 MAX_FAILED_RUNS = 20_000
+# A stored job may exceed the limits by this factor. Earlier versions accepted
+# larger jobs, which have to stay known; an owner can hold one of these.
+STORED_FACTOR = 10
 
 
 class LimitError(ValueError):
     """A job that exceeds one of the limits."""
 
 
-def check_steps(steps):
+def check_steps(steps, factor=1):
     """Check the number of steps, dependencies and tasks of a job.
 
     Parameters
     ----------
     steps : sequence of Step
+    factor : int
+        The limits are multiplied by it.
 
     Raises
     ------
     LimitError
         If a limit is exceeded; the message names it.
     """
-    _check("steps", len(steps), MAX_STEPS)
-    _check("tasks", sum(step.tasks for step in steps), MAX_TASKS)
-    _check(
-        "dependencies",
-        sum(len(step.after) for step in steps),
-        MAX_DEPENDENCIES,
-    )
+    tasks = sum(step.tasks for step in steps)
+    dependencies = sum(len(step.after) for step in steps)
+    _check("steps", len(steps), factor * MAX_STEPS)
+    _check("tasks", tasks, factor * MAX_TASKS)
+    _check("dependencies", dependencies, factor * MAX_DEPENDENCIES)
     for step in steps:
         if step.gang:
-            _check("tasks in a gang", step.tasks, MAX_GANG_TASKS)
+            limit = factor * MAX_GANG_TASKS
+            _check("tasks in a gang", step.tasks, limit)
 
 
 def check_record(data):
--- a/src/citrondeal/workflow/_records.py
+++ b/src/citrondeal/workflow/_records.py
@@ -28,12 +28,12 @@
     Raises
     ------
     RecordError
-        If `data` holds no such record, or a job beyond the limits.
+        If `data` holds no such record, or a job far beyond the limits.
     """
     submission = _decode(_SUBMISSIONS, data)
     try:
         _limits.check_record(data)
-        _limits.check_steps(submission.steps)
+        _limits.check_steps(submission.steps, _limits.STORED_FACTOR)
     except _limits.LimitError as exc:
         raise RecordError(str(exc)) from exc
     for index, step in enumerate(submission.steps):
