Guard starts on workers whose capacity shrinks and grows

The scheduler already decides by the newest entry that it has read: what is used, reserved and being stopped stays counted when the capacity changes. No fault was found here; the scenarios pass on and land as guards.

They cover cores, memory and accelerators, runs that are being stopped, starts without an answer, gangs that hold room while their tickets are renewed, the stored capacity that a next owner finds, a task that fits no worker until one grows, and that no run is stopped because its worker has shrunk.

--- /dev/null
+++ b/src/citrondeal/workflow/tests/capacity.feature
@@ -0,0 +1,42 @@
+Feature: workflow capacity
+
+  # Guards against starts on a worker that has shrunk, in any resource, and
+  # against tasks that are stopped because of it.
+  Scenario Outline: workflow a worker that has shrunk in <resource> fills up no further
+    Given a workflow worker with two tasks that fill it
+    When the workflow worker shrinks by half in <resource>
+    Then workflow no run is stopped and no task starts
+    And workflow a task starts only after both have ended, with room for one
+
+    Examples:
+      | resource     |
+      | cores        |
+      | memory       |
+      | accelerators |
+
+  # Guards against a capacity that stays small, and against a task too large
+  # for all workers that keeps others from starting.
+  Scenario: workflow a task that fits no worker waits until one grows
+    Given a workflow worker with two tasks that fill it
+    When the workflow worker shrinks by half in cores
+    Then workflow a large task waits, smaller ones run, and it starts after growth
+
+  # Guards against room that counts as free while a run is being stopped.
+  Scenario: workflow a run that is being stopped counts against a smaller capacity
+    Given a workflow worker with two tasks that fill it
+    When a workflow task is stopped and the worker shrinks to half its cores
+    Then workflow the room is used again only after both runs have ended
+
+  # Guards against room that counts as free while a start has no answer.
+  Scenario: workflow a start without an answer counts against a smaller capacity
+    Then workflow nothing starts beside an unanswered start on a shrunk worker
+
+  # Guards against a gang that starts in the room that it had reserved before
+  # its workers shrank.
+  Scenario: workflow reserved room is lost when a worker shrinks
+    Then workflow a gang whose tickets are renewed does not start on shrunk workers
+
+  # Guards against an owner that relies on the capacity that its predecessor
+  # has stored.
+  Scenario: workflow the next owner reads the list of workers before it starts tasks
+    Then workflow a new owner starts tasks only by the capacity in the list
