Start nothing on a restarted worker before its own entry is read

What callers saw: a worker that had started again under its id could be brought over its capacity, or get a task whose label it no longer has. A new incarnation may be of another kind.

Cause: a report with a newer incarnation made the worker usable again, as soon as that was stored, with the capacity and the labels of its earlier entry. Its own entry is read up to 0.4 s later.

Ruled out: the store's list, which sets the incarnation and the capacity together.

Change: a restart that a report shows takes the worker off the list until an entry of the new incarnation is read.

Evidence: the new scenario fails without the change (the large task starts).

--- a/src/citrondeal/workflow/_state.py
+++ b/src/citrondeal/workflow/_state.py
@@ -100,6 +100,9 @@
             lost_runs=len(worker.runs),
         )
         worker.info = dataclasses.replace(worker.info, born_ms=born_ms)
+        # Its capacity and its labels may have changed, so nothing starts there
+        # before its own entry is read.
+        worker.listed = False
         self.release_all_runs(worker)
         worker.unrecognized_runs.clear()
         worker.last_end_number = worker.acknowledged = 0
--- a/src/citrondeal/workflow/tests/capacity.feature
+++ b/src/citrondeal/workflow/tests/capacity.feature
@@ -40,3 +40,8 @@
   # has stored.
   Scenario: workflow the next owner reads the list of workers before it starts tasks
     Then workflow a new owner starts tasks only by the capacity in the list
+
+  # Guards against starts by the capacity and the labels of an incarnation
+  # that has ended.
+  Scenario: workflow a restarted worker gets no task before its entry is read
+    Then workflow a worker with a new incarnation is used only by its new entry
--- a/src/citrondeal/workflow/tests/steps_capacity.py
+++ b/src/citrondeal/workflow/tests/steps_capacity.py
@@ -163,3 +163,16 @@
     info = dataclasses.replace(info, capacity=HALVES["cores"])
     owner.on_worker(info, 0.1)
     assert len(owner.plan(0.2)) == 1
+
+
+@then("workflow a worker with a new incarnation is used only by its new entry")
+def _(context):
+    harness = harnesses.Harness()
+    report = workflow.Report(harness.now, 2, [], [])
+    harness.scheduler.on_report("w0", report, harness.now, harness.now)
+    harness.store()
+    harness.submit("large", 4.0)
+    harness.submit("small", 2.0)
+    assert harness.plan() == []
+    _report_capacity(harness, HALVES["cores"], born_ms=2)
+    assert harness.plan() == ["small"]
