Ignore entries of workers that are older than the known one

What callers saw: a start over the capacity that a worker had last reported, or on a worker that had said it drains.

Cause: a worker's write that gets no answer may be carried out seconds later, after its newer ones. The late entry, of the same incarnation, then took the place of the newer one until the next heartbeat.

Ruled out: pages of the list that are read while it changes. All records from before the first page on are read again, in order.

Change: of two entries of one incarnation, the one with the later time on the worker's own clock counts. Entries without an incarnation count in the order of the list, since a restart begins a new clock.

Evidence: the new scenario fails without the change.

--- a/src/citrondeal/workflow/_intake.py
+++ b/src/citrondeal/workflow/_intake.py
@@ -81,8 +81,8 @@
             worker = self._state.add_worker(info, now)
         if info.born_ms > worker.info.born_ms:
             self._state.on_worker_restart(worker, info.born_ms, now)
-        elif info.born_ms < worker.info.born_ms:
-            return  # written by an earlier incarnation
+        elif _is_older(info, worker.info):
+            return
         worker.listed = True
         worker.listed_at = now
         if info.draining and not worker.info.draining:
@@ -113,3 +113,15 @@
         if worker is not None and worker.listed:
             worker.listed = False
             _events.log(logging.INFO, "worker is not listed", worker=worker_id)
+
+
+def _is_older(info, known):
+    """Return whether a worker wrote an entry before the known one.
+
+    A write that got no answer may be carried out after newer ones, and would
+    bring back an earlier capacity, or the state before the worker drained.
+    """
+    if info.born_ms != known.born_ms:
+        return info.born_ms < known.born_ms
+    # Without an incarnation a restart, which begins a new clock, is not known.
+    return info.born_ms > 0 and info.clock_s < known.clock_s
--- a/src/citrondeal/workflow/tests/capacity.feature
+++ b/src/citrondeal/workflow/tests/capacity.feature
@@ -45,3 +45,9 @@
   # that has ended.
   Scenario: workflow a restarted worker gets no task before its entry is read
     Then workflow a worker with a new incarnation is used only by its new entry
+
+  # Guards against an earlier capacity, or a worker that drains and gets tasks
+  # again, because of an entry that the store has taken late.
+  Scenario: workflow an entry older than the known one changes nothing
+    Then workflow a late entry brings back neither the capacity nor a draining worker
+    And workflow entries without an incarnation count in the order of the list
--- a/src/citrondeal/workflow/tests/steps_capacity.py
+++ b/src/citrondeal/workflow/tests/steps_capacity.py
@@ -176,3 +176,32 @@
     assert harness.plan() == []
     _report_capacity(harness, HALVES["cores"], born_ms=2)
     assert harness.plan() == ["small"]
+
+
+@then(
+    "workflow a late entry brings back neither the capacity nor a draining"
+    " worker"
+)
+def _(context):
+    harness = harnesses.Harness()
+    late = harness.infos["w0"]
+    _report_capacity(harness, HALVES["cores"])
+    harness.scheduler.on_worker(late, harness.now)
+    harness.submit("a", 2.0, tasks=2)
+    assert harness.plan() == ["a"]
+    _report_capacity(harness, FULL, draining=True)
+    harness.scheduler.on_worker(late, harness.now)
+    assert harness.plan() == []
+
+
+@then("workflow entries without an incarnation count in the order of the list")
+def _(context):
+    harness = harnesses.Harness()
+    scheduler = harness.scheduler
+    info = dataclasses.replace(
+        harness.infos["w0"], worker="w1", address="w1:1", born_ms=0
+    )
+    scheduler.on_worker(dataclasses.replace(info, clock_s=9.0), harness.now)
+    restarted = dataclasses.replace(info, clock_s=1.0, draining=True)
+    scheduler.on_worker(restarted, harness.now)
+    assert scheduler.workers["w1"].info.draining
