Start nothing by a list of workers that is too old

What callers saw: while the store did not answer, tasks were started by the capacities in the last list that the owner had read. A worker that had shrunk since then was brought over its capacity.

Cause: the owner reads the list every 0.4 s, but nothing limited the age of what it had read. A smaller capacity counts a heartbeat and the contact time after the worker has shrunk.

Ruled out: the lowest capacity that a worker has reported as its worth, since it knows nothing of a worker that shrinks for the first time; the list of workers as of each entry, since a worker that does not write is unlisted.

Change: starts wait once the list was last read `contact-ms` less 1.5 s ago (2.5 s with the 4 s of the deployments). The settings' `contact-ms` is read for it. Stops and leases go on.

What it costs: while the store is away for longer, accepted jobs and further steps wait for it.

The new scenario checks the limit itself.

--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -25,6 +25,10 @@
 # The list of workers changes with each heartbeat. A long poll would return at
 # each change and cost a store call every few dozen milliseconds.
 WORKERS_PERIOD_S = 0.4
+# A smaller capacity of a worker counts one heartbeat, in which the worker
+# reports it, and the contact time later. A start, which is sent at most twice,
+# may arrive this long after it was decided.
+START_ARRIVAL_S = 1.5
 PLAN_PERIOD_S = 0.1
 # Events within this time are planned together.
 PLAN_BATCH_S = 0.01
@@ -82,6 +86,9 @@
         self._confirmation = confirmation
         self._lease_s = settings.max_lease_s
         self._status_s = settings.job_status_ttl_s
+        self._capacities_valid_s = max(
+            settings.contact_s - START_ARRIVAL_S, 2 * WORKERS_PERIOD_S
+        )
         self._metrics = metrics
         self._scheduler = None
         self._recovered = False
@@ -154,7 +161,9 @@
         started = _clock.now()
         if not await self._writer.fence():
             return False
-        config = workflow.Config(self._lease_s, self._status_s)
+        config = workflow.Config(
+            self._lease_s, self._status_s, self._capacities_valid_s
+        )
         now = _clock.now()
         scheduler = workflow.Scheduler(config, self._epoch)
         state = await self._read_state()
@@ -358,6 +367,7 @@
         _warn("ownership is lost", epoch=self._epoch)
 
     def _plan_once(self, now):
+        self._scheduler.on_workers_read(self._workers.confirmed_at)
         max_starts = MAX_ORDERS_IN_FLIGHT - self._orders_in_flight
         if not self._confirmation.holds(now):
             max_starts = 0
--- a/src/citrondeal/cell/tests/processes.py
+++ b/src/citrondeal/cell/tests/processes.py
@@ -31,6 +31,7 @@
 cpu-share = 0.5
 cores = 2
 [bounds]
+contact-ms = 4000
 hold-max-ms = 10000
 grace-s = 6
 [platform]
--- a/src/citrondeal/platform/_settings.py
+++ b/src/citrondeal/platform/_settings.py
@@ -34,6 +34,9 @@
         Store calls per second of all machines together.
     cores : float
         Number of CPU cores that the process may use.
+    contact_s : float
+        Time without a fault after which a machine counts as in contact, in
+        seconds.
     max_lease_s : float
         Longest lease of a runner's tasks, in seconds.
     job_status_ttl_s : float
@@ -56,6 +59,7 @@
     writes_per_s: float
     reads_per_s: float
     cores: float
+    contact_s: float
     max_lease_s: float
     job_status_ttl_s: float
     shutdown_grace_s: float
@@ -74,6 +78,7 @@
 
 class _Bounds(msgspec.Struct, rename="kebab"):
     hold_max_ms: float
+    contact_ms: float = 4000.0
     status_s: float = msgspec.field(default=120.0, name="status_s")
     grace_s: float = 6.0
 
@@ -143,6 +148,7 @@
         writes_per_s=content.platform.writes_per_s,
         reads_per_s=content.platform.reads_per_s,
         cores=content.limits.cpu_share * content.limits.cores,
+        contact_s=content.bounds.contact_ms / 1000.0,
         max_lease_s=content.bounds.hold_max_ms / 1000.0,
         job_status_ttl_s=content.bounds.status_s,
         shutdown_grace_s=content.bounds.grace_s,
--- a/src/citrondeal/workflow/_intake.py
+++ b/src/citrondeal/workflow/_intake.py
@@ -107,6 +107,10 @@
                 )
                 self._state.remove_worker(other, now)
 
+    def on_workers_read(self, at):
+        """Record that the list of workers is known as of a time."""
+        self._state.workers_read_at = at
+
     def on_worker_unlisted(self, worker_id, now):
         """Record that a worker has no entry in the list any more."""
         worker = self._state.workers.get(worker_id)
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -27,6 +27,7 @@
 
     def __init__(self, state):
         self._state = state
+        self._capacities_valid = True
         self._reserving_gang = None
         self._usable_workers = {}  # by service, then by worker id
         self._action_limit = math.inf  # of the current pass
@@ -49,7 +50,8 @@
             return []
         self._expire_leases(now)
         actions = self._due_stops(now)
-        if max_starts <= 0:
+        self._check_capacities(now)
+        if max_starts <= 0 or not self._capacities_valid:
             return actions
         self._reserving_gang = None
         self._usable_workers = {}
@@ -67,6 +69,24 @@
             self._plan_step(step, actions, now)
         return actions
 
+    def _check_capacities(self, now):
+        """Check whether the list of workers was read recently enough.
+
+        A worker may have shrunk since, so what it last reported is worth
+        nothing after some time.
+        """
+        age_s = now - self._state.workers_read_at
+        valid = age_s <= self._state.config.capacities_valid_s
+        if valid != self._capacities_valid:
+            self._capacities_valid = valid
+            _events.log(
+                logging.INFO if valid else logging.WARNING,
+                "capacities of workers are known again"
+                if valid
+                else "starts wait until the capacities of workers are read",
+                list_age_s=round(age_s, 3),
+            )
+
     def _expire_leases(self, now):
         for worker in list(self._state.workers.values()):
             if worker.reachable or now < worker.lease_expires_at:
--- a/src/citrondeal/workflow/_scheduler.py
+++ b/src/citrondeal/workflow/_scheduler.py
@@ -44,6 +44,7 @@
         self.on_cancel = intake.on_cancel
         self.on_barrier = intake.on_barrier
         self.on_worker = intake.on_worker
+        self.on_workers_read = intake.on_workers_read
         self.on_worker_unlisted = intake.on_worker_unlisted
         reports = self.reports_class(state)
         self.on_report = reports.on_report
--- a/src/citrondeal/workflow/_state.py
+++ b/src/citrondeal/workflow/_state.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+import math
 
 from citrondeal.workflow import _events
 from citrondeal.workflow import _jobs
@@ -27,10 +28,14 @@
         Longest time for which the leases of a worker's tasks are renewed.
     status_s : float
         Time for which clients may query the state of a job after its end.
+    capacities_valid_s : float
+        Time for which tasks may be started by the capacities in the list of
+        workers after it was read.
     """
 
     lease_s: float = 10.0
     status_s: float = 120.0
+    capacities_valid_s: float = math.inf
 
 
 class State:
@@ -50,6 +55,7 @@
         self.jobs = {}
         self.active = {}
         self.workers = {}
+        self.workers_read_at = -math.inf
         self.unresolved_workers = set()
         self.allowed_shares = _tickets.AllowedShares()
         self.changed_jobs = {}
--- a/src/citrondeal/workflow/tests/capacity.feature
+++ b/src/citrondeal/workflow/tests/capacity.feature
@@ -51,3 +51,8 @@
   Scenario: workflow an entry older than the known one changes nothing
     Then workflow a late entry brings back neither the capacity nor a draining worker
     And workflow entries without an incarnation count in the order of the list
+
+  # Guards against starts by capacities that may have changed while the list
+  # of workers could not be read.
+  Scenario: workflow starts wait while the list of workers is too old
+    Then workflow tasks start until the list is too old and again once it is read
--- a/src/citrondeal/workflow/tests/harness.py
+++ b/src/citrondeal/workflow/tests/harness.py
@@ -11,9 +11,9 @@
 class Harness:
     """A scheduler whose workers carry out each order at once."""
 
-    def __init__(self, cores=4, workers=("w0",)):
+    def __init__(self, cores=4, workers=("w0",), scheduler=None):
         self.now = 100.0
-        self.scheduler = workflow.Scheduler(
+        self.scheduler = scheduler or workflow.Scheduler(
             workflow.Config(LEASE_S, STATUS_S), 1
         )
         self.infos = {}
--- a/src/citrondeal/workflow/tests/steps_capacity.py
+++ b/src/citrondeal/workflow/tests/steps_capacity.py
@@ -10,6 +10,7 @@
 from citrondeal.workflow.tests import harness as harnesses
 
 OUTCOMES = workflow.OrderOutcome
+CAPACITIES_VALID_S = 2.5
 FULL = workflow.Size(4000, 1000, 2)
 HALVES = {
     "cores": workflow.Size(2000, 1000, 2),
@@ -205,3 +206,26 @@
     restarted = dataclasses.replace(info, clock_s=1.0, draining=True)
     scheduler.on_worker(restarted, harness.now)
     assert scheduler.workers["w1"].info.draining
+
+
+@then(
+    "workflow tasks start until the list is too old and again once it is read"
+)
+def _(context):
+    config = workflow.Config(
+        harnesses.LEASE_S, capacities_valid_s=CAPACITIES_VALID_S
+    )
+    harness = harnesses.Harness(scheduler=workflow.Scheduler(config, 1))
+    read_at = harness.now
+    harness.scheduler.on_workers_read(read_at)
+    harness.submit("a", 2.0)
+    harness.now = read_at + CAPACITIES_VALID_S - 0.1
+    assert harness.plan() == ["a"]
+    harness.submit("b", 2.0)
+    harness.now = read_at + CAPACITIES_VALID_S
+    assert harness.plan() == []
+    harness.scheduler.on_cancel("a", harness.now)
+    [stop] = _orders(harness)
+    assert isinstance(stop, workflow.Stop), stop
+    harness.scheduler.on_workers_read(harness.now)
+    assert harness.plan() == ["b"]
