Check a start again when it is sent

What callers saw: a start could reach a worker after the owner had read that the worker has shrunk, drains or has started again, or after the owner had decided to stop the run.

Cause: the order was sent by a task of its own, which checked the ownership only.

Ruled out: a second attempt after one without an answer stays as it is, since the first may have been carried out.

Change: before the first attempt the scheduler is asked whether the run still stands, its worker is usable, all that is used there fits its capacity, and the list of workers is recent enough. Otherwise the start counts as refused.

Evidence: the cell scenario fails with the former owner (the start is sent).

--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -407,11 +407,13 @@
         lease = self._leases.get(action.worker)
         outcome = workflow.OrderOutcome.REFUSED
         now = _clock.now()
-        # The process may have been suspended since the decision.
+        # The process may have been suspended since the decision, or events
+        # handled that undo it.
         if (
             lease is not None
             and lease.worker_clock_known
             and self._confirmation.holds(now)
+            and self._scheduler.still_holds(action, now)
         ):
             until_s = lease.worker_clock_s(now) + START_VALID_S
             outcome = await lease.client.start(action, self._epoch, until_s)
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -159,6 +159,11 @@
     Then cell renewals to a worker that does not answer do not extend its leases
     And cell a start sent twice is unknown unless it is done or fenced
 
+  # Guards against starts that are sent after the owner has learned that their
+  # worker has shrunk.
+  Scenario: cell a start is checked again when it is sent
+    Then a cell owner sends a start only while its worker has room for it
+
   # Guards against urgent tasks that wait behind slow ticket calls, and
   # against resources that stay reserved while a ticket renewal waits.
   Scenario: cell short ticket calls and renewals do not wait for long ones
--- a/src/citrondeal/cell/tests/steps_leases.py
+++ b/src/citrondeal/cell/tests/steps_leases.py
@@ -1,6 +1,8 @@
 """Steps for lease renewals and repeated starts of one owner."""
 
+import dataclasses
 import socket
+import types
 
 import anyio
 from behave import then
@@ -8,6 +10,7 @@
 from citrondeal.cell import _leases
 from citrondeal.cell import _owner
 from citrondeal import workflow
+from citrondeal.workflow.tests import harness as harnesses
 
 LEASE_S = 10.0
 OUTCOMES = workflow.OrderOutcome
@@ -52,3 +55,41 @@
         certain = outcome in (OUTCOMES.OK, OUTCOMES.FENCED)
         expected = outcome if certain else OUTCOMES.UNKNOWN
         assert final is expected, (outcome, final)
+
+
+class _RecordingLease:
+    """Lease of a worker that counts the starts that are sent to it."""
+
+    worker_clock_known = True
+
+    def __init__(self):
+        self.client = self
+        self.sent = 0
+
+    def worker_clock_s(self, now):
+        return now
+
+    async def start(self, action, epoch, until_s):
+        self.sent += 1
+        return OUTCOMES.OK
+
+
+@then("a cell owner sends a start only while its worker has room for it")
+def _(context):
+    harness = harnesses.Harness()
+    settings = types.SimpleNamespace(
+        max_lease_s=LEASE_S, job_status_ttl_s=LEASE_S, contact_s=4.0
+    )
+    confirmation = types.SimpleNamespace(holds=lambda now: True)
+    owner = _owner.Owner(None, None, 1, confirmation, settings, None)
+    owner._scheduler = harness.scheduler
+    owner._leases["w0"] = lease = _RecordingLease()
+    harness.submit("a", 4.0)
+    [start] = harness.scheduler.plan(harness.now)
+    assert anyio.run(owner._send_start, start) is OUTCOMES.OK
+    smaller = dataclasses.replace(
+        harness.infos["w0"], capacity=workflow.Size(2000, 1000)
+    )
+    harness.scheduler.on_worker(smaller, harness.now)
+    assert anyio.run(owner._send_start, start) is OUTCOMES.REFUSED
+    assert lease.sent == 1, lease.sent
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -69,13 +69,33 @@
             self._plan_step(step, actions, now)
         return actions
 
+    def still_holds(self, start, now):
+        """Return whether a start that was decided may be sent now.
+
+        Its worker may have shrunk, started again or gone silent since, or the
+        run may have been stopped.
+        """
+        worker = self._state.workers.get(start.worker)
+        run = worker and worker.runs.get(start.task)
+        return bool(
+            run
+            and run.number == start.run
+            and run.state is not _jobs.RunState.STOPPING
+            and worker.usable
+            and worker.used.fits(worker.info.capacity)
+            and self._list_age_s(now) <= self._state.config.capacities_valid_s
+        )
+
+    def _list_age_s(self, now):
+        return now - self._state.workers_read_at
+
     def _check_capacities(self, now):
         """Check whether the list of workers was read recently enough.
 
         A worker may have shrunk since, so what it last reported is worth
         nothing after some time.
         """
-        age_s = now - self._state.workers_read_at
+        age_s = self._list_age_s(now)
         valid = age_s <= self._state.config.capacities_valid_s
         if valid != self._capacities_valid:
             self._capacities_valid = valid
--- a/src/citrondeal/workflow/_scheduler.py
+++ b/src/citrondeal/workflow/_scheduler.py
@@ -60,7 +60,9 @@
         self.take_droppable = retention.take_droppable
         self.keep_submissions = retention.keep_submissions
         self.forget_expired_jobs = retention.forget_expired_jobs
-        self.plan = self.planner_class(state).plan
+        planner = self.planner_class(state)
+        self.plan = planner.plan
+        self.still_holds = planner.still_holds
 
     @property
     def superseded(self):
--- a/src/citrondeal/workflow/tests/capacity.feature
+++ b/src/citrondeal/workflow/tests/capacity.feature
@@ -56,3 +56,18 @@
   # of workers could not be read.
   Scenario: workflow starts wait while the list of workers is too old
     Then workflow tasks start until the list is too old and again once it is read
+
+  # Guards against starts that were decided before the owner learned that the
+  # worker has shrunk, drains or has started again, and are sent after it.
+  Scenario Outline: workflow a start that was decided is not sent once <event>
+    Given a workflow start that was decided and not sent
+    When workflow <event>
+    Then the workflow start does not hold any more
+
+    Examples:
+      | event                      |
+      | its worker shrinks         |
+      | its worker drains          |
+      | its worker starts again    |
+      | its job is cancelled       |
+      | the list is too old        |
--- a/src/citrondeal/workflow/tests/steps_capacity.py
+++ b/src/citrondeal/workflow/tests/steps_capacity.py
@@ -229,3 +229,47 @@
     assert isinstance(stop, workflow.Stop), stop
     harness.scheduler.on_workers_read(harness.now)
     assert harness.plan() == ["b"]
+
+
+@given("a workflow start that was decided and not sent")
+def _(context):
+    config = workflow.Config(
+        harnesses.LEASE_S, capacities_valid_s=CAPACITIES_VALID_S
+    )
+    scheduler = workflow.Scheduler(config, 1)
+    context.harness = harness = harnesses.Harness(scheduler=scheduler)
+    scheduler.on_workers_read(harness.now)
+    harness.submit("a", 4.0)
+    [context.start] = _orders(harness)
+    assert scheduler.still_holds(context.start, harness.now)
+
+
+@when("workflow its worker shrinks")
+def _(context):
+    _report_capacity(context.harness, HALVES["cores"])
+
+
+@when("workflow its worker drains")
+def _(context):
+    _report_capacity(context.harness, FULL, draining=True)
+
+
+@when("workflow its worker starts again")
+def _(context):
+    _report_capacity(context.harness, FULL, born_ms=2)
+
+
+@when("workflow its job is cancelled")
+def _(context):
+    context.harness.scheduler.on_cancel("a", context.harness.now)
+
+
+@when("workflow the list is too old")
+def _(context):
+    context.harness.now += CAPACITIES_VALID_S + 0.1
+
+
+@then("the workflow start does not hold any more")
+def _(context):
+    harness = context.harness
+    assert not harness.scheduler.still_holds(context.start, harness.now)
