Let the workers of the random histories shrink and grow

The simulated workers change their capacity (cores, memory, accelerators), start again with another one, and write it to a list that the owner reads every 0.4 s: each heartbeat of 1.5 s, at times up to 8 s late and out of order, and not at all during outages of the store of up to 15 s.

Invariant: a start fits what the worker had 5.5 s (contact time and one heartbeat) before it was sent, or later. While the store takes no entries, a capacity counts until 4 s after the list shows a later one. A new incarnation has no such time: its capacity counts at once.

Two mutants are found besides: a scheduler that ignores changes of a capacity, and one that uses a restarted worker before its entry is read.

--- a/src/citrondeal/workflow/tests/simulation.py
+++ b/src/citrondeal/workflow/tests/simulation.py
@@ -12,12 +12,18 @@
 import random
 
 from citrondeal import workflow
+from citrondeal.workflow.tests import capacities
 
 TICK_S = 0.05
 LEASE_S = 10.0
 STOP_DURATION_S = 0.2
 GANG_WAIT_LIMIT_S = 3.0
 MAX_ORDER_DELAY_S = 8.0
+START_VALID_S = 2.5
+WORKERS_PERIOD_S = 0.4  # between two reads of the list of workers
+LONG_OUTAGE_S = 15.0
+# Orders arrive at once unless they are delayed.
+CAPACITIES_VALID_S = capacities.CONTACT_S - 0.5
 # Orders that were delayed and leases that nobody renews are over by then.
 CALM_AFTER_S = MAX_ORDER_DELAY_S + LEASE_S
 CALM_JOBS = 5  # submitted once the effects of all faults are over
@@ -47,7 +53,6 @@
     def __init__(self, simulation, name):
         self.simulation = simulation
         self.name = name
-        self.capacity = workflow.Size(32000, 131072, 0)
         self.unreachable = False
         self.removed = False
         self.restart()
@@ -61,6 +66,9 @@
         self.unacknowledged_ends = []
         self.end_count = 0
         self.lease_until = self.simulation.now
+        self.capacity = capacities.Capacity(
+            capacities.choose(self.simulation.random)
+        )
 
     def info(self):
         """Return the entry in the list of workers."""
@@ -71,8 +79,9 @@
             "zone",
             ("kind", "rack"),
             "rack",
-            self.capacity,
+            self.capacity.current,
             born_ms=self.born_ms,
+            clock_s=self.simulation.now - self.born_ms / 1000.0,
         )
 
     def tick(self, now):
@@ -144,7 +153,7 @@
             or self.rejected_up_to.get(order.task, 0) >= order.run
         ):
             return workflow.OrderOutcome.OLD
-        self.simulation.on_start(self, order)
+        self.simulation.on_start(self, order, until - START_VALID_S)
         return workflow.OrderOutcome.OK
 
     def stop(self, order, fence):
@@ -169,6 +178,8 @@
     scheduler: workflow.Scheduler
     epoch: int
     position: int
+    workers_position: int = 0
+    workers_due_at: float = 0.0
     # Time until which it continues without knowing of the next owner.
     ends_at: float = float("inf")
     # Time until which it cannot reach a worker, by worker.
@@ -194,6 +205,7 @@
             f"w{i}": SimulatedWorker(self, f"w{i}")
             for i in range(self.random.randint(2, 5))
         }
+        self.worker_list = capacities.WorkerList(self.random)
         self.log = []
         self.stored_jobs = {}
         self.stored_workers = {}
@@ -237,7 +249,7 @@
         ]
         return len(members) == step.tasks
 
-    def on_start(self, worker, order):
+    def on_start(self, worker, order, sent_at):
         """Check the invariants of a start, and begin the run."""
         task = order.task
         step = self.step(task)
@@ -263,7 +275,7 @@
         used = workflow.Size()
         for run in worker.runs.values():
             used = used.plus(run.size)
-        if not used.plus(step.size).fits(worker.capacity):
+        if not worker.capacity.allows(used.plus(step.size), sent_at):
             raise InvariantViolation(
                 f"{task} exceeds the capacity of {worker.name}"
             )
@@ -344,7 +356,9 @@
             steps.append(
                 workflow.Step(
                     tasks=rng.randint(1, 5),
-                    size=workflow.Size(rng.randint(500, 9000), 1000),
+                    size=workflow.Size(
+                        rng.randint(500, 9000), 1000, rng.choice([0, 0, 1])
+                    ),
                     estimate_s=1.0,
                     after=after,
                     gang=rng.random() < 0.3,
@@ -375,7 +389,9 @@
         """Start the next owner, which recovers the stored state."""
         self.epoch += 1
         self.log.append(("barrier", self.epoch))
-        config = workflow.Config(LEASE_S)
+        config = workflow.Config(
+            LEASE_S, capacities_valid_s=CAPACITIES_VALID_S
+        )
         scheduler = self.scheduler_class(config, self.epoch)
         self.owner = Owner(scheduler, self.epoch, len(self.log))
         self.owner.unreachable_until = self.next_unreachable_until
@@ -441,6 +457,7 @@
         self.faults_ended_at = self.now
         for worker in self.workers.values():
             worker.unreachable = worker.removed
+            worker.capacity.change(capacities.FULL, self.now)
         self.store_down_until = 0.0
 
     def check_end(self):
@@ -482,6 +499,10 @@
             self.remove_worker(worker)
         elif roll < 0.017:
             self.store_down_until = self.now + rng.uniform(0.2, 4.0)
+        elif roll < 0.019:
+            self.store_down_until = self.now + LONG_OUTAGE_S
+        elif roll < 0.04:
+            worker.capacity.change(capacities.choose(rng), self.now)
 
     def split_owner(self):
         """Let the owner go on, and split the workers between it and the next.
@@ -514,6 +535,12 @@
         ]
         for worker in self.workers.values():
             worker.tick(self.now)
+        self.worker_list.tick(
+            self.workers.values(),
+            self.now >= self.store_down_until,
+            self.now < self.faults_ended_at,
+            self.now,
+        )
         self.check_gangs()
         if self.owner is None and self.now >= self.owner_starts_at:
             self.start_owner()
@@ -538,6 +565,7 @@
                 self.stored_workers.update(taken[1])
                 scheduler.on_stored(*taken)
                 self.dropped.update(scheduler.take_droppable())
+        self.read_workers(owner)
         workers = list(self.workers.values())
         self.random.shuffle(workers)
         for worker in workers:
@@ -546,20 +574,31 @@
         for action in scheduler.plan(self.now):
             self.deliver(owner, action)
 
+    def read_workers(self, owner):
+        """Let an owner read the list of workers, if it is due."""
+        if self.now < max(owner.workers_due_at, self.store_down_until):
+            return
+        owner.workers_due_at = self.now + WORKERS_PERIOD_S
+        for name, info in self.worker_list.read(owner.workers_position):
+            if info is None:
+                owner.scheduler.on_worker_unlisted(name, self.now)
+            else:
+                owner.scheduler.on_worker(info, self.now)
+        owner.workers_position = self.worker_list.end
+        owner.scheduler.on_workers_read(self.now)
+
     def renew_leases(self, owner, worker):
-        """Let an owner read a worker's entry and renew its leases."""
+        """Let an owner renew the leases of a worker that it knows."""
         scheduler = owner.scheduler
-        if worker.removed:
-            scheduler.on_worker_unlisted(worker.name, self.now)
-        else:
-            scheduler.on_worker(worker.info(), self.now)
         state = scheduler.workers.get(worker.name)
+        if state is None:
+            return
         unreachable = (
             worker.unreachable
             or self.now < owner.unreachable_until.get(worker.name, 0.0)
         )
         if unreachable or self.random.random() < 0.05:
-            if unreachable and state is not None:
+            if unreachable:
                 scheduler.on_renewal_failed(worker.name, "cut", self.now)
             return
         state.extend_lease(self.now, LEASE_S)
@@ -581,7 +620,7 @@
             )
             return
         worker = self.workers[action.worker]
-        until = self.now + 2.5
+        until = self.now + START_VALID_S
         is_start = isinstance(action, workflow.Start)
 
         def order():
--- a/src/citrondeal/workflow/tests/steps.py
+++ b/src/citrondeal/workflow/tests/steps.py
@@ -85,6 +85,20 @@
         super().on_submission(changed, offset, now, recovered)
 
 
+class _IgnoresCapacityChanges(_intake.Intake):
+    def on_worker(self, info, now):
+        known = self._state.workers.get(info.worker)
+        if known is not None and known.info.born_ms == info.born_ms:
+            info = dataclasses.replace(info, capacity=known.info.capacity)
+        super().on_worker(info, now)
+
+
+class _UsesRestartedWorkers(_state.State):
+    def on_worker_restart(self, worker, born_ms, now):
+        super().on_worker_restart(worker, born_ms, now)
+        worker.listed = True
+
+
 _FAULTS = {
     "runs are released before they end": ("state", _ReleasesEarly),
     "runs of earlier owners are ignored": ("planner", _IgnoresEarlierRuns),
@@ -95,6 +109,8 @@
     "leases never lapse": ("planner", _NeverLapses),
     "gangs start in part": ("planner", _StartsPartsOfGangs),
     "spread is ignored": ("intake", _IgnoresSpread),
+    "capacity changes are ignored": ("intake", _IgnoresCapacityChanges),
+    "restarted workers are used at once": ("state", _UsesRestartedWorkers),
 }
 
 
--- a/src/citrondeal/workflow/tests/workflow.feature
+++ b/src/citrondeal/workflow/tests/workflow.feature
@@ -1,6 +1,6 @@
 Feature: workflow
 
-  # Guards against overcommitted workers, tasks that run twice or before the
+  # Guards against overcommitted workers, also when their capacity changes, tasks that run twice or before the
   # steps they depend on, unlimited retries, and jobs that never end.
   Scenario: workflow invariants hold in random histories with faults
     Then workflow 60 random histories keep all invariants
@@ -20,6 +20,8 @@
       | leases never lapse                    |
       | spread is ignored                     |
       | gangs start in part                   |
+      | capacity changes are ignored          |
+      | restarted workers are used at once    |
 
   # Guards against an owner on a weak machine that answers nobody while it
   # sends the starts of a burst.
