Use a restarted worker although its clock begins anew

Cause: "Ignore entries of workers that are older than the known one" compares the clocks of two entries of one incarnation. After a report of the new incarnation the known entry had its incarnation, but the clock of the earlier one.

Change: the clock is forgotten with the incarnation. The new step fails without the change (the task does not start) and passes with it.

--- a/src/citrondeal/workflow/_state.py
+++ b/src/citrondeal/workflow/_state.py
@@ -105,7 +105,11 @@
             worker=worker.id,
             lost_runs=len(worker.runs),
         )
-        worker.info = dataclasses.replace(worker.info, born_ms=born_ms)
+        # The clock of an incarnation begins anew, so no entry of the new one
+        # is older than what is known of it.
+        worker.info = dataclasses.replace(
+            worker.info, born_ms=born_ms, clock_s=0.0
+        )
         # Its capacity and its labels may have changed, so nothing starts there
         # before its own entry is read.
         worker.listed = False
--- a/src/citrondeal/workflow/tests/capacity.feature
+++ b/src/citrondeal/workflow/tests/capacity.feature
@@ -45,6 +45,7 @@
   # that has ended.
   Scenario: workflow a restarted worker gets no task before its entry is read
     Then workflow a worker with a new incarnation is used only by its new entry
+    And workflow a restarted worker is used although its clock begins anew
 
   # Guards against an earlier capacity, or a worker that drains and gets tasks
   # again, because of an entry that the store has taken late.
--- a/src/citrondeal/workflow/tests/steps_capacity.py
+++ b/src/citrondeal/workflow/tests/steps_capacity.py
@@ -23,9 +23,9 @@
 def _report_capacity(harness, capacity, name="w0", **fields):
     """Let the owner read a new entry of a worker."""
     info = harness.infos[name]
-    harness.infos[name] = info = dataclasses.replace(
-        info, capacity=capacity, clock_s=info.clock_s + 1.0, **fields
-    )
+    fields.setdefault("clock_s", info.clock_s + 1.0)
+    info = dataclasses.replace(info, capacity=capacity, **fields)
+    harness.infos[name] = info
     harness.scheduler.on_worker(info, harness.now)
 
 
@@ -179,6 +179,18 @@
     assert harness.plan() == ["small"]
 
 
+@then("workflow a restarted worker is used although its clock begins anew")
+def _(context):
+    harness = harnesses.Harness()
+    _report_capacity(harness, FULL, clock_s=3600.0)
+    report = workflow.Report(0.5, 2, [], [])
+    harness.scheduler.on_report("w0", report, harness.now, harness.now)
+    harness.store()
+    harness.submit("a", 1.0)
+    _report_capacity(harness, FULL, born_ms=2, clock_s=0.5)
+    assert harness.plan() == ["a"]
+
+
 @then(
     "workflow a late entry brings back neither the capacity nor a draining"
     " worker"
