Check a start again before it is sent a second time

What callers could see: an owner that was suspended, or replaced, after a start got no answer sent the order once more when it went on. The worker rejects it by the epoch only if it has heard of the next owner. The capacity of the worker may have changed meanwhile as well.

Cause: only the first attempt was checked against the confirmation of the ownership and the state of the worker. To allow for the second one, starts already waited once the list of workers was 2.5 s old, which costs more than needed while the store is away.

Change: the same check comes before each attempt. A repeat that is not sent leaves the outcome unknown, so the run is stopped and its room counts as taken. Of the contact time only the 0.2 s that an order is on its way is kept as a margin, so starts go on for 3.8 s after the last read instead of 2.5 s.

--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -26,9 +26,9 @@
 # each change and cost a store call every few dozen milliseconds.
 WORKERS_PERIOD_S = 0.4
 # A smaller capacity of a worker counts one heartbeat, in which the worker
-# reports it, and the contact time later. A start, which is sent at most twice,
-# may arrive this long after it was decided.
-START_ARRIVAL_S = 1.5
+# reports it, and the contact time later. A start that is not held up reaches
+# the worker within this time after the last check.
+START_TRANSIT_S = 0.2
 PLAN_PERIOD_S = 0.1
 # Events within this time are planned together.
 PLAN_BATCH_S = 0.01
@@ -87,7 +87,7 @@
         self._lease_s = settings.max_lease_s
         self._status_s = settings.job_status_ttl_s
         self._capacities_valid_s = max(
-            settings.contact_s - START_ARRIVAL_S, 2 * WORKERS_PERIOD_S
+            settings.contact_s - START_TRANSIT_S, 2 * WORKERS_PERIOD_S
         )
         self._metrics = metrics
         self._scheduler = None
@@ -405,25 +405,33 @@
 
     async def _send_start(self, action):
         lease = self._leases.get(action.worker)
-        outcome = workflow.OrderOutcome.REFUSED
         now = _clock.now()
-        # The process may have been suspended since the decision, or events
-        # handled that undo it.
-        if (
+        if not self._may_start(action, lease, now):
+            return workflow.OrderOutcome.REFUSED
+        until_s = lease.worker_clock_s(now) + START_VALID_S
+        outcome = await lease.client.start(action, self._epoch, until_s)
+        if outcome is workflow.OrderOutcome.UNKNOWN and self._may_start(
+            action, lease, _clock.now()
+        ):
+            # Sending the same run twice is safe: the worker starts it once,
+            # whether one or both of the calls arrive.
+            outcome = outcome_after_repeat(
+                await lease.client.start(action, self._epoch, until_s)
+            )
+        return outcome
+
+    def _may_start(self, action, lease, now):
+        """Return whether a start that was decided may be sent now.
+
+        The process may have been suspended since the decision, or events
+        handled that undo it.
+        """
+        return (
             lease is not None
             and lease.worker_clock_known
             and self._confirmation.holds(now)
             and self._scheduler.still_holds(action, now)
-        ):
-            until_s = lease.worker_clock_s(now) + START_VALID_S
-            outcome = await lease.client.start(action, self._epoch, until_s)
-            if outcome is workflow.OrderOutcome.UNKNOWN:
-                # Sending the same run twice is safe: the worker starts it
-                # once, whether one or both of the calls arrive.
-                outcome = outcome_after_repeat(
-                    await lease.client.start(action, self._epoch, until_s)
-                )
-        return outcome
+        )
 
     async def _stop(self, action):
         lease = self._leases.get(action.worker)
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -164,6 +164,11 @@
   Scenario: cell a start is checked again when it is sent
     Then a cell owner sends a start only while its worker has room for it
 
+  # Guards against an order of an owner that was suspended after the first
+  # attempt and has been replaced.
+  Scenario: cell a start is repeated only by a confirmed owner
+    Then a cell owner repeats no start once its ownership is not confirmed
+
   # Guards against urgent tasks that wait behind slow ticket calls, and
   # against resources that stay reserved while a ticket renewal waits.
   Scenario: cell short ticket calls and renewals do not wait for long ones
--- a/src/citrondeal/cell/tests/steps_leases.py
+++ b/src/citrondeal/cell/tests/steps_leases.py
@@ -62,30 +62,47 @@
 
     worker_clock_known = True
 
-    def __init__(self):
+    def __init__(self, outcome):
         self.client = self
         self.sent = 0
+        self._outcome = outcome
 
     def worker_clock_s(self, now):
         return now
 
     async def start(self, action, epoch, until_s):
         self.sent += 1
-        return OUTCOMES.OK
+        return self._outcome
 
 
-@then("a cell owner sends a start only while its worker has room for it")
-def _(context):
+def _owner_with_start(lease, confirmation):
+    """Return an owner, its harness and a start that it has decided."""
     harness = harnesses.Harness()
     settings = types.SimpleNamespace(
         max_lease_s=LEASE_S, job_status_ttl_s=LEASE_S, contact_s=4.0
     )
-    confirmation = types.SimpleNamespace(holds=lambda now: True)
     owner = _owner.Owner(None, None, 1, confirmation, settings, None)
     owner._scheduler = harness.scheduler
-    owner._leases["w0"] = lease = _RecordingLease()
+    owner._leases["w0"] = lease
     harness.submit("a", 4.0)
     [start] = harness.scheduler.plan(harness.now)
+    return owner, harness, start
+
+
+@then("a cell owner repeats no start once its ownership is not confirmed")
+def _(context):
+    lease = _RecordingLease(OUTCOMES.UNKNOWN)
+    confirmation = types.SimpleNamespace(holds=lambda now: not lease.sent)
+    owner, _, start = _owner_with_start(lease, confirmation)
+    assert anyio.run(owner._send_start, start) is OUTCOMES.UNKNOWN
+    assert lease.sent == 1, lease.sent
+
+
+@then("a cell owner sends a start only while its worker has room for it")
+def _(context):
+    lease = _RecordingLease(OUTCOMES.OK)
+    confirmation = types.SimpleNamespace(holds=lambda now: True)
+    owner, harness, start = _owner_with_start(lease, confirmation)
     assert anyio.run(owner._send_start, start) is OUTCOMES.OK
     smaller = dataclasses.replace(
         harness.infos["w0"], capacity=workflow.Size(2000, 1000)
--- a/src/citrondeal/cell/tests/steps_recovery.py
+++ b/src/citrondeal/cell/tests/steps_recovery.py
@@ -19,6 +19,7 @@
 class _Settings:
     max_lease_s = 10.0
     job_status_ttl_s = 120.0
+    contact_s = 4.0
 
 
 class _Metrics:
