--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -11,6 +11,7 @@
 import anyio
 
 from citrondeal.cell import _clock
+from citrondeal.cell import _crash_metrics
 from citrondeal.cell import _follower
 from citrondeal.cell import _job_topics
 from citrondeal.cell import _leases
@@ -90,6 +91,7 @@
             settings.contact_s - START_TRANSIT_S, 2 * WORKERS_PERIOD_S
         )
         self._metrics = metrics
+        self._crash_metrics = _crash_metrics.CrashMetrics(metrics)
         self._scheduler = None
         self._recovered = False
         self._plan_needed = anyio.Event()
@@ -373,6 +375,9 @@
             max_starts = 0
         for action in self._scheduler.plan(now, max_starts):
             self._task_group.start_soon(self._execute, action)
+        if self._scheduler.wants_to_store:
+            self._writer.wake()
+        self._crash_metrics.update(self._scheduler.crashes)
 
     async def _execute(self, action):
         if isinstance(action, workflow.FetchTickets):
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -243,6 +243,10 @@
     Then all cell jobs are stored within the time of a few appends
     And the cell cancellation of a job follows its submission in one topic
 
+  # Guards against counters of crashes that are exported twice or not at all.
+  Scenario: cell crashes of workers are exported as metrics
+    Then cell metrics show the crashes that two owners have counted
+
   # Guards against guarantees that hold under each fault alone but not under
   # several at a time. With this seed the cell once had two owners with the
   # same epoch.
--- a/src/citrondeal/workflow/_answers.py
+++ b/src/citrondeal/workflow/_answers.py
@@ -46,6 +46,9 @@
             worker.failed_at = now
         else:
             self._state.release_run(worker, run)
+            self._state.open_starts.remove(
+                step.accounting_task(run.task), number, worker_id
+            )
             if outcome is _model.OrderOutcome.FENCED:
                 self._state.superseded = True
             elif outcome is _model.OrderOutcome.BAD_TICKET:
--- /dev/null
+++ b/src/citrondeal/workflow/_crashes.py
@@ -0,0 +1,301 @@
+"""Crashes of workers, and the tasks that are given up because of them.
+
+A worker has crashed if a later incarnation of it, or a later worker at its
+address, is seen while it was not draining.  Silence, a lapsed lease and a
+drained worker are no crashes.  A crash counts for each task that ran on the
+worker, as the number of the run: the workers of a gang that crash together,
+or an outage of many workers, add one to each task that ran on them.
+"""
+
+import collections
+import dataclasses
+import logging
+
+from citrondeal.workflow import _events
+from citrondeal.workflow import _model
+
+# A task with this many crashed runs is run apart from others, because some
+# of the crashes may have been the fault of tasks beside it.
+SUSPECT_CRASHES = 2
+# A task is given up after this many crashed runs.
+MAX_CRASHES = 3
+# The crash that would make a task be given up is not counted this many times
+# if the cause may have been another task or a power failure.  More would let a
+# task that does crash its workers start too often.
+MAX_EXCUSED = 1
+# Workers that fall silent within this time may share a cause. A running worker
+# reports every second at least.
+OUTAGE_WINDOW_S = 1.5
+# This many workers that ran nothing of a step, and fell silent at the same
+# time as a worker that did, show a cause outside of the step.
+OUTAGE_WORKERS = 3
+MAX_RECENT = 100
+MAX_SHOWN = 20
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _WorkerCrash:
+    """A crash of a worker and what ran there.
+
+    Attributes
+    ----------
+    worker : str
+    silent_since : float or None
+        When the worker last reported.
+    steps : frozenset of StepId
+    alone : bool
+        Whether it is known that only one task ran there.
+    """
+
+    worker: str
+    silent_since: float | None = None
+    steps: frozenset = frozenset()
+    alone: bool = False
+
+
+class Crashes:
+    """Counts the crashed runs of tasks, and gives tasks up.
+
+    Parameters
+    ----------
+    state : State
+
+    Attributes
+    ----------
+    counted : dict of TaskId to TaskState
+        Tasks of active jobs with at least one crashed run.
+    worker_crashes, tasks_given_up : int
+    """
+
+    def __init__(self, state):
+        self._state = state
+        self.counted = {}
+        self.worker_crashes = 0
+        self.tasks_given_up = 0
+        self._given_up = collections.deque(maxlen=MAX_SHOWN)
+        self._recent = collections.deque(maxlen=MAX_RECENT)
+
+    @property
+    def waiting(self):
+        """Whether tasks cannot start before their crashes are stored."""
+        return any(not may_start(task) for task in self.counted.values())
+
+    def on_crash(self, worker, now):
+        """Count a crash for all runs on a worker, before their release."""
+        if worker.info.draining:
+            return
+        self.worker_crashes += 1
+        runs = {}
+        for run in worker.runs.values():
+            task = run.task.step.accounting_task(run.task)
+            if not self._state.withheld.holds(task, run.number):
+                runs[task.id] = (task, run.number or run.stored_number)
+        crash = _WorkerCrash(
+            worker.id,
+            worker.reported_at,
+            frozenset(task.step.id for task, _ in runs.values()),
+            len(runs) == 1,
+        )
+        self._recent.append(crash)
+        for task, number in runs.values():
+            self._count(task, number, crash, now)
+
+    def on_incarnation(self, worker_id, address, born_ms, now):
+        """Count open starts on earlier incarnations of a worker."""
+        starts = self._state.open_starts
+        for key in (worker_id, address):
+            for task, number, name, place in starts.at(key):
+                if place.born_ms < born_ms:
+                    self._count(task, number, _WorkerCrash(name), now)
+
+    def on_lapse(self, worker):
+        """Remember the runs on a worker until it is heard again.
+
+        Whether the worker was only silent is not known yet.
+        """
+        if worker.info.draining:
+            return
+        for run in worker.runs.values():
+            task = run.task.step.accounting_task(run.task)
+            number = run.number or run.stored_number
+            if task.done or task.step.job.ended:
+                continue
+            if not self._state.withheld.holds(task, number):
+                self._state.open_starts.add(task, number, worker)
+
+    def on_draining(self, worker):
+        """Forget the open starts on a worker, which is about to leave."""
+        for task, number, name, _ in self._state.open_starts.at(worker.id):
+            if not self._state.withheld.holds(task, number):
+                self._state.open_starts.remove(task, number, name)
+
+    def on_reported(self, worker, now):
+        """Settle the open starts on a worker after its report."""
+        starts = self._state.open_starts.at(worker.id)
+        if not starts:
+            return
+        info = worker.info
+        self.on_incarnation(worker.id, info.address, info.born_ms, now)
+        live = {
+            (run.task.step.accounting_task(run.task).id, run.number)
+            for run in worker.runs.values()
+        }
+        for task, number, name, place in starts:
+            same = name == worker.id and place.born_ms == info.born_ms
+            if same and (task.id, number) not in live:
+                self._state.open_starts.remove(task, number, name)
+
+    def on_job_ended(self, job):
+        """Forget the crashes of a job that has ended."""
+        self._state.withheld.on_job_ended(job)
+        for task in job.tasks():
+            if task.open_starts:
+                self._state.open_starts.drop_all(task)
+            if task.crashes:
+                self.counted.pop(task.id, None)
+
+    def restore(self, job, progress):
+        """Restore the stored crashes and open starts of a job.
+
+        Raises
+        ------
+        IndexError, ValueError
+            If there is no task of a stored key.
+        """
+        if job.ended:
+            return
+        for key, numbers in progress.crashes.items():
+            task = job.task_of_key(key)
+            task.crashes.update(numbers)
+            self.counted[task.id] = task
+        for key, numbers in progress.excused_crashes.items():
+            job.task_of_key(key).excused.update(numbers)
+        self._mark_stored(job, progress)
+        for key, starts in progress.open_starts.items():
+            task = job.task_of_key(key)
+            for start in starts:
+                self._state.open_starts.restore(
+                    task, start.number, start.places
+                )
+
+    def on_stored(self, job, progress):
+        """Record that the progress of a job is stored."""
+        self._mark_stored(job, progress)
+        self._state.withheld.on_stored(job, progress)
+
+    def dump(self):
+        """Return a summary for the state dump, ready for JSON."""
+        suspects = [t for t in self.counted.values() if is_suspect(t)]
+        return {
+            "worker_crashes": self.worker_crashes,
+            "tasks_given_up": self.tasks_given_up,
+            "suspects": [
+                {"task": _full_name(t), "crashed_runs": sorted(t.crashes)}
+                for t in suspects[:MAX_SHOWN]
+            ],
+            "given_up": list(self._given_up),
+        }
+
+    def _mark_stored(self, job, progress):
+        for key, numbers in progress.crashes.items():
+            excused = progress.excused_crashes.get(key, ())
+            job.task_of_key(key).stored_crashes = frozenset(
+                [*numbers, *excused]
+            )
+
+    def _count(self, task, number, crash, now):
+        self._state.open_starts.drop(task, number)
+        job = task.step.job
+        if job.ended or task.done or number in task.crashes | task.excused:
+            return
+        excused = self._is_excused(task, crash)
+        if excused:
+            task.excused.add(number)
+        else:
+            task.crashes.add(number)
+            self.counted[task.id] = task
+        self._state.mark_changed(job)
+        _events.log(
+            logging.WARNING,
+            "run ended by a crash of its worker",
+            job=task.id.job,
+            task=_events.task_name(task.id),
+            run=number,
+            worker=crash.worker,
+            crashes=len(task.crashes),
+            counted=not excused,
+        )
+        if len(task.crashes) >= MAX_CRASHES:
+            self._give_up(task, now)
+
+    def _give_up(self, task, now):
+        numbers = sorted(task.crashes)
+        _events.log(
+            logging.WARNING,
+            "task is given up",
+            job=task.id.job,
+            task=_events.task_name(task.id),
+            runs=numbers,
+        )
+        self.tasks_given_up += 1
+        self._given_up.append(
+            {"task": _full_name(task), "crashed_runs": numbers}
+        )
+        self._state.end_job(task.step.job, _model.JobState.FAILED, now)
+
+    def _is_excused(self, task, crash):
+        """Return whether a crash may well have had another cause.
+
+        Any other task that ran on the worker may have been the cause; and
+        workers that ran nothing of the step and crashed at the same time
+        point to a power failure.  An earlier start whose end is not known may
+        have crashed its worker as well, so a task with one gets no excuse.
+        """
+        if len(task.crashes) + 1 < MAX_CRASHES:
+            return False
+        if len(task.excused) >= MAX_EXCUSED or _has_unknown_end(task):
+            return False
+        return not crash.alone or self._in_outage(task, crash)
+
+    def _in_outage(self, task, crash):
+        since = crash.silent_since
+        if since is None:
+            return False
+        step_id = task.step.id
+        others = {
+            other.worker
+            for other in self._recent
+            if _is_near(other.silent_since, since)
+            and step_id not in other.steps
+        }
+        others.update(
+            worker.id
+            for worker in self._state.workers.values()
+            if not worker.reachable
+            and _is_near(worker.reported_at, since)
+            and not worker.run_count(task.step)
+        )
+        return len(others - {crash.worker}) >= OUTAGE_WORKERS
+
+
+def is_suspect(task):
+    """Return whether a task is run apart from others."""
+    return len(task.crashes) >= SUSPECT_CRASHES
+
+
+def may_start(task):
+    """Return whether the crashes of a task are stored for the next owner."""
+    return task.crashes | task.excused <= task.stored_crashes
+
+
+def _has_unknown_end(task):
+    current = {task.run.number} if task.run is not None else set()
+    return bool(set(task.open_starts) - current)
+
+
+def _is_near(time_s, other_s):
+    return time_s is not None and abs(time_s - other_s) <= OUTAGE_WINDOW_S
+
+
+def _full_name(task):
+    return f"{task.id.job}.{_events.task_name(task.id)}"
--- a/src/citrondeal/workflow/_intake.py
+++ b/src/citrondeal/workflow/_intake.py
@@ -87,8 +87,12 @@
         worker.listed_at = now
         if info.draining and not worker.info.draining:
             _events.log(logging.INFO, "worker is draining", worker=worker.id)
+            self._state.crashes.on_draining(worker)
         worker.info = info
         self._remove_replaced(info, now)
+        self._state.crashes.on_incarnation(
+            worker.id, info.address, info.born_ms, now
+        )
 
     def _remove_replaced(self, info, now):
         """Remove earlier workers that had the address of this one."""
@@ -105,6 +109,7 @@
                     by=info.worker,
                     lost_runs=len(other.runs),
                 )
+                self._state.crashes.on_crash(other, now)
                 self._state.remove_worker(other, now)
 
     def on_workers_read(self, at):
--- /dev/null
+++ b/src/citrondeal/workflow/_isolation.py
@@ -0,0 +1,203 @@
+"""Placement of tasks under which workers have crashed."""
+
+from citrondeal.workflow import _crashes
+from citrondeal.workflow import _placement
+
+# A suspect waits this long for a worker that runs nothing else, and then
+# starts beside other tasks, whose number does not grow while it runs. It must
+# not wait for ever on a busy cell.
+ISOLATION_WAIT_S = 2.0
+# A suspect starts beside another task that has crashed workers only after this
+# time, because a crash would not tell which of them is at fault.  On a cell
+# with few workers, most runs end sooner.
+APART_WAIT_S = 8.0
+# At most this share of the workers of a service runs nothing but suspects, so
+# that many suspects, as after power failures, leave room for other tasks.
+MAX_ISOLATED_SHARE = 0.25
+
+
+class Isolation:
+    """Keeps suspects and other tasks on different workers.
+
+    Parameters
+    ----------
+    state : State
+    """
+
+    def __init__(self, state):
+        self._state = state
+        self._steps = set()  # with a task that has crashed
+        self._closed = set()  # workers that run an isolated task
+        self._worker_tasks = {}  # tasks with crashes that run on a worker
+        self._held = set()  # workers that are to become free
+        self._held_for = None
+        self._isolated = None  # task whose chosen workers run nothing else
+
+    def begin_pass(self, now):
+        """Prepare for a planning pass."""
+        self._steps, self._closed, self._worker_tasks = set(), set(), {}
+        for task in self._state.crashes.counted.values():
+            self._steps.add(task.step.id)
+            for run in _runs(task):
+                self._note(task, run)
+        task = self._held_for
+        if task and not self._keeps_waiting(task, now, APART_WAIT_S):
+            self._held_for, self._held = None, set()
+
+    def concerns(self, step):
+        """Return whether a task of a step has crashed workers."""
+        return step.id in self._steps
+
+    def open_workers(self, workers, task=None):
+        """Return the workers on which a task may be placed.
+
+        Parameters
+        ----------
+        workers : dict of str to WorkerState
+        task : TaskState or None
+            Task that has crashed workers; None for all others.
+
+        Returns
+        -------
+        dict of str to WorkerState
+        """
+        closed = self._closed
+        if self._held_for is not None and self._held_for is not task:
+            closed = closed | self._held
+        if not closed:
+            return workers
+        return {n: w for n, w in workers.items() if n not in closed}
+
+    def choose(self, step, tasks, workers, is_preferred, now):
+        """Choose workers for a task, or a gang, that has crashed workers.
+
+        Parameters
+        ----------
+        step : StepState
+        tasks : list of TaskState
+            One task, or all tasks of a gang.
+        workers : list of WorkerState
+            Open workers that are allowed to run the step.
+        is_preferred : callable
+            See `_placement.choose`.
+        now : float
+
+        Returns
+        -------
+        list of (TaskState, WorkerState)
+            Empty unless there is room for all tasks.
+        """
+        task = step.accounting_task(tasks[0])
+        self._isolated = None
+        if not _crashes.is_suspect(task):
+            return self._choose_apart(step, tasks, workers, is_preferred, now)
+        if task.isolation_wanted_at is None:
+            task.isolation_wanted_at = now
+        empty = [w for w in workers if not w.runs]
+        chosen = _placement.choose(step, tasks, empty, is_preferred, now)
+        if len(chosen) == len(tasks) and self._may_close(chosen, step):
+            self._isolated = task
+            self._hold(task, chosen)
+            return chosen
+        if len(chosen) < len(tasks):
+            self._hold(
+                task, _placement.choose_to_reserve(step, tasks, workers)
+            )
+        if self._keeps_waiting(task, now, ISOLATION_WAIT_S):
+            return []
+        return self._choose_apart(step, tasks, workers, is_preferred, now)
+
+    def waits(self, task, now):
+        """Return whether a task waits for workers that run nothing else."""
+        return self._keeps_waiting(task, now, ISOLATION_WAIT_S)
+
+    def on_start(self, task, run):
+        """Note a start, after which its worker may be closed.
+
+        Parameters
+        ----------
+        task : TaskState
+            For a gang, the task that holds its failures.
+        run : Run
+        """
+        task.isolation_wanted_at = None
+        run.isolated = task is self._isolated
+        if task.crashes:
+            self._note(task, run)
+
+    def _note(self, task, run):
+        self._worker_tasks.setdefault(run.worker, []).append(task)
+        if run.isolated:
+            self._closed.add(run.worker)
+
+    def _keeps_waiting(self, task, now, limit_s):
+        since = task.isolation_wanted_at
+        return (
+            since is not None
+            and now - since < limit_s
+            and not task.step.job.ended
+        )
+
+    def _hold(self, task, chosen):
+        """Keep workers for a suspect, one suspect at a time."""
+        if self._held_for is None:
+            self._held_for = task
+            self._held = {worker.id for _, worker in chosen}
+
+    def _may_close(self, chosen, step):
+        needed = {worker.id for _, worker in chosen}
+        service = step.job.policy.service
+        count = sum(
+            1
+            for worker in self._state.workers.values()
+            if worker.usable and worker.info.service == service
+        )
+        limit = max(len(needed), MAX_ISOLATED_SHARE * count)
+        return len(self._closed | needed) <= limit
+
+    def _choose_apart(self, step, tasks, workers, is_preferred, now):
+        """Choose workers without other tasks that have crashed workers.
+
+        If there is no room on these, others are chosen, for a suspect only
+        after `APART_WAIT_S`.  A suspect goes to the worker with the most free
+        resources, where it does the least damage.
+        """
+        task = step.accounting_task(tasks[0])
+        choices = [self._without(workers, task, lambda other: True)]
+        if not self._keeps_waiting(task, now, APART_WAIT_S):
+            choices.append(self._without(workers, task, _crashes.is_suspect))
+            choices.append(workers)
+        for candidates in choices:
+            if _crashes.is_suspect(task) and not step.spec.gang:
+                candidates = _emptiest(step, candidates)
+            chosen = _placement.choose(
+                step, tasks, candidates, is_preferred, now
+            )
+            if len(chosen) == len(tasks):
+                if _crashes.is_suspect(task) and self._may_close(chosen, step):
+                    self._isolated = task
+                return chosen
+        return []
+
+    def _without(self, workers, task, matches):
+        """Return the workers that run no other matching task."""
+        return [
+            worker
+            for worker in workers
+            if not any(
+                other is not task and matches(other)
+                for other in self._worker_tasks.get(worker.id, ())
+            )
+        ]
+
+
+def _runs(task):
+    members = task.step.tasks if task.step.spec.gang else [task]
+    return [member.run for member in members if member.run is not None]
+
+
+def _emptiest(step, workers):
+    """Return the worker with the most free resources, as a list."""
+    return sorted(
+        workers, key=lambda w: (-w.available(step).millicores, w.id)
+    )[:1]
--- a/src/citrondeal/workflow/_jobs.py
+++ b/src/citrondeal/workflow/_jobs.py
@@ -43,6 +43,10 @@
         Progress, from 0 to 100.
     progress_at : float
         When `percent` last rose.
+    stored_number : int
+        Its number by the record of the worker, if `number` is unknown.
+    isolated : bool
+        Whether no other task is placed on its worker while it runs.
     """
 
     task: object
@@ -54,6 +58,8 @@
     stop_sent_at: float | None = None
     percent: float = 0.0
     progress_at: float = 0.0
+    stored_number: int = UNKNOWN_RUN_NUMBER
+    isolated: bool = False
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -73,6 +79,16 @@
         Numbers of the failed runs.
     avoid : set of str
         Ids of the workers on which a run failed.
+    crashes : set of int
+        Numbers of the runs that ended by a crash of their worker.
+    stored_crashes : frozenset of int
+        Those of `crashes` and `excused` that are stored for the next owner.
+    excused : set of int
+        Numbers of such runs that are not counted.
+    open_starts : dict of int to dict of str to Place
+        By run number and worker; see `OpenStart`.
+    isolation_wanted_at : float or None
+        Since when it waits for a worker that runs nothing else.
     """
 
     id: _model.TaskId
@@ -82,6 +98,11 @@
     checkpoint: str = ""
     failures: set = dataclasses.field(default_factory=set)
     avoid: set = dataclasses.field(default_factory=set)
+    crashes: set = dataclasses.field(default_factory=set)
+    stored_crashes: frozenset = frozenset()
+    excused: set = dataclasses.field(default_factory=set)
+    open_starts: dict = dataclasses.field(default_factory=dict)
+    isolation_wanted_at: float | None = None
 
 
 class StepState:
@@ -214,13 +235,19 @@
         """Return its `Progress` to be stored."""
         if self.ended:
             return _model.Progress(self.state)
-        failures = {
-            f"{task.id.step}.{task.id.index}": sorted(task.failures)
+        tasks = {
+            task_key(task): task
             for task in self.tasks()
-            if task.failures
+            if task.failures or task.crashes or task.open_starts
         }
-        done = tuple(_bitmap(step) for step in self.steps)
-        return _model.Progress(self.state, done, failures)
+        return _model.Progress(
+            self.state,
+            tuple(_bitmap(step) for step in self.steps),
+            {k: sorted(t.failures) for k, t in tasks.items() if t.failures},
+            {k: sorted(t.crashes) for k, t in tasks.items() if t.crashes},
+            {k: sorted(t.excused) for k, t in tasks.items() if t.excused},
+            {k: _open_starts(t) for k, t in tasks.items() if t.open_starts},
+        )
 
     def restore(self, progress):
         """Take over the stored progress."""
@@ -233,10 +260,32 @@
                     task.done = True
                     step.done_count += 1
         for key, runs in progress.failures.items():
-            step, _, index = key.partition(".")
-            self.steps[int(step)].tasks[int(index)].failures.update(runs)
+            self.task_of_key(key).failures.update(runs)
             self.failed_runs += len(runs)
 
+    def task_of_key(self, key):
+        """Return the task of a key of its progress, see `task_key`.
+
+        Raises
+        ------
+        IndexError, ValueError
+            If there is no such task.
+        """
+        step, _, index = key.partition(".")
+        return self.steps[int(step)].tasks[int(index)]
+
+
+def task_key(task):
+    """Return the key of a task in the progress of its job."""
+    return f"{task.id.step}.{task.id.index}"
+
+
+def _open_starts(task):
+    return [
+        _model.OpenStart(number, dict(places))
+        for number, places in sorted(task.open_starts.items())
+    ]
+
 
 def _bitmap(step):
     value = sum(1 << task.id.index for task in step.tasks if task.done)
--- a/src/citrondeal/workflow/_model.py
+++ b/src/citrondeal/workflow/_model.py
@@ -217,6 +217,37 @@
     CANCELLED = "cancelled"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """One incarnation of a worker.
+
+    Attributes
+    ----------
+    address : str
+    born_ms : int
+        Identifies the incarnation, see `WorkerInfo`.
+    """
+
+    address: str
+    born_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenStart:
+    """A start of which it is not known how its run ended.
+
+    Attributes
+    ----------
+    number : int
+        Number of the run.
+    places : dict of str to Place
+        By id of the workers, one for each member of a gang's run.
+    """
+
+    number: int
+    places: dict[str, Place]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Progress:
     """Stored progress of a job.
@@ -230,11 +261,25 @@
     failures : dict of str to list of int
         Numbers of the failed runs by ``step.index`` of the task; those of a
         gang are listed under its task 0.
+    crashes : dict of str to list of int
+        Numbers of the runs that ended by a crash of their worker, by the same
+        keys.
+    excused_crashes : dict of str to list of int
+        Numbers of such runs that do not count, by the same keys.
+    open_starts : dict of str to list of OpenStart
+        By the same keys.
     """
 
     state: JobState
     done: tuple[bytes, ...] = ()
     failures: dict[str, list[int]] = dataclasses.field(default_factory=dict)
+    crashes: dict[str, list[int]] = dataclasses.field(default_factory=dict)
+    excused_crashes: dict[str, list[int]] = dataclasses.field(
+        default_factory=dict
+    )
+    open_starts: dict[str, list[OpenStart]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -278,10 +323,13 @@
     runs : tuple of TaskId, or None
         Tasks that may run on the worker; None if it answered the owner that
         stored the record, so that any task may have been started there.
+    numbers : tuple of int
+        Number of the run of each task in `runs`; may be missing.
     """
 
     info: WorkerInfo
     runs: tuple[TaskId, ...] | None = None
+    numbers: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/citrondeal/workflow/_open_starts.py
@@ -0,0 +1,99 @@
+"""Starts of which it is not known how their runs ended.
+
+These are starts that were recorded before their order was sent, and runs
+whose leases lapsed.  They are stored with the progress of the job.  What the
+worker says next tells which of them ended by a crash: an incarnation that
+started later is a crash, and a report of the same one is none.
+"""
+
+from citrondeal.workflow import _model
+
+# Only the newest open starts of a task are kept, so that its record stays
+# small.
+MAX_PER_TASK = 3
+
+
+class OpenStarts:
+    """Index of the open starts of all tasks by worker and address.
+
+    Parameters
+    ----------
+    mark_changed : callable
+        Called with a job whose open starts have changed.
+    """
+
+    def __init__(self, mark_changed):
+        self._mark_changed = mark_changed
+        self._index = {}  # worker id or address -> {task id: task}
+
+    def add(self, task, number, worker):
+        """Add the start of a run on a worker.
+
+        Parameters
+        ----------
+        task : TaskState
+            For a gang, the task that holds its failures.
+        number : int
+            Number of the run.
+        worker : WorkerState
+        """
+        place = _model.Place(worker.info.address, worker.info.born_ms)
+        self.restore(task, number, {worker.id: place})
+        while len(task.open_starts) > MAX_PER_TASK:
+            self.drop(task, min(task.open_starts))
+        self._mark_changed(task.step.job)
+
+    def restore(self, task, number, places):
+        """Add the places of a stored start."""
+        task.open_starts.setdefault(number, {}).update(places)
+        for worker_id, place in places.items():
+            for key in (worker_id, place.address):
+                self._index.setdefault(key, {})[task.id] = task
+
+    def remove(self, task, number, worker_id):
+        """Remove a start on one worker, whose end is known."""
+        places = task.open_starts.get(number, {})
+        place = places.pop(worker_id, None)
+        if place is None:
+            return
+        if not places:
+            del task.open_starts[number]
+        for key in (worker_id, place.address):
+            self._remove_from_index(task, key)
+        self._mark_changed(task.step.job)
+
+    def drop(self, task, number):
+        """Remove a start on all its workers."""
+        for worker_id in list(task.open_starts.get(number, ())):
+            self.remove(task, number, worker_id)
+
+    def drop_all(self, task):
+        """Remove all starts of a task."""
+        for number in list(task.open_starts):
+            self.drop(task, number)
+
+    def at(self, key):
+        """Return the open starts on a worker, given by its id or address.
+
+        Returns
+        -------
+        list of (TaskState, int, str, Place)
+            The task, the number of the run, and the worker.
+        """
+        return [
+            (task, number, worker_id, place)
+            for task in self._index.get(key, {}).values()
+            for number, places in task.open_starts.items()
+            for worker_id, place in places.items()
+            if key in (worker_id, place.address)
+        ]
+
+    def _remove_from_index(self, task, key):
+        for places in task.open_starts.values():
+            for worker_id, place in places.items():
+                if key in (worker_id, place.address):
+                    return
+        tasks = self._index.get(key, {})
+        tasks.pop(task.id, None)
+        if not tasks:
+            self._index.pop(key, None)
--- a/src/citrondeal/workflow/_persistence.py
+++ b/src/citrondeal/workflow/_persistence.py
@@ -54,7 +54,10 @@
             return None
         if worker.reachable or len(worker.runs) > MAX_STORED_RUNS:
             return _model.StoredWorker(worker.info)
-        return _model.StoredWorker(worker.info, tuple(worker.runs))
+        numbers = (r.number or r.stored_number for r in worker.runs.values())
+        return _model.StoredWorker(
+            worker.info, tuple(worker.runs), tuple(numbers)
+        )
 
     def on_stored(self, jobs, workers, ends):
         """Record that the changes of one `take_changes` call are stored."""
@@ -62,6 +65,7 @@
             job = self._state.jobs.get(job_id)
             if job is not None and progress is not None:
                 job.stored_state = progress.state
+                self._state.crashes.on_stored(job, progress)
         for worker_id, stored in workers.items():
             worker = self._state.workers.get(worker_id)
             if (
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -3,7 +3,9 @@
 import logging
 import math
 
+from citrondeal.workflow import _crashes
 from citrondeal.workflow import _events
+from citrondeal.workflow import _isolation
 from citrondeal.workflow import _jobs
 from citrondeal.workflow import _model
 from citrondeal.workflow import _placement
@@ -31,6 +33,7 @@
         self._reserving_gang = None
         self._usable_workers = {}  # by service, then by worker id
         self._action_limit = math.inf  # of the current pass
+        self._isolation = _isolation.Isolation(state)
 
     def plan(self, now, max_starts=math.inf):
         """Return the orders that are due.
@@ -53,6 +56,7 @@
         self._check_capacities(now)
         if max_starts <= 0 or not self._capacities_valid:
             return actions
+        actions += self._state.withheld.take_due(now)
         self._reserving_gang = None
         self._usable_workers = {}
         for worker in self._state.workers.values():
@@ -62,6 +66,7 @@
                     worker.info.service, {}
                 )
                 service[worker.id] = worker
+        self._isolation.begin_pass(now)
         self._action_limit = len(actions) + max_starts
         for step in self._ready_steps(now):
             if len(actions) >= self._action_limit:
@@ -118,6 +123,7 @@
                     worker=worker.id,
                     lost_runs=len(worker.runs),
                 )
+                self._state.crashes.on_lapse(worker)
                 self._state.release_all_runs(worker)
             worker.unrecognized_runs.clear()
             if worker.listed:
@@ -171,20 +177,13 @@
             # Another choice now would take workers whose tickets are not
             # being renewed, and would have to wait for another call.
             return
-        usable = self._usable_workers.get(step.job.policy.service, {})
-        allowed = [
-            worker
-            for worker in _tickets.allowed_workers(step, usable)
-            if _placement.is_eligible(step, worker)
-        ]
+        if self._isolation.concerns(step):
+            waiting = self._plan_crashed(step, waiting, actions, now)
+            if not waiting:
+                return
+        usable, allowed = self._candidates(step)
         chosen = _placement.choose(
-            step,
-            waiting,
-            allowed,
-            lambda worker: _tickets.has_ticket_or_reservation(
-                step, worker, now
-            ),
-            now,
+            step, waiting, allowed, _has_ticket(step, now), now
         )
         if len(chosen) < len(waiting):
             self._ask_for_tickets(
@@ -196,11 +195,55 @@
             self._start_or_renew_tickets(step, chosen, actions, now)
             return
         self._state.reserve(step, [])
-        if self._may_reserve(step, now):
-            for _, worker in _placement.choose_to_reserve(
-                step, waiting, allowed
-            ):
-                worker.reserve_for_pass(step.spec.size)
+        self._reserve_for_pass(step, waiting, allowed, now)
+
+    def _candidates(self, step, task=None):
+        """Return the open workers, and those of them that may run a step.
+
+        Parameters
+        ----------
+        step : StepState
+        task : TaskState or None
+            Task that has crashed workers; None for all others.
+        """
+        usable = self._isolation.open_workers(
+            self._usable_workers.get(step.job.policy.service, {}), task
+        )
+        allowed = [
+            worker
+            for worker in _tickets.allowed_workers(step, usable)
+            if _placement.is_eligible(step, worker)
+        ]
+        return usable, allowed
+
+    def _plan_crashed(self, step, waiting, actions, now):
+        """Plan the tasks that have crashed workers, and return the others."""
+        others = []
+        for tasks in [waiting] if step.spec.gang else [[t] for t in waiting]:
+            task = step.accounting_task(tasks[0])
+            if not task.crashes:
+                others += tasks
+            elif _crashes.may_start(task):
+                self._place_crashed(step, tasks, task, actions, now)
+        return others
+
+    def _place_crashed(self, step, tasks, task, actions, now):
+        usable, allowed = self._candidates(step, task)
+        chosen = self._isolation.choose(
+            step, tasks, allowed, _has_ticket(step, now), now
+        )
+        if chosen:
+            self._start_or_renew_tickets(step, chosen, actions, now)
+            return
+        self._ask_for_tickets(step, len(tasks), usable, actions, now)
+        if not self._isolation.waits(task, now):
+            self._reserve_for_pass(step, tasks, allowed, now)
+
+    def _reserve_for_pass(self, step, waiting, allowed, now):
+        if not self._may_reserve(step, now):
+            return
+        for _, worker in _placement.choose_to_reserve(step, waiting, allowed):
+            worker.reserve_for_pass(step.spec.size)
 
     def _may_reserve(self, step, now):
         """Return whether to reserve resources for a step that does not fit.
@@ -234,11 +277,19 @@
         else:
             self._state.reserve(step, [])
         number = self._state.take_run_number() if step.spec.gang else None
+        starts = []
         for task, worker, ticket in ready:
-            if number is None and len(actions) >= self._action_limit:
+            if number is None and (
+                len(actions) + len(starts) >= self._action_limit
+            ):
                 break  # a wide step continues in the next pass
             if ticket is not None:
-                actions.append(self._start(task, worker, ticket, number, now))
+                starts.append(self._start(task, worker, ticket, number, now))
+        task = step.accounting_task(chosen[0][0])
+        if starts and task.crashes:
+            self._state.withheld.hold(task, starts)
+        else:
+            actions.extend(starts)
 
     def _ask_for_tickets(self, step, unplaced, usable, actions, now):
         """Request tickets for workers that were not asked about yet."""
@@ -291,6 +342,7 @@
         task.run = run
         worker.add(run)
         step = task.step
+        self._isolation.on_start(step.accounting_task(task), run)
         _events.log(
             logging.INFO,
             "start is decided",
@@ -313,6 +365,10 @@
         )
 
 
+def _has_ticket(step, now):
+    return lambda worker: _tickets.has_ticket_or_reservation(step, worker, now)
+
+
 def _urgency(step, now):
     """Return the sort key of a step; the lowest one is the most urgent.
 
--- a/src/citrondeal/workflow/_recovery.py
+++ b/src/citrondeal/workflow/_recovery.py
@@ -1,5 +1,6 @@
 """Recovery of the state that earlier owners stored."""
 
+import itertools
 import logging
 
 from citrondeal.workflow import _events
@@ -36,11 +37,16 @@
                 self._state.changed_workers.pop(worker.id, None)
                 self._state.unresolved_workers.add(worker.id)
             else:
-                self._assume_runs(worker, stored_worker.runs, now)
+                self._assume_runs(worker, stored_worker, now)
 
-    def _assume_runs(self, worker, task_ids, now):
+    def _assume_runs(self, worker, stored_worker, now):
         """Assume that the tasks run on a worker that could not be reached."""
-        for task_id in task_ids:
+        runs = itertools.zip_longest(
+            stored_worker.runs,
+            stored_worker.numbers[: len(stored_worker.runs)],
+            fillvalue=_jobs.UNKNOWN_RUN_NUMBER,
+        )
+        for task_id, number in runs:
             task = self._state.task(task_id)
             if task is None or task.done or task.run is not None:
                 continue
@@ -52,6 +58,7 @@
                 now,
                 now,
                 progress_at=now,
+                stored_number=number,
             )
             worker.add(task.run)
 
@@ -62,6 +69,7 @@
             return
         try:
             job.restore(progress)
+            self._state.crashes.restore(job, progress)
         except (IndexError, ValueError):
             _events.log(
                 logging.ERROR, "stored progress is skipped", job=job_id
--- a/src/citrondeal/workflow/_reports.py
+++ b/src/citrondeal/workflow/_reports.py
@@ -2,6 +2,7 @@
 
 import logging
 
+from citrondeal.workflow import _crashes
 from citrondeal.workflow import _events
 from citrondeal.workflow import _jobs
 from citrondeal.workflow import _limits
@@ -55,6 +56,7 @@
             self._on_running(worker, reported, now)
         if any(_is_stalled(run, now) for run in worker.runs.values()):
             self._on_stall(worker, now)
+        self._state.crashes.on_reported(worker, now)
         self._state.mark_resolved(worker, now)
 
     def _on_stall(self, worker, now):
@@ -195,6 +197,7 @@
             task, reported.number, worker.id, _jobs.RunState.RUNNING, now, now
         )
         run.percent, run.progress_at = reported.percent, now
+        run.isolated = _crashes.is_suspect(task.step.accounting_task(task))
         worker.add(run)
         _events.log(
             logging.INFO,
--- a/src/citrondeal/workflow/_scheduler.py
+++ b/src/citrondeal/workflow/_scheduler.py
@@ -112,6 +112,16 @@
             and job.state is _model.JobState.QUEUED
         )
 
+    @property
+    def crashes(self):
+        """`Crashes` of workers and the tasks that they were counted for."""
+        return self._state.crashes
+
+    @property
+    def wants_to_store(self):
+        """Whether starts wait until the changes are stored."""
+        return self._state.withheld.waiting or self._state.crashes.waiting
+
     def dump(self):
         """Return a summary for the state dump, ready for JSON."""
         return {
@@ -119,6 +129,7 @@
             "jobs": len(self._state.jobs),
             "active": len(self._state.active),
             "unresolved": sorted(self._state.unresolved_workers),
+            "crashes": self._state.crashes.dump(),
             "workers": {
                 w.id: {
                     "usable": w.usable,
--- a/src/citrondeal/workflow/_state.py
+++ b/src/citrondeal/workflow/_state.py
@@ -4,10 +4,13 @@
 import logging
 import math
 
+from citrondeal.workflow import _crashes
 from citrondeal.workflow import _events
 from citrondeal.workflow import _jobs
 from citrondeal.workflow import _model
+from citrondeal.workflow import _open_starts
 from citrondeal.workflow import _tickets
+from citrondeal.workflow import _withheld
 from citrondeal.workflow import _workers
 
 # Each epoch numbers its runs within a range of this size, so that numbers
@@ -48,6 +51,8 @@
         Number of this ownership; higher than that of any earlier one.
     """
 
+    crashes_class = _crashes.Crashes
+
     def __init__(self, config, epoch):
         self.config = config
         self.epoch = epoch
@@ -63,6 +68,9 @@
         self.pending_cancels = set()
         self.forgotten_jobs = []
         self.superseded = False
+        self.open_starts = _open_starts.OpenStarts(self.mark_changed)
+        self.withheld = _withheld.WithheldStarts(self)
+        self.crashes = self.crashes_class(self)
 
     @property
     def earlier_runs_known(self):
@@ -86,8 +94,9 @@
         self.mark_resolved(worker, now)
 
     def release_all_runs(self, worker):
-        for run in list(worker.runs.values()):
-            self.release_run(worker, run)
+        # The release of one member of a gang may release others.
+        while worker.runs:
+            self.release_run(worker, next(iter(worker.runs.values())))
 
     def set_reachable(self, worker, reachable):
         # The record of an unreachable worker lists the tasks that may run on
@@ -105,6 +114,7 @@
             worker=worker.id,
             lost_runs=len(worker.runs),
         )
+        self.crashes.on_crash(worker, now)
         # The clock of an incarnation begins anew, so no entry of the new one
         # is older than what is known of it.
         worker.info = dataclasses.replace(
@@ -147,6 +157,7 @@
             state=state.value,
             took_s=round(now - job.accepted_at, 3),
         )
+        self.crashes.on_job_ended(job)
         for step in job.steps:
             self.reserve(step, [])
             for task in step.tasks:
@@ -206,6 +217,7 @@
         worker.remove(run)
         if run.task.run is run:
             run.task.run = None
+        self.withheld.on_released(run)
 
     def take_run_number(self):
         number = self.next_run_number
--- /dev/null
+++ b/src/citrondeal/workflow/_withheld.py
@@ -0,0 +1,131 @@
+"""Starts whose orders are not sent before the next owner knows of them."""
+
+import dataclasses
+import logging
+
+from citrondeal.workflow import _events
+from citrondeal.workflow import _jobs
+from citrondeal.workflow import _tickets
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Group:
+    """The starts of one run: one, or those of all members of a gang."""
+
+    task: _jobs.TaskState
+    number: int
+    starts: list
+    stored: bool = False
+
+
+class WithheldStarts:
+    """Starts that are recorded as open, by the task that holds the failures.
+
+    A task under which a worker has crashed is started only once the start is
+    stored.  If the worker crashes and the owner ends before it sees this, the
+    next owner still counts the crash; and an owner that has been replaced
+    can store nothing and so starts no such task.
+
+    Parameters
+    ----------
+    state : State
+    """
+
+    def __init__(self, state):
+        self._state = state
+        self._groups = {}
+
+    @property
+    def waiting(self):
+        """Whether the changes should be stored soon."""
+        return any(not group.stored for group in self._groups.values())
+
+    def hold(self, task, starts):
+        """Withhold the starts of a run until their record is stored.
+
+        Parameters
+        ----------
+        task : TaskState
+            For a gang, the task that holds its failures.
+        starts : list of Start
+            Their runs have been added to the workers.
+        """
+        self._groups[task.id] = _Group(task, starts[0].run, starts)
+        for start in starts:
+            worker = self._state.workers[start.worker]
+            self._state.open_starts.add(task, start.run, worker)
+
+    def holds(self, task, number):
+        """Return whether the order of a run has not been sent yet."""
+        group = self._groups.get(task.id)
+        return group is not None and group.number == number
+
+    def on_stored(self, job, progress):
+        """Record that the progress of a job is stored."""
+        for group in self._groups.values():
+            if group.task.step.job is not job:
+                continue
+            stored = progress.open_starts.get(_jobs.task_key(group.task), ())
+            if any(start.number == group.number for start in stored):
+                group.stored = True
+
+    def take_due(self, now):
+        """Return the starts whose record is stored, to be sent now."""
+        due = []
+        for group in [g for g in self._groups.values() if g.stored]:
+            if all(self._is_valid(start, now) for start in group.starts):
+                del self._groups[group.task.id]
+                due.extend(self._with_ticket(s, now) for s in group.starts)
+            else:
+                self._give_up(group)
+        return due
+
+    def on_job_ended(self, job):
+        """Give up the starts of a job that has ended."""
+        for group in list(self._groups.values()):
+            if group.task.step.job is job:
+                self._give_up(group)
+
+    def on_released(self, run):
+        """Give up a start whose run was released, with its whole gang."""
+        task = run.task.step.accounting_task(run.task)
+        if self.holds(task, run.number):
+            self._give_up(self._groups[task.id])
+
+    def _is_valid(self, start, now):
+        worker = self._state.workers.get(start.worker)
+        run = worker and worker.runs.get(start.task)
+        return (
+            run is not None
+            and run.number == start.run
+            and run.state is _jobs.RunState.STARTING
+            and worker.usable
+            and worker.info.born_ms == start.born_ms
+            and self._ticket(start, now) is not None
+        )
+
+    def _ticket(self, start, now):
+        return _tickets.valid_ticket(
+            self._state.task(start.task).step,
+            self._state.workers[start.worker],
+            now,
+        )
+
+    def _with_ticket(self, start, now):
+        return dataclasses.replace(start, ticket=self._ticket(start, now))
+
+    def _give_up(self, group):
+        del self._groups[group.task.id]
+        _events.log(
+            logging.INFO,
+            "recorded start is not sent",
+            job=group.task.id.job,
+            task=_events.task_name(group.task.id),
+            run=group.number,
+        )
+        self._state.open_starts.drop(group.task, group.number)
+        for start in group.starts:
+            worker = self._state.workers.get(start.worker)
+            run = worker and worker.runs.get(start.task)
+            if run is not None and run.number == start.run:
+                self._state.release_run(worker, run)
--- a/src/citrondeal/workflow/tests/capacities.py
+++ b/src/citrondeal/workflow/tests/capacities.py
@@ -116,6 +116,8 @@
             key = (worker.name, worker.born_ms)
             if worker.removed:
                 self._unlist_when_due(worker, now)
+            elif worker.down:
+                continue
             elif now >= self._due_at.get(key, now):
                 self._due_at[key] = now + HEARTBEAT_S
                 self._write(worker, delays_allowed, now)
--- /dev/null
+++ b/src/citrondeal/workflow/tests/crashes.feature
@@ -0,0 +1,111 @@
+Feature: workflow crashes
+
+  # Guards against a task that crashes one worker after the other for ever.
+  Scenario Outline: workflow crashes a task that crashes its workers is given up
+    Given a workflow cell of 4 workers
+    When a workflow job with a deadly task arrives, <how>
+    And the workflow cell runs for 60 seconds
+    Then the workflow job "deadly" is failed after 3 starts
+    And the workflow operators see the task given up
+
+    Examples:
+      | how         |
+      | alone       |
+      | in a gang   |
+
+  # Guards against a job that fails, or waits long, because of a task beside it.
+  Scenario: workflow crashes neighbours of a deadly task complete
+    Given a workflow cell of 4 workers
+    When a workflow job with a deadly task arrives, alone
+    And workflow jobs run beside it on the same worker
+    And the workflow cell runs for 20 seconds
+    Then all other workflow jobs are completed
+
+  # Guards against workers that are full all the time, so that a suspect never
+  # finds one that runs nothing else.
+  Scenario: workflow crashes a suspect starts on a full cell
+    Given a workflow cell of 4 workers
+    And a workflow backlog that fills all workers
+    When a workflow job has crashed two of its workers
+    Then it starts again within 10 seconds, and no task starts beside it
+
+  # Guards against tasks that are given up for faults of the network or for
+  # planned work.
+  Scenario Outline: workflow crashes <event> is no crash
+    Given a workflow cell of 4 workers
+    When the worker of a workflow job <does> four times
+    Then no workflow crash is counted
+    And the workflow job "job" is completed at the end
+
+    Examples:
+      | event                    | does               |
+      | a short silence          | is silent for 4 s  |
+      | a silence past the lease | is silent for 20 s |
+      | a drained replacement    | is drained         |
+
+  # Guards against innocent tasks that are given up because all workers lost
+  # power more than once.
+  Scenario Outline: workflow crashes power failures of all workers fail no job
+    Given a workflow cell of 8 workers
+    When <count> power failures hit a workflow cell with 30 jobs
+    And the workflow cell runs for 60 seconds
+    Then all other workflow jobs are completed
+
+    Examples:
+      | count |
+      | 2     |
+      | 3     |
+
+  # Guards against a crash that is not seen because the lease had lapsed, or
+  # the worker was not listed any more, before it was back.
+  Scenario Outline: workflow crashes a worker that is back after its lease is seen
+    Given a workflow cell of 4 workers
+    When the worker of a workflow job crashes for 30 seconds, <how>
+    Then one workflow crash is counted for the job
+
+    Examples:
+      | how                  |
+      | with its entry kept  |
+      | without its entry    |
+      | under a new id       |
+
+  # Guards against an owner that starts the count anew.
+  Scenario: workflow crashes the count survives each owner
+    Given a workflow cell of 4 workers
+    When a workflow job with a deadly task arrives, alone
+    And the owner is replaced after each counted crash for 60 seconds
+    Then the workflow job "deadly" is failed after 3 starts
+
+  # Guards against a crash that nobody counts because the owner that sent the
+  # start ended before the worker was back.
+  Scenario: workflow crashes a crash while the owner ends is counted
+    Given a workflow cell of 4 workers
+    When a workflow job with a deadly task arrives, alone
+    And the owner is replaced after each crash of a worker for 90 seconds
+    Then the workflow job "deadly" is failed after at most 5 starts
+
+  # Guards against a start whose count is lost with the owner.
+  Scenario: workflow crashes a task does not start before its crash is stored
+    Given a workflow cell of 4 workers
+    When a workflow job with a deadly task arrives, alone
+    And the store fails after the first crash
+    Then the workflow job does not start again until the store works
+    And the workflow job "deadly" is failed after 3 starts
+
+  # Guards against a second owner that spends the budget again.
+  Scenario: workflow crashes an owner that cannot store starts no such task
+    Given a workflow cell of 4 workers
+    When a workflow job with a deadly task arrives, alone
+    And the owner cannot store the next start
+    Then the workflow job does not start again until the store works
+
+  # Guards against a fault when a worker restarts while the starts of a gang
+  # on it wait for the store.
+  Scenario: workflow crashes a worker restarts while the starts of a gang wait
+    Given a workflow cell of 1 workers
+    When a workflow gang waits for the store and its worker restarts
+    Then the workflow job "gang" is completed at the end
+
+  # Guards against records of the previous version, which have no crashes.
+  Scenario: workflow crashes records without crashes are read
+    Then workflow progress and workers without the new fields are decoded
--- a/src/citrondeal/workflow/tests/simulation.py
+++ b/src/citrondeal/workflow/tests/simulation.py
@@ -27,6 +27,13 @@
 # Orders that were delayed and leases that nobody renews are over by then.
 CALM_AFTER_S = MAX_ORDER_DELAY_S + LEASE_S
 CALM_JOBS = 5  # submitted once the effects of all faults are over
+# Share of the jobs of which one task crashes each worker that starts it.
+DEADLY_SHARE = 0.06
+# A task is given up after this many crashed runs, and starts at most so many
+# times more if not all of its crashes could be seen in time.
+MAX_CRASHES = 3
+LATE_STARTS = 2
+DOWN_S = (1.0, 4.0)  # from a crash to the next incarnation
 OWNER_GAP_S = 1.0  # from the end of an owner to the start of the next one
 
 
@@ -45,14 +52,18 @@
     ends_at: float
     outcome: workflow.RunOutcome
     stopping_at: float | None = None
+    # When it crashes its worker.
+    crashes_at: float = math.inf
 
 
 class SimulatedWorker:
     """One simulated worker."""
 
-    def __init__(self, simulation, name):
+    def __init__(self, simulation, name, address=None):
         self.simulation = simulation
         self.name = name
+        self.address = address or f"{name}:1"
+        self.down_until = 0.0
         self.unreachable = False
         self.removed = False
         self.restart()
@@ -66,15 +77,13 @@
         self.unacknowledged_ends = []
         self.end_count = 0
         self.lease_until = self.simulation.now
-        self.capacity = capacities.Capacity(
-            capacities.choose(self.simulation.random)
-        )
+        self.capacity = capacities.Capacity(self.simulation.new_capacity())
 
     def info(self):
         """Return the entry in the list of workers."""
         return workflow.WorkerInfo(
             self.name,
-            f"{self.name}:1",
+            self.address,
             "service",
             "zone",
             ("kind", "rack"),
@@ -84,8 +93,25 @@
             clock_s=self.simulation.now - self.born_ms / 1000.0,
         )
 
+    @property
+    def down(self):
+        """Whether it has crashed and is not back yet."""
+        return self.simulation.now < self.down_until
+
+    def crash(self, down_s):
+        """Lose all runs, and be away for a time."""
+        runs, self.runs = list(self.runs.values()), {}
+        self.simulation.on_crash(runs)
+        self.down_until = self.simulation.now + down_s
+
     def tick(self, now):
         """End runs that were stopped, have lost their lease, or are done."""
+        if any(now >= run.crashes_at for run in self.runs.values()):
+            self.crash(self.simulation.deadly_random.uniform(*DOWN_S))
+            return
+        if self.down_until and not self.down:
+            self.down_until = 0.0
+            self.simulation.bring_back(self)
         for run in list(self.runs.values()):
             if run.stopping_at is not None and now >= run.stopping_at:
                 self.end(run, workflow.RunOutcome.STOPPED)
@@ -199,8 +225,11 @@
 
     def __init__(self, seed, scheduler_class=workflow.Scheduler):
         self.random = random.Random(seed)
+        # Its own generator keeps the other draws of a seed.
+        self.deadly_random = random.Random(~seed)
         self.scheduler_class = scheduler_class
         self.now = 100.0
+        self.faults_ended_at = math.inf
         self.workers = {
             f"w{i}": SimulatedWorker(self, f"w{i}")
             for i in range(self.random.randint(2, 5))
@@ -224,7 +253,12 @@
         self.cancelled_at = {}
         self.jobs = {}
         self.always_failing = set()
-        self.faults_ended_at = math.inf
+        self.replaced = {}  # workers that came back under another id
+        self.deadly = {}  # job -> step and index of its deadly task
+        self.crashed_runs = collections.defaultdict(set)
+        self.crashed_alone = set()
+        self.started_runs = collections.defaultdict(set)
+        self.failed_numbers = collections.defaultdict(set)
 
     # Checks of the runs
 
@@ -288,6 +322,7 @@
             raise InvariantViolation(
                 f"{task} exceeds the spread {step.spread} on {worker.name}"
             )
+        self.check_crashes(task, order.run)
         fails = task.job in self.always_failing or self.random.random() < 0.03
         worker.runs[task] = SimulatedRun(
             task,
@@ -297,6 +332,66 @@
             self.now + self.random.uniform(0.2, 3.0),
             workflow.RunOutcome.FAILED if fails else workflow.RunOutcome.DONE,
         )
+        run = worker.runs[task]
+        if self.deadly.get(task.job, (None,))[0] == task.step and step.gang:
+            run.ends_at = math.inf
+        if self.is_deadly(task):
+            run.ends_at = math.inf
+            run.crashes_at = self.now + self.deadly_random.uniform(0.1, 2.0)
+
+    def is_deadly(self, task):
+        """Return whether a task crashes each worker that starts it."""
+        return self.deadly.get(task.job) == (task.step, task.index)
+
+    def check_crashes(self, task, number):
+        """Check that a task which crashes its workers is given up in time."""
+        crashed, started = self.crashed_runs[task], self.started_runs[task]
+        started.add(number)
+        if len(crashed) < MAX_CRASHES or not self.is_deadly(task):
+            return
+        third = sorted(crashed)[MAX_CRASHES - 1]
+        late = [run for run in started if run > third]
+        if len(late) > LATE_STARTS:
+            raise InvariantViolation(
+                f"{task} starts {len(late)} times after {MAX_CRASHES} crashes"
+            )
+
+    def record_crash(self, runs):
+        """Record the runs that a crash of their worker ended."""
+        tasks = {self._accounting_task(run.task) for run in runs}
+        for run in runs:
+            self.crashed_runs[run.task].add(run.number)
+            if len(tasks) == 1:
+                self.crashed_alone.add(run.task)
+
+    def on_crash(self, runs):
+        """Record the runs that a crash ended, and end their gangs."""
+        self.record_crash(runs)
+        for run in runs:
+            if not self.step(run.task).gang:
+                continue
+            for worker in self.workers.values():
+                for member in list(worker.runs.values()):
+                    same = member.task.step == run.task.step
+                    same = same and member.task.job == run.task.job
+                    if same and member.number == run.number:
+                        worker.end(member, workflow.RunOutcome.BROKEN)
+
+    def new_capacity(self):
+        """Return the capacity of a new incarnation, full after all faults."""
+        if self.now >= self.faults_ended_at:
+            return capacities.FULL
+        return capacities.choose(self.random)
+
+    def bring_back(self, worker):
+        """Start a crashed worker again, under its id or a new one."""
+        if worker.removed or self.deadly_random.random() < 0.7:
+            worker.restart()
+            return
+        del self.workers[worker.name]
+        name = f"{worker.name}+"
+        self.workers[name] = SimulatedWorker(self, name, worker.address)
+        self.replaced[worker.name] = worker
 
     def _accounting_task(self, task):
         return task._replace(index=0) if self.step(task).gang else task
@@ -305,6 +400,9 @@
         """Record an end, and end the other members of a gang."""
         if outcome is workflow.RunOutcome.DONE:
             self.done[run.task] += 1
+        elif outcome is workflow.RunOutcome.FAILED:
+            task = self._accounting_task(run.task)
+            self.failed_numbers[task].add(run.number)
         if not self.step(run.task).gang:
             return
         others = [
@@ -376,6 +474,10 @@
         self.jobs[job] = workflow.Submission(job, "", tuple(steps), policy)
         if rng.random() < 0.08:
             self.always_failing.add(job)
+        elif self.deadly_random.random() < DEADLY_SHARE:
+            step = self.deadly_random.randrange(len(steps))
+            index = self.deadly_random.randrange(steps[step].tasks)
+            self.deadly[job] = (step, index)
         self.log.append(("job", job))
         if rng.random() < 0.2:
             # Clients may send a job again after it was accepted.
@@ -466,6 +568,10 @@
             state = self.owner.scheduler.jobs[job].state
             if job in self.cancelled_at:
                 continue
+            if job in self.deadly and state is not workflow.JobState.FAILED:
+                raise InvariantViolation(
+                    f"job {job} with a deadly task: {state}"
+                )
             if state is workflow.JobState.COMPLETED:
                 for number, step in enumerate(self.jobs[job].steps):
                     for index in range(step.tasks):
@@ -476,6 +582,26 @@
                             )
             elif state is not workflow.JobState.FAILED:
                 raise InvariantViolation(f"job {job} is {state} at the end")
+            elif not self.may_fail(job):
+                raise InvariantViolation(f"job {job} failed without a cause")
+
+    def may_fail(self, job):
+        """Return whether a task of a job failed too often or is deadly."""
+        limit = self.jobs[job].policy.max_attempts
+        if job in self.deadly or any(
+            len(numbers) >= limit
+            for task, numbers in self.failed_numbers.items()
+            if task.job == job
+        ):
+            return True
+        # A task under which two runs have crashed may be given up.  It is if
+        # no evidence clears it: it was alone on a worker that restarted by
+        # chance, or it had one crash more beside other tasks.
+        return any(
+            len(numbers) >= MAX_CRASHES + (task not in self.crashed_alone)
+            for task, numbers in self.crashed_runs.items()
+            if task.job == job
+        )
 
     def inject_faults(self):
         """Submit jobs and inject faults at random."""
@@ -485,8 +611,8 @@
         worker = rng.choice(list(self.workers.values()))
         roll = rng.random()
         if roll < 0.004:
-            for run in list(worker.runs.values()):
-                worker.runs.pop(run.task)
+            runs, worker.runs = list(worker.runs.values()), {}
+            self.record_crash(runs)
             worker.restart()
         elif roll < 0.008:
             worker.unreachable = worker.removed or not worker.unreachable
@@ -533,7 +659,7 @@
         self.delayed_orders = [
             x for x in self.delayed_orders if x[0] > self.now
         ]
-        for worker in self.workers.values():
+        for worker in list(self.workers.values()):
             worker.tick(self.now)
         self.worker_list.tick(
             self.workers.values(),
@@ -595,6 +721,7 @@
             return
         unreachable = (
             worker.unreachable
+            or worker.down
             or self.now < owner.unreachable_until.get(worker.name, 0.0)
         )
         if unreachable or self.random.random() < 0.05:
@@ -619,19 +746,25 @@
                 action.step, action.workers, granted, self.now + 2.5, self.now
             )
             return
-        worker = self.workers[action.worker]
+        worker = self.workers.get(action.worker)
+        worker = worker or self.replaced[action.worker]
         until = self.now + START_VALID_S
         is_start = isinstance(action, workflow.Start)
 
         def order():
+            if worker.down or worker.name not in self.workers:
+                return workflow.OrderOutcome.UNKNOWN
             if is_start:
                 return worker.start(action, epoch, until)
             return worker.stop(action, epoch)
 
         roll = self.random.random()
         outcome = workflow.OrderOutcome.UNKNOWN
-        if worker.unreachable or self.now < owner.unreachable_until.get(
-            worker.name, 0.0
+        gone = worker.down or worker.name not in self.workers
+        if (
+            worker.unreachable
+            or gone
+            or self.now < owner.unreachable_until.get(worker.name, 0.0)
         ):
             pass
         elif roll < 0.03 and self.now < self.faults_ended_at:
--- a/src/citrondeal/workflow/tests/steps.py
+++ b/src/citrondeal/workflow/tests/steps.py
@@ -5,6 +5,7 @@
 from behave import then
 
 from citrondeal import workflow
+from citrondeal.workflow import _crashes
 from citrondeal.workflow import _intake
 from citrondeal.workflow import _planner
 from citrondeal.workflow import _reports
@@ -12,7 +13,7 @@
 from citrondeal.workflow.tests import simulation
 
 HISTORY_S = 30.0  # virtual time with faults
-FAULT_SEEDS = 60  # histories, one of which must find a fault
+FAULT_SEEDS = 120  # histories, one of which must find a fault
 
 
 @then("workflow {count:d} random histories keep all invariants")
@@ -99,6 +100,24 @@
         worker.listed = True
 
 
+class _CountsNoCrashes(_crashes.Crashes):
+    def _count(self, task, number, crash, now):
+        self._state.open_starts.drop(task, number)
+
+
+class _StateWithoutCrashes(_state.State):
+    crashes_class = _CountsNoCrashes
+
+
+class _RestoresNoCrashes(_crashes.Crashes):
+    def restore(self, job, progress):
+        return
+
+
+class _StateWithoutStoredCrashes(_state.State):
+    crashes_class = _RestoresNoCrashes
+
+
 _FAULTS = {
     "runs are released before they end": ("state", _ReleasesEarly),
     "runs of earlier owners are ignored": ("planner", _IgnoresEarlierRuns),
@@ -111,6 +130,8 @@
     "spread is ignored": ("intake", _IgnoresSpread),
     "capacity changes are ignored": ("intake", _IgnoresCapacityChanges),
     "restarted workers are used at once": ("state", _UsesRestartedWorkers),
+    "crashes are not counted": ("state", _StateWithoutCrashes),
+    "crash counts are not stored": ("state", _StateWithoutStoredCrashes),
 }
 
 
--- a/src/citrondeal/workflow/tests/workflow.feature
+++ b/src/citrondeal/workflow/tests/workflow.feature
@@ -1,7 +1,9 @@
 Feature: workflow
 
-  # Guards against overcommitted workers, also when their capacity changes, tasks that run twice or before the
-  # steps they depend on, unlimited retries, and jobs that never end.
+  # Guards against overcommitted workers, also when their capacity changes,
+  # tasks that run twice or before the steps they depend on, unlimited
+  # retries, jobs that never end, and tasks that crash one worker after the
+  # other.
   Scenario: workflow invariants hold in random histories with faults
     Then workflow 60 random histories keep all invariants
 
@@ -22,6 +24,8 @@
       | gangs start in part                   |
       | capacity changes are ignored          |
       | restarted workers are used at once    |
+      | crashes are not counted               |
+      | crash counts are not stored           |
 
   # Guards against an owner on a weak machine that answers nobody while it
   # sends the starts of a burst.
