Test that late deletions of an earlier owner lose no job

Deletions of submissions are not fenced, so those of an earlier owner may take effect at any time. The new scenario holds the deletion, and in a second step the append of the end, until the next owner has recovered, and queries the next two owners. It passes on the present code: a submission is deleted only once its end is stored under the owner's epoch, and the next owner reads the ends after it has fenced the epoch.

With the condition on the stored end removed from Retention.take_droppable (trial) it fails: the third owner doesn't know the job.

--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -86,6 +86,13 @@
   Scenario: cell a superseded owner answers no query
     Then a cell owner that has read the barrier of a newer one answers no query
 
+  # Guards against ended jobs that are unknown to the next owner, because the
+  # last one deleted a submission whose end is not stored. Deletions are not
+  # fenced, so one may take effect at any time.
+  Scenario: cell a job stays known while owners that follow each other delete it
+    Then a cell job is known although its submission is deleted late
+    And a cell job is known although its end is stored too late
+
   # Guards against false refusals and lost work while the store is unavailable.
   Scenario: cell jobs go on while the store is unavailable
     Given a cell of 3 members
