Test that every accepted job can be read back by an owner

An owner skips a submission that it can't decode, so a job that is accepted with one would be unknown for good. A property-based test passes random jobs and routes through the request decoder, the stored form and the owner's decoder.

--- a/src/citrondeal/platform/tests/platform.feature
+++ b/src/citrondeal/platform/tests/platform.feature
@@ -60,3 +60,8 @@
     Then platform each entry of a worker is skipped or can be stored
     And platform an entry with an address that names no port is skipped
     And platform reports with numbers that cannot be stored are refused
+
+  # Guards against a job that is accepted and then skipped by every owner,
+  # because its record cannot be decoded.
+  Scenario: platform an accepted job can be read back
+    Then platform every job that is accepted can be read by an owner
