Test that a late answer is not taken for that of the next call

The store client reuses connections. If it kept one whose call had timed out or been cancelled, the late answer would be that of the next call, such as an append that then counts as stored. The scenario passes on the present code, which closes such connections.

--- a/src/citrondeal/web/tests/steps.py
+++ b/src/citrondeal/web/tests/steps.py
@@ -273,3 +273,44 @@
     [outcome] = outcomes
     assert outcome is not None
     assert outcome.err_value.kind is errors.Kind.UNKNOWN_OUTCOME, outcome
+
+
+class _EchoServer(_Server):
+    """Answers with the path of the request, `DELAY_S` after slow ones."""
+
+    DELAY_S = 0.2
+
+    async def handle(self, stream):
+        self.connections += 1
+        with contextlib.suppress(
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            anyio.EndOfStream,
+        ):
+            while True:
+                path = (await stream.receive()).split()[1]
+                if path.startswith(b"/slow"):
+                    await anyio.sleep(self.DELAY_S)
+                head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+                await stream.send(head % len(path) + path)
+
+
+@then(
+    "web calls after one that timed out or was cancelled get their own answers"
+)
+def _(context):
+    server = _EchoServer()
+
+    async def scenario(client):
+        await client.request("GET", "/first")
+        late = await client.request("GET", "/slow/1", timeout_s=0.05)
+        assert late.err_value.kind is errors.Kind.UNKNOWN_OUTCOME, late
+        with anyio.move_on_after(0.05):
+            await client.request("GET", "/slow/2")
+        for number in range(4):
+            path = f"/own/{number}"
+            outcome = await client.request("GET", path)
+            assert outcome.ok_value.body == path.encode(), outcome
+            await anyio.sleep(_EchoServer.DELAY_S / 2)
+
+    _run(server, scenario)
--- a/src/citrondeal/web/tests/web.feature
+++ b/src/citrondeal/web/tests/web.feature
@@ -32,3 +32,8 @@
   # that calls it.
   Scenario: web the client gives up an answer that is too large
     Then web a call whose answer is larger than 8 MB ends early
+
+  # Guards against a record that counts as stored, because the late answer to
+  # another call was taken for the answer to its append.
+  Scenario: web a late answer is not taken for that of the next call
+    Then web calls after one that timed out or was cancelled get their own answers
