Test what a relayed append confirms

An append that is acknowledged without a record would be a lost job. The scenario answers a relayed append with each kind of outcome, on the side of the member that relays and on that of the member that asks two others. It passes on the present code: Ok is passed on only from the store, and a refusal is certain only if no member can have appended the record.

--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -242,6 +242,12 @@
     When a cell member leaves
     Then the cell has no owner
 
+  # Guards against a submission that is acknowledged without a record, and
+  # against one that is refused although it may be stored.
+  Scenario: cell a relayed append is confirmed only by the store
+    Then a cell member that relays confirms only what the store has confirmed
+    And a cell record is relayed only if a member confirms it
+
   # Guards against submissions of different members that wait for each other
   # while the store is slow.
   Scenario: cell submissions of many members do not wait for each other
