Keep a cancellation that was read before the progress of its job

Callers saw a job that they had cancelled as "running" for good, if the owner changed before it had stored the end.

The next owner reads the submission and the cancellation of a job first, which ends the job, and restores the stored progress after that. Progress of an owner that had not stored the end set the job back to "running", while it was no longer among the active jobs: nothing of it was planned, stopped or ended, its runs were taken over as wanted, and its records were never deleted. A job that a cancellation has ended now stays cancelled unless the stored progress is an end itself.

Ruled out: restoring progress before the cancellations, which arrive with the submissions that it needs.

Failed before: "a cancellation outlives a change of the owner" with state queued stored for the cancelled job.

--- a/src/citrondeal/workflow/_recovery.py
+++ b/src/citrondeal/workflow/_recovery.py
@@ -67,6 +67,7 @@
         job = self._state.jobs.get(job_id)
         if job is None:
             return
+        cancelled = job.ended
         try:
             job.restore(progress)
             self._state.crashes.restore(job, progress)
@@ -75,6 +76,11 @@
                 logging.ERROR, "stored progress is skipped", job=job_id
             )
             return
+        if cancelled and not job.ended:
+            # The cancellation was read with the submission, and no owner has
+            # stored the end yet.
+            job.state = _model.JobState.CANCELLED
+            self._state.mark_changed(job)
         if job.ended:
             job.ended_at = now
             self._state.active.pop(job_id, None)
--- /dev/null
+++ b/src/citrondeal/workflow/tests/steps_recovery.py
@@ -0,0 +1,44 @@
+"""Steps for jobs that a new owner recovers."""
+
+from behave import then
+
+from citrondeal import workflow
+
+STATES = workflow.JobState
+SUBMISSION = workflow.Submission(
+    "00000000000000aa",
+    "",
+    (workflow.Step(2, workflow.Size(1, 1)),),
+    workflow.Policy("queue", "service"),
+)
+
+
+def _recover(progress):
+    """Return a scheduler that recovers a job with a stored cancellation."""
+    scheduler = workflow.Scheduler(workflow.Config(), 2)
+    scheduler.on_cancel(SUBMISSION.job, 0.0)
+    scheduler.on_submission(SUBMISSION, 0, 0.0, True)
+    scheduler.restore(SUBMISSION.job, progress, 0.0)
+    return scheduler
+
+
+def _assert_end(scheduler, state):
+    jobs, workers, ends = scheduler.take_changes()
+    assert jobs[SUBMISSION.job].state is state, jobs
+    scheduler.on_stored(jobs, workers, ends)
+    assert scheduler.job_state(SUBMISSION.job) is state
+    assert not scheduler.active
+    assert scheduler.take_droppable() == [SUBMISSION.job]
+
+
+@then("workflow a cancellation that no owner has applied ends a running job")
+def _(context):
+    for state in (STATES.QUEUED, STATES.RUNNING):
+        scheduler = _recover(workflow.Progress(state, (b"\x01",), {}))
+        _assert_end(scheduler, STATES.CANCELLED)
+
+
+@then("workflow a cancellation does not change an end that is stored")
+def _(context):
+    for state in (STATES.COMPLETED, STATES.FAILED):
+        _assert_end(_recover(workflow.Progress(state)), state)
--- a/src/citrondeal/workflow/tests/workflow.feature
+++ b/src/citrondeal/workflow/tests/workflow.feature
@@ -105,3 +105,9 @@
   Scenario: workflow records of ended jobs are dropped in time
     Then workflow the submission of a job is dropped once its end is stored
     And workflow the state of a job is kept while clients may query it
+
+  # Guards against a cancelled job that stays "running" for ever and whose
+  # tasks run on, because the owner changed before it had stored the end.
+  Scenario: workflow a cancellation outlives a change of the owner
+    Then workflow a cancellation that no owner has applied ends a running job
+    And workflow a cancellation does not change an end that is stored
