Refuse replies of members that lack a field

A member, for example of another version, that answers a probe without the epoch ends the owner that asks it for a confirmation (None is compared with a number), and the next owner asks it as well. A reader that answers without records fails the configuration of each member of its zone, which asks it again after the restart.

Cause: a field that is missing in a frame is None, and receivers use it.

Change: `decode` refuses replies between members of a cell that lack a field which is used; the connection then fails like with any malformed frame.

Evidence: the new scenario fails on the sources before: "ASSERT FAILED: ProbeReply(epoch=1, owner=True, store_age_s=None, owner_age_s=0.0)".

--- a/src/citrondeal/peers/_codec.py
+++ b/src/citrondeal/peers/_codec.py
@@ -22,6 +22,17 @@
     ValueError,
 )
 
+# Fields of replies that their receivers compare or iterate over. One member
+# that left them out would end an activity of each member that asks it. Fields
+# that a later version adds must not be listed, or older members are refused.
+_REQUIRED_FIELDS = {
+    ttypes.ProbeReply: ("epoch", "owner", "store_age_s", "owner_age_s"),
+    ttypes.RecordsReply: ("offsets", "data"),
+    ttypes.TicketReply: ("tickets", "valid_s"),
+    ttypes.JobState: ("state",),
+    ttypes.Backlog: ("waiting",),
+}
+
 
 class FrameError(Exception):
     """Bytes or a message that are not a valid frame of this protocol."""
@@ -71,7 +82,8 @@
     Raises
     ------
     FrameError
-        If the payload is not a message, or its body is empty.
+        If the payload is not a message, its body is empty, or a required
+        field of a reply is missing.
     """
     message = ttypes.Message()
     buffer = TTransport.TMemoryBuffer(payload)
@@ -83,10 +95,14 @@
         raise FrameError(
             f"message without call id or body: call id {message.call}"
         )
-    if body_value(message) is None:
+    value = body_value(message)
+    if value is None:
         raise FrameError(
             f"message with an empty or unknown body: call id {message.call}"
         )
+    for name in _REQUIRED_FIELDS.get(type(value), ()):
+        if getattr(value, name) is None:
+            raise FrameError(f"{type(value).__name__} without {name}")
     return message
 
 
--- a/src/citrondeal/peers/tests/peers.feature
+++ b/src/citrondeal/peers/tests/peers.feature
@@ -43,3 +43,10 @@
   # the last of them would take many times its timeout.
   Scenario: peers calls to an address that never answers fail together
     Then peers 10 calls to an address that never answers fail within 2 s
+
+  # Guards against one member whose replies end an activity, or the owner, in
+  # each member that asks it.
+  Scenario: peers malformed replies are refused as a whole
+    Then peers replies without a field that is used are refused
+    And peers replies with changed bytes decode or are refused
+    And peers deeply nested and falsely announced frames are refused
--- a/src/citrondeal/peers/tests/steps.py
+++ b/src/citrondeal/peers/tests/steps.py
@@ -1,6 +1,7 @@
 """Steps that test the messages between daemons."""
 
 import functools
+import random
 import struct
 
 import anyio
@@ -63,6 +64,61 @@
     anyio.run(main)
 
 
+_REPLIES = (
+    ttypes.ProbeReply(epoch=1, owner=True, store_age_s=1.0, owner_age_s=0.0),
+    ttypes.RecordsReply(first=0, next=1, offsets=[0], data=[b"x"]),
+    ttypes.TicketReply(tickets=[], valid_s=1.0),
+    ttypes.JobState(state=""),
+    ttypes.Backlog(waiting=0),
+)
+
+
+def _is_refused(payload):
+    try:
+        _codec.decode(payload)
+    except _codec.FrameError:
+        return True
+    return False
+
+
+@then("peers replies without a field that is used are refused")
+def _(context):
+    for reply in _REPLIES:
+        payload = _codec.encode(_codec.wrap(reply, 1, True))[4:]
+        assert _codec.body_value(_codec.decode(payload)) == reply
+        for name in set(reply.__slots__) - {"first", "next"}:
+            fields = {n: getattr(reply, n) for n in reply.__slots__}
+            partial = type(reply)(**{**fields, name: None})
+            payload = _codec.encode(_codec.wrap(partial, 1, True))[4:]
+            assert _is_refused(payload), partial
+
+
+@then("peers replies with changed bytes decode or are refused")
+def _(context):
+    rng = random.Random(1)
+    for _ in range(20_000):
+        reply = rng.choice(_REPLIES)
+        payload = bytearray(_codec.encode(_codec.wrap(reply, 1, True))[4:])
+        for _ in range(rng.randint(1, 3)):
+            payload[rng.randrange(len(payload))] = rng.randrange(256)
+        if not _is_refused(bytes(payload)):
+            value = _codec.body_value(_codec.decode(bytes(payload)))
+            assert not isinstance(value, ttypes.ProbeReply) or (
+                isinstance(value.epoch, int)
+                and isinstance(value.store_age_s, float)
+            ), value
+
+
+@then("peers deeply nested and falsely announced frames are refused")
+def _(context):
+    for payload in (
+        b"\xfc" * 200_000,  # structs in structs
+        b"\xf9" + b"\x19" * 200_000,  # lists in lists
+        b"\xf9\xf5\xff\xff\xff\xff\x07",  # a list of 2^31 numbers
+    ):
+        assert _is_refused(payload), payload[:9]
+
+
 @then("peers random messages decode to what was encoded")
 def round_trip(context):
     @_HYPOTHESIS_SETTINGS
