Count the third crash if an earlier one may be unseen

A crash is no longer passed over if the job was taken over from an earlier owner and a worker crashed before it first reported to this one. Ruled out: a record before each first start, which costs a write and its delay for every task; and storing all runs of each worker.

--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -72,6 +72,8 @@
         self.counted = {}
         self.worker_crashes = 0
         self.tasks_given_up = 0
+        # Whether runs that an earlier owner started may have crashed unseen.
+        self._has_unseen = False
         self._given_up = collections.deque(maxlen=MAX_SHOWN)
         self._recent = collections.deque(maxlen=MAX_RECENT)
 
@@ -85,6 +87,8 @@
         if worker.info.draining:
             return
         self.worker_crashes += 1
+        if worker.id in self._state.unresolved_workers:
+            self._has_unseen = True
         runs = {}
         for run in worker.runs.values():
             task = run.task.step.accounting_task(run.task)
@@ -248,13 +252,16 @@
 
         Any other task that ran on the worker may have been the cause; and
         workers that ran nothing of the step and crashed at the same time
-        point to a power failure.  An earlier start whose end is not known may
-        have crashed its worker as well, so a task with one gets no excuse.
+        point to a power failure.  A task gets no excuse if it may have had
+        one crash more: an earlier start whose end is not known, or one by an
+        earlier owner on a worker that crashed before it reported to this one.
         """
         if len(task.crashes) + 1 < MAX_CRASHES:
             return False
         if len(task.excused) >= MAX_EXCUSED or _has_unknown_end(task):
             return False
+        if self._has_unseen and task.step.job.recovered:
+            return False
         return not crash.alone or self._in_outage(task, crash)
 
     def _in_outage(self, task, crash):
