--- a/src/citrondeal/workflow/_recovery.py
+++ b/src/citrondeal/workflow/_recovery.py
@@ -80,6 +80,7 @@
             # The cancellation was read with the submission, and no owner has
             # stored the end yet.
             job.state = _model.JobState.CANCELLED
+            self._state.crashes.on_job_ended(job)
             self._state.mark_changed(job)
         if job.ended:
             job.ended_at = now
--- a/src/citrondeal/workflow/tests/simulation.py
+++ b/src/citrondeal/workflow/tests/simulation.py
@@ -581,6 +581,8 @@
         for job in self.jobs:
             state = self.owner.scheduler.jobs[job].state
             if job in self.cancelled_at:
+                if not self.owner.scheduler.jobs[job].ended:
+                    raise InvariantViolation(f"cancelled job {job} is {state}")
                 continue
             if job in self.deadly and state is not workflow.JobState.FAILED:
                 raise InvariantViolation(
