Let the stand-in's runners shrink, grow and crash

`POST /capacity` of the stand-in for the platform changes the capacity of its runners. Starts over a capacity are counted in cores, memory and accelerators, against every capacity of the last 5.5 s (contact time and one heartbeat). A job's specification may say that its tasks crash their runner: it answers nothing, its entry expires, and 2 s later it is back under the same id, with a new `born`, a clock that begins anew and no knowledge of the fence, of runs or of ends. Crashes, and the starts of a task after its third one, are counted. Leases are limited to 10 s.

--- a/src/citrondeal/cell/tests/processes.py
+++ b/src/citrondeal/cell/tests/processes.py
@@ -94,6 +94,7 @@
 
     def __init__(self, members=3, runners=4):
         self._folder = tempfile.TemporaryDirectory()
+        self._runners = runners
         folder = pathlib.Path(self._folder.name)
         ports = cells.free_ports(runners + 10)
         self.store = min(ports)
@@ -185,6 +186,11 @@
         response = httpcore.request("POST", url + topic, content=body)
         assert response.status == 200, response.status
 
+    def set_capacities(self, **resources):
+        """Set resources of the capacity of all workers of the stand-in."""
+        changes = {f"i-{i}": resources for i in range(self._runners)}
+        self.request("POST", f"{self.control}/capacity", changes)
+
     def set_faults(self, **switches):
         """Set fault switches of the stand-in."""
         self.request("POST", f"{self.control}/faults", switches)
@@ -203,8 +209,14 @@
         self._folder.cleanup()
 
 
-def job_body(tasks=2, work_s=0.3, cpu=1000, **fields):
-    """Return the body of a job with one step."""
+def job_body(tasks=2, work_s=0.3, cpu=1000, crash_s=None, **fields):
+    """Return the body of a job with one step.
+
+    Each task crashes its worker `crash_s` after its start, unless None.
+    """
     step = {"count": tasks, "cpu": cpu, "mem-mb": 64, "estimate-ms": 300}
-    spec = json.dumps({"work_s": work_s, "cpu": cpu})
+    work = {"work_s": work_s, "cpu": cpu, "mem_mb": 64}
+    if crash_s is not None:
+        work["crash_s"] = crash_s
+    spec = json.dumps(work)
     return {"spec": spec, "steps": [{**step, **fields}]}
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -7,11 +7,18 @@
 ``store_down`` (answers 503) and ``store_lost`` (share of appends that take
 effect but are answered with the status of a lost answer).  ``POST /compact``
 deletes the history of all topics; the newest record of each key stays.
+
+``POST /capacity`` changes the capacity of runners; a smaller one counts
+`CAPACITY_GRACE_S` later.  A task whose specification has ``crash_s`` crashes
+its runner that long after its start.  Crashes are counted by the task that
+caused them (``crashes``), and so are the starts of a task after its third
+crash (``late_starts``).
 """
 
 import base64
 import collections
 import json
+import math
 import random
 import struct
 import time
@@ -31,6 +38,15 @@
 TICKET_VALID_S = 2.5
 # A producer that repeats one of its last appends gets the first answer again.
 REPEATABLE_APPENDS = 5
+# A smaller capacity counts the contact time (4 s) and a heartbeat (1.5 s)
+# after a runner has shrunk.
+CAPACITY_GRACE_S = 5.5
+FULL_CAPACITY = {"cpu": 8000, "mem-mb": 8192, "gpu": 0}
+RESTART_S = 2.0  # from the crash of a runner until it is back
+UNLISTED_AFTER_S = 3 * ENTRY_PERIOD_S
+MAX_LEASE_MS = 10_000
+# Starts of a task are counted from this crash on.
+LAST_CRASH = 3
 
 
 class Partition:
@@ -81,6 +97,10 @@
         """Append a JSON record without a check of its producer."""
         self.partition(topic).records.append((key, json.dumps(value).encode()))
 
+    def delete(self, topic, key):
+        """Append the deletion of a key."""
+        self.partition(topic).records.append((key, b""))
+
     def app(self):
         """Return the HTTP application."""
         app = web.App()
@@ -215,6 +235,8 @@
         information.
     end_count : int
         Ends so far, the number of the last one.
+    crashed_at : float or None
+        When it crashed; None while it runs.
     """
 
     def __init__(self, platform, name, address, advertised_address):
@@ -222,7 +244,15 @@
         self.name = name
         self.address = address
         self.advertised_address = advertised_address
+        self.capacity = dict(FULL_CAPACITY)
+        self._earlier_capacities = []  # with the time of their end
+        self._clock_starts_at = 0.0
+        self._begin()
+
+    def _begin(self):
+        """Begin an incarnation, which knows nothing of earlier ones."""
         self.born_ms = int(time.time() * 1000)
+        self.crashed_at = None
         self.highest_fence = 0
         self.lease_until_ms = 0.0
         self.running = {}
@@ -230,6 +260,27 @@
         self.ended = []
         self.end_count = 0
 
+    def crash(self, now):
+        """End without a word; `tick` brings it back later."""
+        self.crashed_at = now
+        self.running = {}
+
+    def change_capacity(self, capacity):
+        """Change some resources of the capacity."""
+        self._earlier_capacities.append((time.monotonic(), self.capacity))
+        self.capacity = {**self.capacity, **capacity}
+
+    def has_room(self, spec):
+        """Return whether a task fits a capacity that counts at present."""
+        sizes = [_size(spec), *(run["size"] for run in self.running.values())]
+        used = {name: sum(s[name] for s in sizes) for name in FULL_CAPACITY}
+        since = time.monotonic() - CAPACITY_GRACE_S
+        counted = [c for end, c in self._earlier_capacities if end > since]
+        return any(
+            all(used[name] <= capacity[name] for name in used)
+            for capacity in [self.capacity, *counted]
+        )
+
     def app(self):
         """Return the HTTP application."""
         app = web.App()
@@ -246,17 +297,21 @@
             "zone": "z",
             "state": "ready",
             "slots": 8,
-            "capacity": {"cpu": 8000, "mem-mb": 8192, "gpu": 0},
+            "capacity": self.capacity,
             "labels": ["a", "rack"],
             "clock-ms": self.clock_ms(),
             "born": self.born_ms,
             "seq": 1,
         }
 
-    @staticmethod
-    def clock_ms():
+    def clock_ms(self):
         """Return the milliseconds on the runner's clock."""
-        return int(time.monotonic() * 1000)
+        return int((time.monotonic() - self._clock_starts_at) * 1000)
+
+    def _extend_lease(self, until_ms):
+        """Extend the lease of all runs, which never shortens it."""
+        until_ms = min(until_ms, self.clock_ms() + MAX_LEASE_MS)
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
 
     def _answer(self, status=200, **fields):
         return web.json_response(
@@ -265,13 +320,15 @@
 
     async def start(self, request):
         """Answer ``POST /v1/run-start``."""
+        if self.crashed_at is not None:
+            return web.Response(LOST_ANSWER_STATUS)
         order = json.loads(request.body)
         if order["fence"] < self.highest_fence:
             return self._answer(409, reason="fence")
         self.highest_fence = order["fence"]
         if order["until-ms"] < self.clock_ms():
             return self._answer(409, reason="late")
-        self.lease_until_ms = max(self.lease_until_ms, order["until-ms"])
+        self._extend_lease(order["until-ms"])
         task, run = order["task"], order["run"]
         if task in self.running and self.running[task]["run"] == run:
             return self._answer()
@@ -282,13 +339,16 @@
         self.running[task] = {
             "run": run,
             "ends": time.monotonic() + spec["work_s"],
-            "cpu": spec["cpu"],
+            "crashes": time.monotonic() + spec.get("crash_s", math.inf),
+            "size": _size(spec),
             "stop": None,
         }
         return self._answer()
 
     async def stop(self, request):
         """Answer ``POST /v1/run-stop``; the run ends after `STOP_DELAY_S`."""
+        if self.crashed_at is not None:
+            return web.Response(LOST_ANSWER_STATUS)
         order = json.loads(request.body)
         if order["fence"] < self.highest_fence:
             return self._answer(409, reason="fence")
@@ -303,13 +363,14 @@
 
     async def hold(self, request):
         """Answer ``POST /v1/hold``: renew leases and list runs and ends."""
+        if self.crashed_at is not None:
+            return web.Response(LOST_ANSWER_STATUS)
+        born_ms = self.born_ms
         order = json.loads(request.body)
         if order["fence"] < self.highest_fence:
             return self._answer(409, reason="fence")
         self.highest_fence = order["fence"]
-        self.lease_until_ms = max(
-            self.lease_until_ms, order.get("until-ms", 0)
-        )
+        self._extend_lease(order.get("until-ms", 0))
         acknowledged = order["seen-upto"]
         for end in self.ended:
             if end[0] <= acknowledged and end[3] == "done":
@@ -318,13 +379,28 @@
         limit = time.monotonic() + order.get("wait-ms", 0) / 1000
         while not self.ended and time.monotonic() < limit:
             await anyio.sleep(TICK_S)
+        if self.crashed_at is not None or self.born_ms != born_ms:
+            return web.Response(LOST_ANSWER_STATUS)
         running = [[t, r["run"], "", 0] for t, r in self.running.items()]
         return self._answer(
             running=running, ended=self.ended, born=self.born_ms
         )
 
     def tick(self, now):
-        """End the runs that are stopped, done or without a lease."""
+        """End the runs that are stopped, done or without a lease.
+
+        Starts the runner again some time after a crash.
+        """
+        if self.crashed_at is not None:
+            if now - self.crashed_at >= RESTART_S:
+                self._clock_starts_at = now
+                self._begin()
+            return
+        for task, run in self.running.items():
+            if now >= run["crashes"]:
+                self.platform.count_crash(task)
+                self.crash(now)
+                return
         for task, run in list(self.running.items()):
             outcome = None
             if run["stop"] is not None and now >= run["stop"]:
@@ -344,6 +420,14 @@
                 )
 
 
+def _size(spec):
+    return {
+        "cpu": spec["cpu"],
+        "mem-mb": spec.get("mem_mb", 0),
+        "gpu": spec.get("gpu", 0),
+    }
+
+
 class Platform:
     """The store, the runners and the ticket service of one cell."""
 
@@ -361,6 +445,8 @@
         ]
         self.acknowledged_done = set()
         self.jobs = set()
+        self.crashes = collections.Counter()
+        self.late_starts = collections.Counter()
         self.counts = {"starts": 0, "doubles": 0, "after_end": 0, "over": 0}
 
     def count_start(self, runner, task, spec):
@@ -369,8 +455,12 @@
         self.jobs.add(task.partition(".")[0])
         self.counts["doubles"] += any(task in r.running for r in self.runners)
         self.counts["after_end"] += task in self.acknowledged_done
-        used = sum(run["cpu"] for run in runner.running.values())
-        self.counts["over"] += used + spec["cpu"] > 8000
+        self.counts["over"] += not runner.has_room(spec)
+        self.late_starts[task] += self.crashes[task] >= LAST_CRASH
+
+    def count_crash(self, task):
+        """Count a crash of a runner by the task that caused it."""
+        self.crashes[task] += 1
 
     def configure(self):
         """Write the first configuration to the operator's topic."""
@@ -405,7 +495,22 @@
 
     async def report_counts(self, request):
         """Answer ``GET /counts``."""
-        return web.json_response({**self.counts, "jobs": sorted(self.jobs)})
+        return web.json_response(
+            {
+                **self.counts,
+                "jobs": sorted(self.jobs),
+                "crashes": dict(+self.crashes),
+                "late_starts": dict(+self.late_starts),
+            }
+        )
+
+    async def change_capacities(self, request):
+        """Answer ``POST /capacity`` with resources by runner."""
+        changes = json.loads(request.body)
+        for runner in self.runners:
+            if runner.name in changes:
+                runner.change_capacity(changes[runner.name])
+        return web.json_response({r.name: r.capacity for r in self.runners})
 
     def apps(self, first_port):
         """Return ``(address, app)`` of each server."""
@@ -413,6 +518,7 @@
         control.add_route("POST", "/v1/advise", self.grant_tickets)
         control.add_route("POST", "/faults", self.faults.handle)
         control.add_route("POST", "/compact", self.compact)
+        control.add_route("POST", "/capacity", self.change_capacities)
         control.add_route("GET", "/counts", self.report_counts)
         apps = [
             (f"127.0.0.1:{first_port}", self.store.app()),
@@ -438,9 +544,12 @@
     async def _publish_entries(self):
         while True:
             for runner in self.runners:
-                self.store.put_json(
-                    "keyed.servers", runner.name, runner.entry()
-                )
+                if runner.crashed_at is None:
+                    self.store.put_json(
+                        "keyed.servers", runner.name, runner.entry()
+                    )
+                elif time.monotonic() - runner.crashed_at > UNLISTED_AFTER_S:
+                    self.store.delete("keyed.servers", runner.name)
             await anyio.sleep(ENTRY_PERIOD_S)
 
 
