Bound the recorded starts of a job and the search for their places

What callers would see: after a power failure under a wide job, no progress of any job is stored any more, because the record of that job is larger than the store takes; and an owner that looks for places for hundreds of tasks, one by one, in each planning pass, so that it is replaced.

Cause: a start after a crash is recorded with its worker and address, and each task that has crashed workers is placed by itself. Neither had a bound for a job or a pass.

Ruled out: starting the tasks beyond a bound without a record, which would give up the budget where most crashes are.

Change: a job has at most 1,000 places recorded, as many as the largest gang has members; further tasks wait until others have ended. At most 32 such tasks are looked at in a pass, and one without a place lets others try for 0.3 s.

--- a/src/citrondeal/workflow/_isolation.py
+++ b/src/citrondeal/workflow/_isolation.py
@@ -14,6 +14,11 @@
 # At most this share of the workers of a service runs nothing but suspects, so
 # that many suspects, as after power failures, leave room for other tasks.
 MAX_ISOLATED_SHARE = 0.25
+# Each task that has crashed workers is placed by itself, which takes an owner
+# about a millisecond. After a power failure there may be hundreds of them.
+MAX_ATTEMPTS_PER_PASS = 32
+# A task that found no place lets others try for this long.
+RETRY_AFTER_S = 0.3
 
 
 class Isolation:
@@ -32,10 +37,14 @@
         self._held = set()  # workers that are to become free
         self._held_for = None
         self._isolated = None  # task whose chosen workers run nothing else
+        self._attempts_left = 0
+        self._retry_at = {}  # by task id
 
     def begin_pass(self, now):
         """Prepare for a planning pass."""
         self._steps, self._closed, self._worker_tasks = set(), set(), {}
+        self._attempts_left = MAX_ATTEMPTS_PER_PASS
+        self._retry_at = {i: t for i, t in self._retry_at.items() if t > now}
         for task in self._state.crashes.counted.values():
             self._steps.add(task.step.id)
             for run in _runs(task):
@@ -48,6 +57,17 @@
         """Return whether a task of a step has crashed workers."""
         return step.id in self._steps
 
+    def may_attempt(self, task):
+        """Return whether a place for a task is looked for in this pass."""
+        if self._attempts_left <= 0 or task.id in self._retry_at:
+            return False
+        self._attempts_left -= 1
+        return True
+
+    def on_not_placed(self, task, now):
+        """Record that no place was found for a task."""
+        self._retry_at[task.id] = now + RETRY_AFTER_S
+
     def open_workers(self, workers, task=None):
         """Return the workers on which a task may be placed.
 
--- a/src/citrondeal/workflow/_open_starts.py
+++ b/src/citrondeal/workflow/_open_starts.py
@@ -6,11 +6,16 @@
 started later is a crash, and a report of the same one is none.
 """
 
+import collections
+
 from citrondeal.workflow import _model
 
 # Only the newest open starts of a task are kept, so that its record stays
 # small.
 MAX_PER_TASK = 3
+# Places of all open starts of a job, of up to 100 bytes each: its progress has
+# to fit in a record of the store. It is as large as the largest gang.
+MAX_PLACES_PER_JOB = 1_000
 
 
 class OpenStarts:
@@ -25,9 +30,14 @@
     def __init__(self, mark_changed):
         self._mark_changed = mark_changed
         self._index = {}  # worker id or address -> {task id: task}
+        self._places = collections.Counter()  # by job id
+
+    def has_room(self, job, count):
+        """Return whether so many places fit in the record of a job."""
+        return self._places[job.id] + count <= MAX_PLACES_PER_JOB
 
     def add(self, task, number, worker):
-        """Add the start of a run on a worker.
+        """Add the start of a run on a worker, unless the job has too many.
 
         Parameters
         ----------
@@ -37,6 +47,8 @@
             Number of the run.
         worker : WorkerState
         """
+        if not self.has_room(task.step.job, 1):
+            return
         place = _model.Place(worker.info.address, worker.info.born_ms)
         self.restore(task, number, {worker.id: place})
         while len(task.open_starts) > MAX_PER_TASK:
@@ -45,7 +57,9 @@
 
     def restore(self, task, number, places):
         """Add the places of a stored start."""
-        task.open_starts.setdefault(number, {}).update(places)
+        known = task.open_starts.setdefault(number, {})
+        self._places[task.step.job.id] += len(places.keys() - known.keys())
+        known.update(places)
         for worker_id, place in places.items():
             for key in (worker_id, place.address):
                 self._index.setdefault(key, {})[task.id] = task
@@ -58,6 +72,9 @@
             return
         if not places:
             del task.open_starts[number]
+        self._places[task.step.job.id] -= 1
+        if not self._places[task.step.job.id]:
+            del self._places[task.step.job.id]
         for key in (worker_id, place.address):
             self._remove_from_index(task, key)
         self._mark_changed(task.step.job)
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -223,10 +223,17 @@
             task = step.accounting_task(tasks[0])
             if not task.crashes:
                 others += tasks
-            elif _crashes.may_start(task):
+            elif self._may_place_crashed(step, tasks, task):
                 self._place_crashed(step, tasks, task, actions, now)
         return others
 
+    def _may_place_crashed(self, step, tasks, task):
+        return (
+            _crashes.may_start(task)
+            and self._state.open_starts.has_room(step.job, len(tasks))
+            and self._isolation.may_attempt(task)
+        )
+
     def _place_crashed(self, step, tasks, task, actions, now):
         usable, allowed = self._candidates(step, task)
         chosen = self._isolation.choose(
@@ -235,6 +242,7 @@
         if chosen:
             self._start_or_renew_tickets(step, chosen, actions, now)
             return
+        self._isolation.on_not_placed(task, now)
         self._ask_for_tickets(step, len(tasks), usable, actions, now)
         if not self._isolation.waits(task, now):
             self._reserve_for_pass(step, tasks, allowed, now)
--- a/src/citrondeal/workflow/tests/crashes.feature
+++ b/src/citrondeal/workflow/tests/crashes.feature
@@ -112,6 +112,14 @@
     When a workflow gang waits for the store and its worker restarts
     Then the workflow job "gang" is completed at the end
 
+  # Guards against progress that is too large to be stored after a power
+  # failure, which would keep an owner from storing anything.
+  Scenario: workflow crashes a wide job goes on after a power failure
+    Given a workflow cell of 20 workers
+    When all workers of a workflow job of 4000 tasks crash at once
+    Then the progress of the workflow job always fits in a record
+    And the workflow job "wide" is completed at the end
+
   # Guards against records of the previous version, which have no crashes.
   Scenario: workflow crashes records without crashes are read
     Then workflow progress and workers without the new fields are decoded
--- a/src/citrondeal/workflow/tests/steps_crashes.py
+++ b/src/citrondeal/workflow/tests/steps_crashes.py
@@ -10,6 +10,9 @@
 
 STATES = workflow.JobState
 DRAIN_S = 1.0
+# Largest record of the store.
+RECORD_BYTES = 262_144
+PROGRESS_TICKS = 150
 
 
 @given("a workflow cell of {count:d} workers")
@@ -287,3 +290,22 @@
     del stored["numbers"]
     decoded = workflow.decode_worker(msgspec.msgpack.encode(stored))
     assert decoded.info == info and decoded.numbers == (), decoded
+
+
+@when("all workers of a workflow job of {tasks:d} tasks crash at once")
+def _(context, tasks):
+    cell = context.cell
+    cell.submit("wide", tasks=tasks, run_s=2.0, cores=0)
+    cell.run(0.5)
+    for name in list(cell.workers):
+        cell.crash(name)
+    context.sizes = []
+    for _ in range(PROGRESS_TICKS):
+        cell.tick()
+        progress = cell.scheduler.jobs["wide"].progress()
+        context.sizes.append(len(workflow.encode(progress)))
+
+
+@then("the progress of the workflow job always fits in a record")
+def _(context):
+    assert max(context.sizes) <= RECORD_BYTES, max(context.sizes)
