Count starts without an answer as lost with their worker in the histories

The owner has to count such a start, since it may have taken effect before the crash; giving up a task is allowed from two crashes on. The simulation now records these starts as lost runs too. The number of lost runs that the check asks for stays as it is.

--- a/src/citrondeal/workflow/tests/simulation.py
+++ b/src/citrondeal/workflow/tests/simulation.py
@@ -64,6 +64,7 @@
         self.name = name
         self.address = address or f"{name}:1"
         self.down_until = 0.0
+        self.unanswered = set()  # starts, as accounting task and run
         self.unreachable = False
         self.removed = False
         self.restart()
@@ -372,11 +373,21 @@
         for run in worker.runs.values():
             self.crashed_runs[run.task].add(run.number)
             lost.add((self._accounting_task(run.task), run.number))
+        self.record_unanswered(worker)
         for task, number in lost:
             self.lost_runs[task].add(number)
             if len({other for other, _ in lost}) == 1:
                 self.lost_alone.add(task)
 
+    def record_unanswered(self, worker):
+        """Record the starts without an answer as lost with their worker.
+
+        An owner cannot know whether they took effect before the crash.
+        """
+        for task, number in worker.unanswered:
+            self.lost_runs[task].add(number)
+        worker.unanswered = set()
+
     def break_gangs(self, runs):
         """End the gangs of which a crash has ended a member."""
         for run in runs:
@@ -397,6 +408,7 @@
 
     def bring_back(self, worker):
         """Start a crashed worker again, under its id or a new one."""
+        self.record_unanswered(worker)
         if worker.removed or self.deadly_random.random() < 0.7:
             worker.restart()
             return
@@ -792,5 +804,8 @@
             order()
         else:
             outcome = order()
+        if is_start and outcome is workflow.OrderOutcome.UNKNOWN:
+            task = self._accounting_task(action.task)
+            worker.unanswered.add((task, action.run))
         callback = scheduler.on_started if is_start else scheduler.on_stopped
         callback(action.task, action.run, action.worker, outcome, self.now)
