Name no passing state of a job while the epoch is not confirmed

An owner denied a job only from a current view, but named the state of a known job from any view. It now names "queued" and "running" only while its epoch is confirmed by the store or by members of all other zones, as for starts; otherwise the member asks again, within 1.5 s. Final states don't change and are always named.

Ruled out: asking for a current view, which would refuse the state of every running job while the store is unavailable, although members confirm the epoch. A suspension of less than 2 s stays possible.

Failed before: "an owner that may have been replaced names no passing state".

--- a/src/citrondeal/cell/_desk.py
+++ b/src/citrondeal/cell/_desk.py
@@ -22,6 +22,9 @@
 # Jobs whose append had an unknown outcome are remembered up to this number.
 MAX_UNCERTAIN_JOBS = 5000
 
+# States of jobs that a newer owner may have changed.
+PASSING_STATES = (workflow.JobState.QUEUED, workflow.JobState.RUNNING)
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -237,4 +240,10 @@
             )
         if state is None:
             self._log_unknown(query.job_id, owner)
+        if state in PASSING_STATES and not owner.is_confirmed:
+            return ttypes.Fault(
+                kind="unavailable",
+                message="the owner may have been replaced, and the state of"
+                f" job {query.job_id} may have changed",
+            )
         return ttypes.JobState(state="" if state is None else state.value)
--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -131,6 +131,11 @@
         """Whether submissions have been read recently enough to deny a job."""
         return self._recovered and self.view_age_s < MAX_VIEW_AGE_S
 
+    @property
+    def is_confirmed(self):
+        """Whether no newer owner can have changed the state of jobs yet."""
+        return self._confirmation.holds(_clock.now())
+
     async def run(self):
         """Recover the state, then schedule until superseded or cancelled."""
         started = _clock.now()
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -86,6 +86,12 @@
   Scenario: cell a superseded owner answers no query
     Then a cell owner that has read the barrier of a newer one answers no query
 
+  # Guards against "running" after "completed" from an owner that was suspended
+  # and does not know yet that it has been replaced (soak with takeovers, seeds
+  # 1022 and 1045).
+  Scenario: cell an owner that may have been replaced names no passing state
+    Then a cell owner that is not confirmed names only states that are final
+
   # Guards against ended jobs that are unknown to the next owner, because the
   # last one deleted a submission whose end is not stored. Deletions are not
   # fenced, so one may take effect at any time.
--- a/src/citrondeal/cell/tests/steps_views.py
+++ b/src/citrondeal/cell/tests/steps_views.py
@@ -71,6 +71,7 @@
     is_current = True
     view_age_s = 0.0
     positions = ()
+    is_confirmed = True
 
     def __init__(self):
         self.scheduler = workflow.Scheduler(workflow.Config(), 1)
@@ -93,3 +94,28 @@
     assert isinstance(requests.answer_as_owner(query), ttypes.JobState)
     owner.scheduler.on_barrier(2)
     assert isinstance(requests.answer_as_owner(query), ttypes.Fault)
+
+
+@then("a cell owner that is not confirmed names only states that are final")
+def _(context):
+    owner = _Owner()
+    owner.scheduler.on_submission(
+        workflow.Submission(
+            JOB,
+            "",
+            (workflow.Step(1, workflow.Size()),),
+            workflow.Policy("queue", "service"),
+        ),
+        0,
+        0.0,
+    )
+    requests = _desk.ClientRequests(
+        None, None, _OwnMembers, lambda: owner, lambda: None
+    )
+    query = ttypes.JobStateQuery(queue="queue", job_id=JOB)
+    assert requests.answer_as_owner(query).state == "queued"
+    owner.is_confirmed = False
+    assert isinstance(requests.answer_as_owner(query), ttypes.Fault)
+    owner.scheduler.on_cancel(JOB, 0.0)
+    owner.scheduler.on_stored(*owner.scheduler.take_changes())
+    assert requests.answer_as_owner(query).state == "cancelled"
