--- a/src/citrondeal/cell/tests/worker_faults.feature
+++ b/src/citrondeal/cell/tests/worker_faults.feature
@@ -1,5 +1,27 @@
 Feature: cell workers
 
+  # Guards against a task that is started again as often as it crashes its
+  # worker, which ends the work of all others there each time.
+  Scenario: cell a task that crashes each worker is given up
+    Given a cell of 3 members
+    When cell clients submit a job that crashes each worker
+    And cell clients submit 12 jobs at all members
+    Then the cell shows the job as failed within 40 seconds
+    And the cell started it at most 2 times after its third crash
+    And the cell completes all jobs within 25 seconds
+    And the cell ran no task twice, after its end or beyond its worker's capacity
+
+  # Guards against crashes that count only in the memory of one owner.
+  Scenario: cell a task that crashes each worker is given up by the next owner
+    Given a cell of 3 members
+    When cell clients submit a job that crashes each worker
+    And cell clients submit 12 jobs at all members
+    And the cell owner is killed after each of the first 2 crashes
+    Then the cell shows the job as failed within 60 seconds
+    And the cell started it at most 2 times after its third crash
+    And the cell completes all jobs within 25 seconds
+    And the cell ran no task twice, after its end or beyond its worker's capacity
+
   # Guards against starts by a capacity that a worker has no more.
   Scenario: cell workers that shrink get no more than fits
     Given a cell of 3 members
