Give each incarnation of a simulated worker a later start

Both incarnations had the same start time, so the entry of the first was taken for the second's. Real workers take seconds to start. An incarnation now starts at least a millisecond after the one before.

--- a/src/citrondeal/workflow/tests/simulation.py
+++ b/src/citrondeal/workflow/tests/simulation.py
@@ -63,6 +63,7 @@
         self.simulation = simulation
         self.name = name
         self.address = address or f"{name}:1"
+        self.born_ms = 0
         self.down_until = 0.0
         self.unanswered = set()  # starts, as accounting task and run
         self.unreachable = False
@@ -71,7 +72,9 @@
 
     def restart(self):
         """Start a new incarnation."""
-        self.born_ms = int(self.simulation.now * 1000) + 1
+        # Later than that of an incarnation that began at the same time.
+        started_ms = int(self.simulation.now * 1000) + 1
+        self.born_ms = max(started_ms, self.born_ms + 1)
         self.fence = 0
         self.runs = {}
         self.rejected_up_to = {}
