Take a part of the records for no complete view

What clients could see: 410 for an accepted job, from an owner that was suspended or has a slow link while more than 512 KB of records reached a topic of submissions. Found by a review of the fixes.

Cause: an answer holds at most 512 KB. The header says where the topic ends, but any answer made the view as new as its request. The same holds for the claims, with which an owner confirms its epoch, and for the list of workers.

Ruled out: a view that counts only once the end named by the last answer is reached, which a busy topic may keep old for ever.

Change: the view is as new as the last request whose end has been read: the end that the first partial answer named, and the time of its request.

Evidence: the new scenario fails on the sources before and passes now.

--- a/src/citrondeal/cell/_follower.py
+++ b/src/citrondeal/cell/_follower.py
@@ -41,6 +41,7 @@
         self._period_s = period_s
         self._position = 0
         self._keys = set()
+        self._goal = None  # end of the topic, and when it was asked for
         self._answered_at = None
         self._confirmed_at = -math.inf
         self._failing = False
@@ -111,6 +112,7 @@
             self._on_failure(outcome.err_value)
             return False
         self._position, records = outcome.ok_value
+        self._goal = None
         records = self._deletions(records) + records
         self._deliver(records)
         self._on_answer(sent_at)
@@ -152,9 +154,9 @@
         outcome = await self._store.read(self._topic, self._position, wait_s)
         if outcome.is_ok():
             batch = outcome.ok_value
-            self._on_answer(sent_at)
             self._position = batch.next_offset
             self._deliver(batch.records)
+            self._on_answer(self._complete_at(batch.end_offset, sent_at))
         elif outcome.err_value.kind is errors.Kind.CONFLICT:
             telemetry.event(
                 _LOG,
@@ -168,6 +170,19 @@
             self._on_failure(outcome.err_value)
             await anyio.sleep(RETRY_DELAY_S)
 
+    def _complete_at(self, end, sent_at):
+        """Return when the last request was sent whose end has been read.
+
+        An answer may hold only a part of the records; the rest is read next.
+        """
+        if self._goal is None or self._position >= end:
+            self._goal = (end, sent_at)
+        goal_end, goal_sent_at = self._goal
+        if self._position < goal_end:
+            return self._confirmed_at
+        self._goal = None if self._position >= end else (end, sent_at)
+        return goal_sent_at
+
     def _on_answer(self, sent_at):
         self._answered_at = _clock.now()
         self._confirmed_at = sent_at
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -76,6 +76,11 @@
   Scenario: cell an answer of the store counts from when it was requested
     Then a cell view of submissions is as old as the request it was read with
 
+  # Guards against a job that is denied because its submission is in the part
+  # of a backlog that one answer of the store does not hold.
+  Scenario: cell a part of the records is no complete view
+    Then a cell view is as old as the last request whose end has been read
+
   # Guards against submissions that are never read, because the store deleted
   # them while it held a read.
   Scenario: cell a read that skips records is not taken as complete
--- a/src/citrondeal/cell/tests/steps_views.py
+++ b/src/citrondeal/cell/tests/steps_views.py
@@ -55,6 +55,36 @@
         return result.Ok(self._reply)
 
 
+class _PartialStore:
+    """Answers each read with one more of three records."""
+
+    async def read_newest(self, topic):
+        return result.Ok((0, []))
+
+    async def read(self, topic, start, wait_s):
+        await anyio.sleep(0)
+        return result.Ok(platform.Batch(3, min(start + 1, 3), []))
+
+
+@then("a cell view is as old as the last request whose end has been read")
+def _(context):
+    reader = _job_topics.JobReader(_PartialStore(), lambda *args: None, 0.0)
+
+    async def run():
+        await reader.load()
+        await anyio.sleep(SUSPENDED_S)
+        ages = []
+        for _ in range(3):
+            for follower in reader._followers:
+                await follower.read_once()
+            ages.append(reader.age_s(_clock.now()))
+        return ages
+
+    first, second, complete = anyio.run(run)
+    assert first >= SUSPENDED_S and second >= SUSPENDED_S, (first, second)
+    assert complete < SUSPENDED_S, complete
+
+
 @then("a cell read that begins after the requested record is a conflict")
 def _(context):
     store = platform.StoreClient("127.0.0.1:1")
