Make room for recorded starts whose workers are lost for good

What callers would see: tasks of a wide job that never start again, after several workers were lost for good and one more crashed. Found by a review.

Cause: a recorded start goes once its worker, or a later one at its address, says something.

Change: if a job has no room left, starts whose runs have ended are dropped, the oldest first. Each may hide one crash, which the budget allows for.

--- a/src/citrondeal/workflow/_open_starts.py
+++ b/src/citrondeal/workflow/_open_starts.py
@@ -36,6 +36,31 @@
         """Return whether so many places fit in the record of a job."""
         return self._places[job.id] + count <= MAX_PLACES_PER_JOB
 
+    def make_room(self, job, count):
+        """Drop starts of ended runs, the oldest first, until `count` fit.
+
+        Their workers may have been lost for good and never tell the end.
+
+        Returns
+        -------
+        bool
+            Whether there is room. A gang that is larger than the limit has
+            room once nothing else is recorded.
+        """
+        if self.has_room(job, count):
+            return True
+        ended = sorted(
+            (number, task.id, task)
+            for task in job.tasks()
+            for number in task.open_starts
+            if task.done or not _is_live(task, number)
+        )
+        for number, _, task in ended:
+            self.drop(task, number)
+            if self.has_room(job, count):
+                return True
+        return not self._places[job.id]
+
     def add(self, task, number, worker):
         """Add the start of a run on a worker, unless the job has too many.
 
@@ -114,3 +139,8 @@
         tasks.pop(task.id, None)
         if not tasks:
             self._index.pop(key, None)
+
+
+def _is_live(task, number):
+    members = task.step.tasks if task.step.spec.gang else [task]
+    return any(m.run is not None and m.run.number == number for m in members)
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -230,7 +230,7 @@
     def _may_place_crashed(self, step, tasks, task):
         return (
             _crashes.may_start(task)
-            and self._state.open_starts.has_room(step.job, len(tasks))
+            and self._state.open_starts.make_room(step.job, len(tasks))
             and self._isolation.may_attempt(task)
         )
 
--- a/src/citrondeal/workflow/tests/crash_harness.py
+++ b/src/citrondeal/workflow/tests/crash_harness.py
@@ -113,6 +113,13 @@
         """Cut a worker off; its runs go on until their leases lapse."""
         self.workers[name].silent_until = self.now + seconds
 
+    def lose(self, name):
+        """Remove a worker for good, without notice."""
+        worker = self.workers[name]
+        worker.runs, worker.ends = {}, []
+        worker.silent_until = math.inf
+        worker.listed = False
+
     def drain(self, name):
         """Let a worker announce that it leaves."""
         worker = self.workers[name]
--- a/src/citrondeal/workflow/tests/crashes.feature
+++ b/src/citrondeal/workflow/tests/crashes.feature
@@ -120,6 +120,13 @@
     Then the progress of the workflow job always fits in a record
     And the workflow job "wide" is completed at the end
 
+  # Guards against tasks that wait for ever, because workers that are lost for
+  # good never tell how the recorded starts on them ended.
+  Scenario: workflow crashes lost workers do not block the tasks of a wide job
+    Given a workflow cell of 5 workers
+    When 4 workers of a workflow job of 1500 tasks are lost and the fifth crashes
+    Then the workflow job "wide" is completed at the end
+
   # Guards against records of the previous version, which have no crashes.
   Scenario: workflow crashes records without crashes are read
     Then workflow progress and workers without the new fields are decoded
--- a/src/citrondeal/workflow/tests/steps_crashes.py
+++ b/src/citrondeal/workflow/tests/steps_crashes.py
@@ -306,6 +306,21 @@
         context.sizes.append(len(workflow.encode(progress)))
 
 
+@when(
+    "{lost:d} workers of a workflow job of {tasks:d} tasks are lost and the"
+    " fifth crashes"
+)
+def _(context, lost, tasks):
+    context.cell = cell = crash_harness.Cell(lost + 1, cores=tasks // 5)
+    cell.submit("wide", tasks=tasks, run_s=8.0, cores=1)
+    cell.run(3.0)
+    *names, last = list(cell.workers)
+    for name in names:
+        cell.lose(name)
+    cell.run(15.0)
+    cell.crash(last)
+
+
 @then("the progress of the workflow job always fits in a record")
 def _(context):
     assert max(context.sizes) <= RECORD_BYTES, max(context.sizes)
