Count no power failure against the tasks of a wide job

What clients would see: a wide job shown as failed after three power failures of all workers, although none of its tasks is at fault. Found by a review.

Cause: the third crash of a task is passed over if other workers fell silent at the same time, but workers that ran the same step did not count as others. Under a wide job every worker runs its step.

Change: all workers that fall silent within the window count. A gang whose members crash several workers at once is passed over once as well, which is one more start, within the budget. A worker with runs that the owner does not know no longer counts as one that ran a single task.

Evidence: the new scenario fails for 8, 16 and 24 tasks without the change and passes with it.

--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -26,8 +26,8 @@
 # Workers that fall silent within this time may share a cause. A running worker
 # reports every second at least.
 OUTAGE_WINDOW_S = 1.5
-# This many workers that ran nothing of a step, and fell silent at the same
-# time as a worker that did, show a cause outside of the step.
+# This many other workers that fell silent at the same time show a cause
+# outside of a task, such as a power failure.
 OUTAGE_WORKERS = 3
 MAX_RECENT = 100
 MAX_SHOWN = 20
@@ -42,14 +42,12 @@
     worker : str
     silent_since : float or None
         When the worker last reported.
-    steps : frozenset of StepId
     alone : bool
         Whether it is known that only one task ran there.
     """
 
     worker: str
     silent_since: float | None = None
-    steps: frozenset = frozenset()
     alone: bool = False
 
 
@@ -97,8 +95,7 @@
         crash = _WorkerCrash(
             worker.id,
             worker.reported_at,
-            frozenset(task.step.id for task, _ in runs.values()),
-            len(runs) == 1,
+            len(runs) == 1 and not worker.unrecognized_runs,
         )
         self._recent.append(crash)
         for task, number in runs.values():
@@ -251,10 +248,10 @@
         """Return whether a crash may well have had another cause.
 
         Any other task that ran on the worker may have been the cause; and
-        workers that ran nothing of the step and crashed at the same time
-        point to a power failure.  A task gets no excuse if it may have had
-        one crash more: an earlier start whose end is not known, or one by an
-        earlier owner on a worker that crashed before it reported to this one.
+        other workers that crashed at the same time point to a power failure.
+        A task gets no excuse if it may have had one crash more: an earlier
+        start whose end is not known, or one by an earlier owner on a worker
+        that crashed before it reported to this one.
         """
         if len(task.crashes) + 1 < MAX_CRASHES:
             return False
@@ -262,25 +259,21 @@
             return False
         if self._has_unseen and task.step.job.recovered:
             return False
-        return not crash.alone or self._in_outage(task, crash)
+        return not crash.alone or self._in_outage(crash)
 
-    def _in_outage(self, task, crash):
+    def _in_outage(self, crash):
         since = crash.silent_since
         if since is None:
             return False
-        step_id = task.step.id
         others = {
             other.worker
             for other in self._recent
             if _is_near(other.silent_since, since)
-            and step_id not in other.steps
         }
         others.update(
             worker.id
             for worker in self._state.workers.values()
-            if not worker.reachable
-            and _is_near(worker.reported_at, since)
-            and not worker.run_count(task.step)
+            if not worker.reachable and _is_near(worker.reported_at, since)
         )
         return len(others - {crash.worker}) >= OUTAGE_WORKERS
 
--- a/src/citrondeal/workflow/tests/crashes.feature
+++ b/src/citrondeal/workflow/tests/crashes.feature
@@ -112,6 +112,19 @@
     When a workflow gang waits for the store and its worker restarts
     Then the workflow job "gang" is completed at the end
 
+  # Guards against a wide job that is given up because power failures hit all
+  # of its workers, each with one of its tasks.
+  Scenario Outline: workflow crashes power failures do not give up <tasks> tasks of one job
+    Given a workflow cell of 8 workers
+    When 3 power failures hit a workflow job of <tasks> tasks
+    Then no workflow task is given up
+
+    Examples:
+      | tasks |
+      | 8     |
+      | 16    |
+      | 24    |
+
   # Guards against progress that is too large to be stored after a power
   # failure, which would keep an owner from storing anything.
   Scenario: workflow crashes a wide job goes on after a power failure
--- a/src/citrondeal/workflow/tests/steps_crashes.py
+++ b/src/citrondeal/workflow/tests/steps_crashes.py
@@ -321,6 +321,23 @@
     cell.crash(last)
 
 
+@when("{count:d} power failures hit a workflow job of {tasks:d} tasks")
+def _(context, count, tasks):
+    cell = context.cell
+    cell.submit("wide", tasks=tasks, run_s=300.0)
+    cell.run(2.0)
+    for _ in range(count):
+        for name in list(cell.workers):
+            cell.leave(name, 2.0)
+        cell.run(30.0)
+
+
+@then("no workflow task is given up")
+def _(context):
+    dump = context.cell.scheduler.dump()["crashes"]
+    assert not dump["tasks_given_up"], dump
+
+
 @then("the progress of the workflow job always fits in a record")
 def _(context):
     assert max(context.sizes) <= RECORD_BYTES, max(context.sizes)
