Make crash handling and takeovers easier to follow

Behaviour stays as it is. Comments give the reasons of constants, docstrings of ages, positions and open starts say what is returned, withheld starts are cancelled rather than given up like tasks, and the number of a run that may be stored only has one property.

--- a/src/citrondeal/cell/_desk.py
+++ b/src/citrondeal/cell/_desk.py
@@ -23,7 +23,7 @@
 MAX_UNCERTAIN_JOBS = 5000
 
 # States of jobs that a newer owner may have changed.
-PASSING_STATES = (workflow.JobState.QUEUED, workflow.JobState.RUNNING)
+NON_FINAL_STATES = (workflow.JobState.QUEUED, workflow.JobState.RUNNING)
 
 _LOG = logging.getLogger(__name__)
 
@@ -240,7 +240,7 @@
             )
         if state is None:
             self._log_unknown(query.job_id, owner)
-        if state in PASSING_STATES and not owner.is_confirmed:
+        if state in NON_FINAL_STATES and not owner.is_confirmed:
             return ttypes.Fault(
                 kind="unavailable",
                 message="the owner may have been replaced, and the state of"
--- a/src/citrondeal/cell/_follower.py
+++ b/src/citrondeal/cell/_follower.py
@@ -93,9 +93,8 @@
     def view_age_s(self, now):
         """Return the seconds since a time up to which all was read.
 
-        The answer of the store may have waited for this process, if it was
-        suspended, so that only the time of the request counts. Infinite when
-        `age_s` is.
+        That is the time of the request, because its answer may have waited
+        while this process was suspended. Infinite when `age_s` is.
         """
         return max(self.age_s(now), now - self._confirmed_at)
 
--- a/src/citrondeal/cell/_job_topics.py
+++ b/src/citrondeal/cell/_job_topics.py
@@ -81,11 +81,11 @@
 
     @property
     def positions(self):
-        """Offset of the next record to read, by topic."""
+        """Offsets of the next records to read, in the order of the topics."""
         return [follower.position for follower in self._followers]
 
     def age_s(self, now):
-        """Return the age of the view of the topic that was read last."""
+        """Return the age in seconds of the oldest view of a topic."""
         return max(follower.view_age_s(now) for follower in self._followers)
 
     async def load(self):
--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -118,12 +118,12 @@
 
     @property
     def view_age_s(self):
-        """Seconds since the answer of the store to the oldest last read."""
+        """Age in seconds of the oldest view of a topic of submissions."""
         return self._job_reader.age_s(_clock.now())
 
     @property
     def positions(self):
-        """Offsets up to which the topics of submissions have been read."""
+        """Offset of the next record to read of each topic of submissions."""
         return self._job_reader.positions
 
     @property
--- a/src/citrondeal/cell/_ownership.py
+++ b/src/citrondeal/cell/_ownership.py
@@ -7,9 +7,10 @@
 
 from citrondeal import telemetry
 
-# An owner ends by itself when it learns of a newer one, mostly before this
-# process has read the newer claim. It is read within a call to the store.
+# An owner that learns of a newer one ends by itself, mostly before its process
+# has read the newer claim. Reading it takes one call to the store.
 CLAIM_WAIT_S = 0.5
+CLAIM_POLL_S = 0.05
 
 _LOG = logging.getLogger(__name__)
 
@@ -73,7 +74,7 @@
                 owner = self._owner = self._create_owner(epoch)
                 await owner.run()
                 failed = False
-        ended = not scope.cancelled_caught
+        ended_by_itself = not scope.cancelled_caught
         if self._scope is scope:
             self._owner = self._scope = None
         claim = self._members.election.claim
@@ -82,20 +83,21 @@
             logging.INFO,
             "ownership has ended",
             epoch=epoch,
-            failed=failed and ended,
+            failed=failed and ended_by_itself,
             newest_epoch=claim.epoch,
             holder=claim.holder,
         )
-        if ended:
+        if ended_by_itself:
             if not failed:
                 await self._wait_for_newer_claim(epoch)
             # Another member recovers from what is stored.
             await self._members.give_up_ownership(epoch)
 
     async def _wait_for_newer_claim(self, epoch):
+        """Wait for the claim of the newer owner, and warn if none comes."""
         with anyio.move_on_after(CLAIM_WAIT_S):
             while self._members.owns(epoch):
-                await anyio.sleep(CLAIM_WAIT_S / 10)
+                await anyio.sleep(CLAIM_POLL_S)
             return
         telemetry.event(
             _LOG,
--- a/src/citrondeal/cell/_writer.py
+++ b/src/citrondeal/cell/_writer.py
@@ -16,17 +16,17 @@
 MAX_IDLE_S = 0.5
 RETRY_DELAY_S = 0.15
 # A writer begins at a random sequence number below this. The store answers a
-# repeat of one of a producer's last appends with the first answer, so that a
-# second writer of an epoch that began at the same number would take progress
-# as stored that is not; numbers that do not follow are rejected.
+# repeated number with its first answer and rejects one that does not follow.
+# If two writers of an epoch began alike, the second would take progress as
+# stored that is not.
 MAX_FIRST_SEQUENCE = 2**30
-
-# Kinds of failures after which the epoch cannot store anything more.
-REJECTED = frozenset({errors.Kind.BARRED, errors.Kind.CONFLICT})
 # Half of what the store takes in a call. It refuses a larger call as a whole,
 # and each next owner would have the same changes to store.
 MAX_APPEND_BYTES = 1024 * 1024
 
+# Kinds of failures after which the epoch cannot store anything more.
+REJECTED = frozenset({errors.Kind.BARRED, errors.Kind.CONFLICT})
+
 _LOG = logging.getLogger(__name__)
 
 
--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -19,9 +19,9 @@
 SUSPECT_CRASHES = 2
 # A task is given up after this many crashed runs.
 MAX_CRASHES = 3
-# The crash that would make a task be given up is not counted this many times
-# if the cause may have been another task or a power failure.  More would let a
-# task that does crash its workers start too often.
+# Crashes of one task that are excused instead of being the last one, because
+# another task or a power failure may have been the cause.  With more, a task
+# that does crash its workers would start too often.
 MAX_EXCUSED = 1
 # Workers that fall silent within this time may share a cause. A running worker
 # reports every second at least.
@@ -29,7 +29,9 @@
 # This many other workers that fell silent at the same time show a cause
 # outside of a task, such as a power failure.
 OUTAGE_WORKERS = 3
+# Newest crashes of workers that are searched for an outage.
 MAX_RECENT = 100
+# Entries of each list in the state dump, which is to stay short.
 MAX_SHOWN = 20
 
 
@@ -91,7 +93,7 @@
         for run in worker.runs.values():
             task = run.task.step.accounting_task(run.task)
             if not self._state.withheld.holds(task, run.number):
-                runs[task.id] = (task, run.number or run.stored_number)
+                runs[task.id] = (task, run.last_known_number)
         crash = _WorkerCrash(
             worker.id,
             worker.reported_at,
@@ -102,7 +104,10 @@
             self._count(task, number, crash, now)
 
     def on_incarnation(self, worker_id, address, born_ms, now):
-        """Count open starts on earlier incarnations of a worker."""
+        """Count the open starts on earlier incarnations as crashes.
+
+        An earlier worker at the same address is one of these.
+        """
         starts = self._state.open_starts
         for key in (worker_id, address):
             for task, number, name, place in starts.at(key):
@@ -118,7 +123,7 @@
             return
         for run in worker.runs.values():
             task = run.task.step.accounting_task(run.task)
-            number = run.number or run.stored_number
+            number = run.last_known_number
             if task.done or task.step.job.ended:
                 continue
             if not self._state.withheld.holds(task, number):
@@ -131,7 +136,11 @@
                 self._state.open_starts.remove(task, number, name)
 
     def on_reported(self, worker, now):
-        """Settle the open starts on a worker after its report."""
+        """Settle the open starts on a worker after its report.
+
+        A start of this incarnation that is not reported as running ended
+        without a crash.
+        """
         starts = self._state.open_starts.at(worker.id)
         if not starts:
             return
--- a/src/citrondeal/workflow/_isolation.py
+++ b/src/citrondeal/workflow/_isolation.py
@@ -1,11 +1,14 @@
-"""Placement of tasks under which workers have crashed."""
+"""Placement of tasks under which workers have crashed.
+
+Those with several crashed runs are suspects, see `_crashes.is_suspect`.
+"""
 
 from citrondeal.workflow import _crashes
 from citrondeal.workflow import _placement
 
-# A suspect waits this long for a worker that runs nothing else, and then
-# starts beside other tasks, whose number does not grow while it runs. It must
-# not wait for ever on a busy cell.
+# A suspect waits this long for a worker that runs nothing else, because on a
+# busy cell there may never be one. Then it starts beside other tasks, and no
+# more are started there while it runs.
 ISOLATION_WAIT_S = 2.0
 # A suspect starts beside another task that has crashed workers only after this
 # time, because a crash would not tell which of them is at fault.  On a cell
@@ -31,11 +34,11 @@
 
     def __init__(self, state):
         self._state = state
-        self._steps = set()  # with a task that has crashed
+        self._steps = set()  # with a task that has crashed workers
         self._closed = set()  # workers that run an isolated task
-        self._worker_tasks = {}  # tasks with crashes that run on a worker
+        self._worker_tasks = {}  # tasks with crashes by worker id
         self._held = set()  # workers that are to become free
-        self._held_for = None
+        self._held_for = None  # suspect that waits for them
         self._isolated = None  # task whose chosen workers run nothing else
         self._attempts_left = 0
         self._retry_at = {}  # by task id
--- a/src/citrondeal/workflow/_jobs.py
+++ b/src/citrondeal/workflow/_jobs.py
@@ -44,7 +44,8 @@
     progress_at : float
         When `percent` last rose.
     stored_number : int
-        Its number by the record of the worker, if `number` is unknown.
+        Its number in the stored record of the worker, if `number` is
+        unknown.
     isolated : bool
         Whether no other task is placed on its worker while it runs.
     """
@@ -61,6 +62,11 @@
     stored_number: int = UNKNOWN_RUN_NUMBER
     isolated: bool = False
 
+    @property
+    def last_known_number(self):
+        """Its number, or the stored one if it is unknown."""
+        return self.number or self.stored_number
+
 
 @dataclasses.dataclass(slots=True, eq=False)
 class TaskState:
@@ -80,7 +86,8 @@
     avoid : set of str
         Ids of the workers on which a run failed.
     crashes : set of int
-        Numbers of the runs that ended by a crash of their worker.
+        Numbers of the runs that ended by a crash of their worker, without
+        those in `excused`.
     stored_crashes : frozenset of int
         Those of `crashes` and `excused` that are stored for the next owner.
     excused : set of int
--- a/src/citrondeal/workflow/_open_starts.py
+++ b/src/citrondeal/workflow/_open_starts.py
@@ -14,7 +14,8 @@
 # small.
 MAX_PER_TASK = 3
 # Places of all open starts of a job, of up to 100 bytes each: its progress has
-# to fit in a record of the store. It is as large as the largest gang.
+# to fit in a record of the store. The largest gang that is accepted needs as
+# many for one start.
 MAX_PLACES_PER_JOB = 1_000
 
 
@@ -62,7 +63,9 @@
         return not self._places[job.id]
 
     def add(self, task, number, worker):
-        """Add the start of a run on a worker, unless the job has too many.
+        """Add the start of a run on a worker if the job has room for it.
+
+        Only the newest starts of the task are kept, see `MAX_PER_TASK`.
 
         Parameters
         ----------
@@ -131,6 +134,7 @@
         ]
 
     def _remove_from_index(self, task, key):
+        """Remove a task from a key, unless another of its places has it."""
         for places in task.open_starts.values():
             for worker_id, place in places.items():
                 if key in (worker_id, place.address):
--- a/src/citrondeal/workflow/_persistence.py
+++ b/src/citrondeal/workflow/_persistence.py
@@ -54,7 +54,7 @@
             return None
         if worker.reachable or len(worker.runs) > MAX_STORED_RUNS:
             return _model.StoredWorker(worker.info)
-        numbers = (r.number or r.stored_number for r in worker.runs.values())
+        numbers = (run.last_known_number for run in worker.runs.values())
         return _model.StoredWorker(
             worker.info, tuple(worker.runs), tuple(numbers)
         )
--- a/src/citrondeal/workflow/_withheld.py
+++ b/src/citrondeal/workflow/_withheld.py
@@ -19,7 +19,7 @@
 
 
 class WithheldStarts:
-    """Starts that are recorded as open, by the task that holds the failures.
+    """Starts that wait until they are stored as open starts.
 
     A task under which a worker has crashed is started only once the start is
     stored.  If the worker crashes and the owner ends before it sees this, the
@@ -33,11 +33,11 @@
 
     def __init__(self, state):
         self._state = state
-        self._groups = {}
+        self._groups = {}  # by the id of the task that holds the failures
 
     @property
     def waiting(self):
-        """Whether the changes should be stored soon."""
+        """Whether starts wait until they are stored."""
         return any(not group.stored for group in self._groups.values())
 
     def hold(self, task, starts):
@@ -70,27 +70,30 @@
                 group.stored = True
 
     def take_due(self, now):
-        """Return the starts whose record is stored, to be sent now."""
+        """Return the starts to be sent now, whose record is stored.
+
+        Those that are not valid any more are cancelled.
+        """
         due = []
         for group in [g for g in self._groups.values() if g.stored]:
             if all(self._is_valid(start, now) for start in group.starts):
                 del self._groups[group.task.id]
                 due.extend(self._with_ticket(s, now) for s in group.starts)
             else:
-                self._give_up(group)
+                self._cancel(group)
         return due
 
     def on_job_ended(self, job):
-        """Give up the starts of a job that has ended."""
+        """Cancel the starts of a job that has ended."""
         for group in list(self._groups.values()):
             if group.task.step.job is job:
-                self._give_up(group)
+                self._cancel(group)
 
     def on_released(self, run):
-        """Give up a start whose run was released, with its whole gang."""
+        """Cancel a start whose run was released, with its whole gang."""
         task = run.task.step.accounting_task(run.task)
         if self.holds(task, run.number):
-            self._give_up(self._groups[task.id])
+            self._cancel(self._groups[task.id])
 
     def _is_valid(self, start, now):
         worker = self._state.workers.get(start.worker)
@@ -114,7 +117,7 @@
     def _with_ticket(self, start, now):
         return dataclasses.replace(start, ticket=self._ticket(start, now))
 
-    def _give_up(self, group):
+    def _cancel(self, group):
         del self._groups[group.task.id]
         _events.log(
             logging.INFO,
--- a/src/citrondeal/workflow/tests/capacities.py
+++ b/src/citrondeal/workflow/tests/capacities.py
@@ -1,6 +1,7 @@
 """Capacities of simulated workers, and the list in which they report them."""
 
 import dataclasses
+import math
 
 from citrondeal import workflow
 
@@ -138,5 +139,5 @@
         key = (worker.name, None)
         due_at = self._due_at.setdefault(key, now + UNLISTED_AFTER_S)
         if now >= due_at:
-            self._due_at[key] = float("inf")
+            self._due_at[key] = math.inf
             self._records.append((worker.name, None))
