--- a/src/citrondeal/cell/_follower.py
+++ b/src/citrondeal/cell/_follower.py
@@ -55,11 +55,6 @@
         """
         return self._position
 
-    @property
-    def position(self):
-        """Offset of the next record to read."""
-        return self._position
-
     @property
     def loaded(self):
         """Whether the newest records have been read once."""
--- a/src/citrondeal/cell/_job_topics.py
+++ b/src/citrondeal/cell/_job_topics.py
@@ -82,7 +82,7 @@
     @property
     def positions(self):
         """Offsets of the next records to read, in the order of the topics."""
-        return [follower.position for follower in self._followers]
+        return [follower.end for follower in self._followers]
 
     def age_s(self, now):
         """Return the age in seconds of the oldest view of a topic."""
