Check the outcomes of submissions that many members append

The store of this scenario answered appends without an offset, which has been an error since the outcome carries it ("Log where a submission is stored"). The scenario did not look at the outcomes and so passed. It now answers with offsets and checks that each submission is stored.

--- a/src/citrondeal/cell/tests/steps_job_topics.py
+++ b/src/citrondeal/cell/tests/steps_job_topics.py
@@ -29,8 +29,9 @@
         topic = _records.job_topic(records[0].key)
         async with self._locks[topic]:
             await anyio.sleep(APPEND_S)
+            offset = len(self.topics[topic])
             self.topics[topic] += [record.key for record in records]
-        return result.Ok(None)
+        return result.Ok(offset)
 
 
 async def _submit(store, members):
@@ -42,14 +43,18 @@
         for _ in range(members)
     ]
     started = time.monotonic()
+
+    async def submit(number):
+        record = platform.Record(_records.job_key(f"{number:x}"), b"x")
+        outcome = await appenders[number % members].put(record, 5.0)
+        assert outcome.is_ok(), outcome
+
     async with anyio.create_task_group() as running:
         for appender in appenders:
             running.start_soon(appender.run)
         async with anyio.create_task_group() as jobs:
             for number in range(JOBS):
-                record = platform.Record(_records.job_key(f"{number:x}"), b"x")
-                appender = appenders[number % members]
-                jobs.start_soon(appender.put, record, 5.0)
+                jobs.start_soon(submit, number)
         running.cancel_scope.cancel()
     return time.monotonic() - started
 
