Move the sending of orders out of the owner's module

Starts and stops on their way to the workers, with the check before each send, are a part of their own.

No behaviour is meant to change. The two scenarios on repeated starts build the sender instead of an owner with private parts replaced; their checks are the same.

--- /dev/null
+++ b/src/citrondeal/cell/_orders.py
@@ -0,0 +1,140 @@
+"""Sends the starts and stops that the owner has decided to the workers."""
+
+import logging
+
+from citrondeal.cell import _clock
+from citrondeal import telemetry
+from citrondeal import workflow
+
+# More orders at a time would keep a weak machine from answering the probes of
+# the other members, which would then replace it.
+MAX_ORDERS_IN_FLIGHT = 48
+# A worker rejects a start that arrives later than this, so that one that got
+# no answer cannot take effect much later.
+START_VALID_S = 2.5
+
+_LOG = logging.getLogger(__name__)
+
+
+class OrderSender:
+    """Sends the orders of one owner.
+
+    Parameters
+    ----------
+    scheduler : citrondeal.workflow.Scheduler
+        Learns the outcomes of the orders.
+    leases : dict of str to citrondeal.cell._leases.LeaseRenewer
+        By worker; read at each order.
+    may_act : callable
+        ``may_act(now)`` tells whether this owner is sure that it has not
+        been replaced.
+    metrics : citrondeal.telemetry.Metrics
+    """
+
+    def __init__(self, scheduler, leases, may_act, metrics):
+        self._scheduler = scheduler
+        self._leases = leases
+        self._may_act = may_act
+        self._metrics = metrics
+        self._in_flight = 0
+
+    @property
+    def free(self):
+        """Number of orders that may be sent beside those in flight."""
+        return MAX_ORDERS_IN_FLIGHT - self._in_flight
+
+    async def send(self, action):
+        """Send an order and pass its outcome to the scheduler.
+
+        Parameters
+        ----------
+        action : citrondeal.workflow.Start or citrondeal.workflow.Stop
+        """
+        self._in_flight += 1
+        try:
+            with telemetry.contain(_LOG, "order", worker=action.worker):
+                if isinstance(action, workflow.Start):
+                    await self._start(action)
+                else:
+                    await self._stop(action)
+        finally:
+            self._in_flight -= 1
+
+    async def send_start(self, action):
+        """Send a start, and again if it may not have arrived.
+
+        Returns
+        -------
+        citrondeal.workflow.OrderOutcome
+        """
+        lease = self._leases.get(action.worker)
+        now = _clock.now()
+        if not self._may_start(action, lease, now):
+            return workflow.OrderOutcome.REFUSED
+        epoch = self._scheduler.epoch
+        until_s = lease.worker_clock_s(now) + START_VALID_S
+        outcome = await lease.client.start(action, epoch, until_s)
+        if outcome is workflow.OrderOutcome.UNKNOWN and self._may_start(
+            action, lease, _clock.now()
+        ):
+            # Sending the same run twice is safe: the worker starts it once,
+            # whether one or both of the calls arrive.
+            outcome = outcome_after_repeat(
+                await lease.client.start(action, epoch, until_s)
+            )
+        return outcome
+
+    def _may_start(self, action, lease, now):
+        """Return whether a start that was decided may be sent now.
+
+        The process may have been suspended since the decision, or events
+        handled that undo it.
+        """
+        return (
+            lease is not None
+            and lease.worker_clock_known
+            and self._may_act(now)
+            and self._scheduler.still_holds(action, now)
+        )
+
+    async def _start(self, action):
+        # Stands if the exchange fails unexpectedly.
+        outcome = workflow.OrderOutcome.UNKNOWN
+        with telemetry.contain(_LOG, "start", worker=action.worker):
+            outcome = await self.send_start(action)
+        self._metrics.count("citrondeal.starts", 1, outcome=outcome.value)
+        self._scheduler.on_started(
+            action.task, action.run, action.worker, outcome, _clock.now()
+        )
+
+    async def _stop(self, action):
+        lease = self._leases.get(action.worker)
+        outcome = workflow.OrderOutcome.REFUSED
+        if lease is not None:
+            outcome = await lease.client.stop(action, self._scheduler.epoch)
+        self._metrics.count("citrondeal.stops", 1, outcome=outcome.value)
+        self._scheduler.on_stopped(
+            action.task, action.run, action.worker, outcome, _clock.now()
+        )
+
+
+def outcome_after_repeat(outcome):
+    """Return the outcome of a start that was sent twice.
+
+    The first attempt got no answer. It may still be carried out after the
+    second was rejected, so the rejection is certain only if the worker has a
+    newer owner.
+
+    Parameters
+    ----------
+    outcome : citrondeal.workflow.OrderOutcome
+        Outcome of the second attempt.
+
+    Returns
+    -------
+    citrondeal.workflow.OrderOutcome
+        ``UNKNOWN`` unless the second attempt settles it.
+    """
+    if outcome in (workflow.OrderOutcome.OK, workflow.OrderOutcome.FENCED):
+        return outcome
+    return workflow.OrderOutcome.UNKNOWN
--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -15,6 +15,7 @@
 from citrondeal.cell import _follower
 from citrondeal.cell import _job_topics
 from citrondeal.cell import _leases
+from citrondeal.cell import _orders
 from citrondeal.cell import _records
 from citrondeal.cell import _writer
 from citrondeal import errors
@@ -33,12 +34,6 @@
 PLAN_PERIOD_S = 0.1
 # Events within this time are planned together.
 PLAN_BATCH_S = 0.01
-# More orders at a time would keep a weak machine from answering the probes of
-# the other members, which would then replace it.
-MAX_ORDERS_IN_FLIGHT = 48
-# A worker rejects a start that arrives later than this, so that one that got
-# no answer cannot take effect much later.
-START_VALID_S = 2.5
 # The owner says that a job does not exist only if all topics of submissions
 # have been read up to a time that is not longer ago than this. Two long polls
 # take up to 1.1 s; a job has to be known 3 s after its acknowledgement, of
@@ -93,9 +88,9 @@
         self._metrics = metrics
         self._crash_metrics = _crash_metrics.CrashMetrics(metrics)
         self._scheduler = None
+        self._orders = None
         self._recovered = False
         self._plan_needed = anyio.Event()
-        self._orders_in_flight = 0
         self._leases = {}
         self._task_group = None
         self._job_reader = _job_topics.JobReader(
@@ -182,6 +177,9 @@
             else:
                 scheduler.restore_ended_job(job, progress, now)
         scheduler.recover_workers(list(state["worker"].values()), now)
+        self._orders = _orders.OrderSender(
+            scheduler, self._leases, self._confirmation.holds, self._metrics
+        )
         self._recovered = True
         telemetry.event(
             _LOG,
@@ -375,7 +373,7 @@
 
     def _plan_once(self, now):
         self._scheduler.on_workers_read(self._workers.confirmed_at)
-        max_starts = MAX_ORDERS_IN_FLIGHT - self._orders_in_flight
+        max_starts = self._orders.free
         if not self._confirmation.holds(now):
             max_starts = 0
         for action in self._scheduler.plan(now, max_starts):
@@ -389,70 +387,9 @@
             with telemetry.contain(_LOG, "tickets"):
                 await self._fetch_tickets(action)
         else:
-            await self._send_order(action)
+            await self._orders.send(action)
         self._plan_needed.set()
 
-    async def _send_order(self, action):
-        self._orders_in_flight += 1
-        try:
-            with telemetry.contain(_LOG, "order", worker=action.worker):
-                if isinstance(action, workflow.Start):
-                    await self._start(action)
-                else:
-                    await self._stop(action)
-        finally:
-            self._orders_in_flight -= 1
-
-    async def _start(self, action):
-        # Stands if the exchange fails unexpectedly.
-        outcome = workflow.OrderOutcome.UNKNOWN
-        with telemetry.contain(_LOG, "start", worker=action.worker):
-            outcome = await self._send_start(action)
-        self._metrics.count("citrondeal.starts", 1, outcome=outcome.value)
-        self._scheduler.on_started(
-            action.task, action.run, action.worker, outcome, _clock.now()
-        )
-
-    async def _send_start(self, action):
-        lease = self._leases.get(action.worker)
-        now = _clock.now()
-        if not self._may_start(action, lease, now):
-            return workflow.OrderOutcome.REFUSED
-        until_s = lease.worker_clock_s(now) + START_VALID_S
-        outcome = await lease.client.start(action, self._epoch, until_s)
-        if outcome is workflow.OrderOutcome.UNKNOWN and self._may_start(
-            action, lease, _clock.now()
-        ):
-            # Sending the same run twice is safe: the worker starts it once,
-            # whether one or both of the calls arrive.
-            outcome = outcome_after_repeat(
-                await lease.client.start(action, self._epoch, until_s)
-            )
-        return outcome
-
-    def _may_start(self, action, lease, now):
-        """Return whether a start that was decided may be sent now.
-
-        The process may have been suspended since the decision, or events
-        handled that undo it.
-        """
-        return (
-            lease is not None
-            and lease.worker_clock_known
-            and self._confirmation.holds(now)
-            and self._scheduler.still_holds(action, now)
-        )
-
-    async def _stop(self, action):
-        lease = self._leases.get(action.worker)
-        outcome = workflow.OrderOutcome.REFUSED
-        if lease is not None:
-            outcome = await lease.client.stop(action, self._epoch)
-        self._metrics.count("citrondeal.stops", 1, outcome=outcome.value)
-        self._scheduler.on_stopped(
-            action.task, action.run, action.worker, outcome, _clock.now()
-        )
-
     async def _fetch_tickets(self, action):
         asked_at = _clock.now()
         grant = None
@@ -474,28 +411,6 @@
         )
 
 
-def outcome_after_repeat(outcome):
-    """Return the outcome of a start that was sent twice.
-
-    The first attempt got no answer. It may still be carried out after the
-    second was rejected, so the rejection is certain only if the worker has a
-    newer owner.
-
-    Parameters
-    ----------
-    outcome : citrondeal.workflow.OrderOutcome
-        Outcome of the second attempt.
-
-    Returns
-    -------
-    citrondeal.workflow.OrderOutcome
-        ``UNKNOWN`` unless the second attempt settles it.
-    """
-    if outcome in (workflow.OrderOutcome.OK, workflow.OrderOutcome.FENCED):
-        return outcome
-    return workflow.OrderOutcome.UNKNOWN
-
-
 def _decode_state(records):
     state = {"job": {}, "worker": {}}
     for record in records:
--- a/src/citrondeal/cell/tests/steps_leases.py
+++ b/src/citrondeal/cell/tests/steps_leases.py
@@ -2,13 +2,12 @@
 
 import dataclasses
 import socket
-import types
 
 import anyio
 from behave import then
 
 from citrondeal.cell import _leases
-from citrondeal.cell import _owner
+from citrondeal.cell import _orders
 from citrondeal import workflow
 from citrondeal.workflow.tests import harness as harnesses
 
@@ -51,7 +50,7 @@
 @then("cell a start sent twice is unknown unless it is done or fenced")
 def _(context):
     for outcome in OUTCOMES:
-        final = _owner.outcome_after_repeat(outcome)
+        final = _orders.outcome_after_repeat(outcome)
         certain = outcome in (OUTCOMES.OK, OUTCOMES.FENCED)
         expected = outcome if certain else OUTCOMES.UNKNOWN
         assert final is expected, (outcome, final)
@@ -75,38 +74,33 @@
         return self._outcome
 
 
-def _owner_with_start(lease, confirmation):
-    """Return an owner, its harness and a start that it has decided."""
+def _orders_with_start(lease, may_act):
+    """Return an order sender, its harness and a start that was decided."""
     harness = harnesses.Harness()
-    settings = types.SimpleNamespace(
-        max_lease_s=LEASE_S, job_status_ttl_s=LEASE_S, contact_s=4.0
+    orders = _orders.OrderSender(
+        harness.scheduler, {"w0": lease}, may_act, None
     )
-    owner = _owner.Owner(None, None, 1, confirmation, settings, None)
-    owner._scheduler = harness.scheduler
-    owner._leases["w0"] = lease
     harness.submit("a", 4.0)
     [start] = harness.scheduler.plan(harness.now)
-    return owner, harness, start
+    return orders, harness, start
 
 
 @then("a cell owner repeats no start once its ownership is not confirmed")
 def _(context):
     lease = _RecordingLease(OUTCOMES.UNKNOWN)
-    confirmation = types.SimpleNamespace(holds=lambda now: not lease.sent)
-    owner, _, start = _owner_with_start(lease, confirmation)
-    assert anyio.run(owner._send_start, start) is OUTCOMES.UNKNOWN
+    orders, _, start = _orders_with_start(lease, lambda now: not lease.sent)
+    assert anyio.run(orders.send_start, start) is OUTCOMES.UNKNOWN
     assert lease.sent == 1, lease.sent
 
 
 @then("a cell owner sends a start only while its worker has room for it")
 def _(context):
     lease = _RecordingLease(OUTCOMES.OK)
-    confirmation = types.SimpleNamespace(holds=lambda now: True)
-    owner, harness, start = _owner_with_start(lease, confirmation)
-    assert anyio.run(owner._send_start, start) is OUTCOMES.OK
+    orders, harness, start = _orders_with_start(lease, lambda now: True)
+    assert anyio.run(orders.send_start, start) is OUTCOMES.OK
     smaller = dataclasses.replace(
         harness.infos["w0"], capacity=workflow.Size(2000, 1000)
     )
     harness.scheduler.on_worker(smaller, harness.now)
-    assert anyio.run(owner._send_start, start) is OUTCOMES.REFUSED
+    assert anyio.run(orders.send_start, start) is OUTCOMES.REFUSED
     assert lease.sent == 1, lease.sent
