Excuse no crash after others that no owner saw

A task that crashes its workers was started three more times after three crashes under it: six starts in all. Two owners ended at its first two crashes, the third counted one and was replaced, and the fifth crash was excused because the other workers crashed at the same time.

Cause: whether an earlier owner's run may have crashed unseen was kept in the memory of one owner. The next one excused a crash again.

A crash that may be unseen now takes the place of the excused one, as run -1 in the stored list, from the first counted crash on.

Ruled out: marking all tasks of earlier owners at once, which stores the progress of each active job during a takeover.

--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -12,6 +12,7 @@
 import logging
 
 from citrondeal.workflow import _events
+from citrondeal.workflow import _jobs
 from citrondeal.workflow import _model
 
 # A task with this many crashed runs is run apart from others, because some
@@ -218,6 +219,9 @@
         job = task.step.job
         if job.ended or task.done or number in task.crashes | task.excused:
             return
+        if self._may_have_unseen(task):
+            # The next owner has to know it as well.
+            task.excused.add(_jobs.UNSEEN_RUN_NUMBER)
         excused = self._is_excused(task, crash)
         if excused:
             task.excused.add(number)
@@ -259,17 +263,23 @@
         Any other task that ran on the worker may have been the cause; and
         other workers that crashed at the same time point to a power failure.
         A task gets no excuse if it may have had one crash more: an earlier
-        start whose end is not known, or one by an earlier owner on a worker
-        that crashed before it reported to this one.
+        start whose end is not known, or a crash that was not seen, which
+        takes the place of the excused one.
         """
         if len(task.crashes) + 1 < MAX_CRASHES:
             return False
         if len(task.excused) >= MAX_EXCUSED or _has_unknown_end(task):
             return False
-        if self._has_unseen and task.step.job.recovered:
-            return False
         return not crash.alone or self._in_outage(crash)
 
+    def _may_have_unseen(self, task):
+        """Return whether a crash of a task may have been seen by no owner.
+
+        This can be a start by an earlier owner on a worker that crashed before
+        it reported to this one.
+        """
+        return self._has_unseen and task.step.job.recovered
+
     def _in_outage(self, crash):
         since = crash.silent_since
         if since is None:
--- a/src/citrondeal/workflow/_jobs.py
+++ b/src/citrondeal/workflow/_jobs.py
@@ -8,6 +8,8 @@
 STATES = _model.JobState
 # Number of a run whose actual number only its worker knows.
 UNKNOWN_RUN_NUMBER = 0
+# Stands for a run that may have ended by a crash which no owner has seen.
+UNSEEN_RUN_NUMBER = -1
 # The result of a job is of no more use to its client after this many times its
 # time objective.
 USELESS_FACTOR = 3
@@ -91,7 +93,8 @@
     stored_crashes : frozenset of int
         Those of `crashes` and `excused` that are stored for the next owner.
     excused : set of int
-        Numbers of such runs that are not counted.
+        Numbers of such runs that are not counted, and `UNSEEN_RUN_NUMBER` if
+        there may be one more.
     open_starts : dict of int to dict of str to Place
         By run number and worker; see `OpenStart`.
     isolation_wanted_at : float or None
@@ -245,7 +248,10 @@
         tasks = {
             task_key(task): task
             for task in self.tasks()
-            if task.failures or task.crashes or task.open_starts
+            if task.failures
+            or task.crashes
+            or task.excused
+            or task.open_starts
         }
         return _model.Progress(
             self.state,
--- a/src/citrondeal/workflow/_model.py
+++ b/src/citrondeal/workflow/_model.py
@@ -265,7 +265,8 @@
         Numbers of the runs that ended by a crash of their worker, by the same
         keys.
     excused_crashes : dict of str to list of int
-        Numbers of such runs that do not count, by the same keys.
+        Numbers of such runs that do not count, by the same keys; -1 stands
+        for a run whose crash may not have been seen.
     open_starts : dict of str to list of OpenStart
         By the same keys.
     """
--- a/src/citrondeal/workflow/tests/crashes.feature
+++ b/src/citrondeal/workflow/tests/crashes.feature
@@ -56,6 +56,15 @@
       | 2     |
       | 3     |
 
+  # Guards against a budget that is spent again after crashes that no owner saw:
+  # with an excused crash as well, the task would start six times.
+  Scenario: workflow crashes no crash is excused after others that were not seen
+    Given a workflow cell of 8 workers
+    When a workflow job with a deadly task crashes two workers unseen
+    And the owner counts its next crash and is replaced
+    And all other workers crash together with its fifth
+    Then the workflow job "deadly" is failed after 5 starts
+
   # Guards against a crash that is not seen because the lease had lapsed, or
   # the worker was not listed any more, before it was back.
   Scenario Outline: workflow crashes a worker that is back after its lease is seen
--- a/src/citrondeal/workflow/tests/steps_crashes.py
+++ b/src/citrondeal/workflow/tests/steps_crashes.py
@@ -1,5 +1,7 @@
 """Steps for scripted histories with crashes of workers."""
 
+import math
+
 from behave import given
 from behave import then
 from behave import when
@@ -170,6 +172,41 @@
         cell.run(4.0)
 
 
+@when("a workflow job with a deadly task crashes two workers unseen")
+def _(context):
+    cell = context.cell
+    cell.submit("deadly", run_s=60.0, deadly=(0,))
+    cell.owner_ends_after = 0
+    _run_until_crashes(cell, 2)
+    cell.owner_ends_after = math.inf
+
+
+@when("the owner counts its next crash and is replaced")
+def _(context):
+    cell = context.cell
+    _run_until_crashes(cell, 3)
+    cell.run(4.0)
+    [task] = cell.scheduler.jobs["deadly"].tasks()
+    assert len(task.crashes) == 1, (task.crashes, cell.starts)
+    cell.take_over()
+
+
+@when("all other workers crash together with its fifth")
+def _(context):
+    cell = context.cell
+    _run_until_crashes(cell, 5)
+    for name in list(cell.workers):
+        cell.leave(name, crash_harness.DOWN_S)
+    cell.run(4.0)
+
+
+def _run_until_crashes(cell, count):
+    limit = cell.now + 60.0
+    while cell.crashes < count:
+        assert cell.now < limit, cell.starts
+        cell.tick()
+
+
 @when("the worker of a workflow job crashes for {seconds:d} seconds, {how}")
 def _(context, seconds, how):
     cell = context.cell
