Record the run of a task that goes on at its first counted crash

A crash of a task was counted by nobody, so a task that crashes its workers could be started once more than planned, although it had a stored crash.

Cause: starts are recorded from the first counted crash on. After a lapsed lease the task runs elsewhere, and that start is older than the crash of the lapsed run, which is counted when the first worker is back. If the second worker then crashes and the owner ends with it, the next owner finds no record.

The runs that go on are now recorded when a crash is counted.

--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -228,6 +228,7 @@
         else:
             task.crashes.add(number)
             self.counted[task.id] = task
+            self._record_live_runs(task)
         self._state.mark_changed(job)
         _events.log(
             logging.WARNING,
@@ -242,6 +243,23 @@
         if len(task.crashes) >= MAX_CRASHES:
             self._give_up(task, now)
 
+    def _record_live_runs(self, task):
+        """Record the runs that go on, as if they were started from now on.
+
+        A run after a lapsed lease may have started before the first crash of
+        the task was counted, and so without a record.
+        """
+        numbers = task.crashes | task.excused
+        for member in task.step.tasks if task.step.spec.gang else [task]:
+            run = member.run
+            if run is None or run.last_known_number in numbers:
+                continue
+            worker = self._state.workers[run.worker]
+            if not worker.info.draining:
+                self._state.open_starts.add(
+                    task, run.last_known_number, worker
+                )
+
     def _give_up(self, task, now):
         numbers = sorted(task.crashes)
         _events.log(
--- a/src/citrondeal/workflow/tests/crashes.feature
+++ b/src/citrondeal/workflow/tests/crashes.feature
@@ -56,6 +56,14 @@
       | 2     |
       | 3     |
 
+  # Guards against a crash that nobody counts because its run had started before
+  # the first crash of its task was counted, and the owner ends with it.
+  Scenario: workflow crashes a run that goes on at the first counted crash is recorded
+    Given a workflow cell of 4 workers
+    When a workflow job runs elsewhere when the crash of its lapsed run is counted
+    And its second worker crashes and the owner is replaced
+    Then two workflow crashes are counted for the job
+
   # Guards against a budget that is spent again after crashes that no owner saw:
   # with an excused crash as well, the task would start six times.
   Scenario: workflow crashes no crash is excused after others that were not seen
--- a/src/citrondeal/workflow/tests/steps_crashes.py
+++ b/src/citrondeal/workflow/tests/steps_crashes.py
@@ -172,6 +172,35 @@
         cell.run(4.0)
 
 
+@when(
+    "a workflow job runs elsewhere when the crash of its lapsed run is counted"
+)
+def _(context):
+    cell = context.cell
+    cell.submit("job", run_s=60.0)
+    cell.run(1.0)
+    name = cell.worker_of("job")
+    cell.crash(name, down_s=15.0)
+    cell.run(18.0)
+    assert cell.worker_of("job") != name, cell.starts
+    [task] = cell.scheduler.jobs["job"].tasks()
+    assert len(task.crashes) == 1, task.crashes
+
+
+@when("its second worker crashes and the owner is replaced")
+def _(context):
+    cell = context.cell
+    cell.crash(cell.worker_of("job"))
+    cell.take_over()
+    cell.run(5.0)
+
+
+@then("two workflow crashes are counted for the job")
+def _(context):
+    [task] = context.cell.scheduler.jobs["job"].tasks()
+    assert len(task.crashes) == 2, (task.crashes, context.cell.starts)
+
+
 @when("a workflow job with a deadly task crashes two workers unseen")
 def _(context):
     cell = context.cell
