Let a start without a record take the place of the excused crash

A task that crashes its workers could be started once more than planned: a recorded start that is dropped, because the task has newer ones or its job has no room, may have been a crash. Its count was lost, and a later crash was still excused.

Such a start now takes the place of the excused crash, as one that no owner saw does.

--- a/src/citrondeal/workflow/_open_starts.py
+++ b/src/citrondeal/workflow/_open_starts.py
@@ -8,6 +8,7 @@
 
 import collections
 
+from citrondeal.workflow import _jobs
 from citrondeal.workflow import _model
 
 # Only the newest open starts of a task are kept, so that its record stays
@@ -57,7 +58,7 @@
             if task.done or not _is_live(task, number)
         )
         for number, _, task in ended:
-            self.drop(task, number)
+            self._forget(task, number)
             if self.has_room(job, count):
                 return True
         return not self._places[job.id]
@@ -65,7 +66,8 @@
     def add(self, task, number, worker):
         """Add the start of a run on a worker if the job has room for it.
 
-        Only the newest starts of the task are kept, see `MAX_PER_TASK`.
+        Only the newest starts of the task are kept, see `MAX_PER_TASK`.  A
+        start that is not kept may be a crash that stays unseen.
 
         Parameters
         ----------
@@ -76,11 +78,12 @@
         worker : WorkerState
         """
         if not self.has_room(task.step.job, 1):
+            self._mark_unseen(task)
             return
         place = _model.Place(worker.info.address, worker.info.born_ms)
         self.restore(task, number, {worker.id: place})
         while len(task.open_starts) > MAX_PER_TASK:
-            self.drop(task, min(task.open_starts))
+            self._forget(task, min(task.open_starts))
         self._mark_changed(task.step.job)
 
     def restore(self, task, number, places):
@@ -112,6 +115,16 @@
         for worker_id in list(task.open_starts.get(number, ())):
             self.remove(task, number, worker_id)
 
+    def _forget(self, task, number):
+        """Remove a start whose end will not be known."""
+        self.drop(task, number)
+        self._mark_unseen(task)
+
+    def _mark_unseen(self, task):
+        """Record that a crash of a task may stay unseen."""
+        task.excused.add(_jobs.UNSEEN_RUN_NUMBER)
+        self._mark_changed(task.step.job)
+
     def drop_all(self, task):
         """Remove all starts of a task."""
         for number in list(task.open_starts):
--- a/src/citrondeal/workflow/tests/crashes.feature
+++ b/src/citrondeal/workflow/tests/crashes.feature
@@ -64,6 +64,13 @@
     And its second worker crashes and the owner is replaced
     Then two workflow crashes are counted for the job
 
+  # Guards against a crash that is excused although an earlier start, whose
+  # record made room for newer ones, may have been one.
+  Scenario: workflow crashes a start that is not recorded any more takes the excuse
+    Given a workflow cell of 6 workers
+    When the workers of a workflow job fall silent one after the other, 4 times
+    Then the workflow job has 3 recorded starts and no excuse left
+
   # Guards against a budget that is spent again after crashes that no owner saw:
   # with an excused crash as well, the task would start six times.
   Scenario: workflow crashes no crash is excused after others that were not seen
--- a/src/citrondeal/workflow/tests/steps_crashes.py
+++ b/src/citrondeal/workflow/tests/steps_crashes.py
@@ -201,6 +201,31 @@
     assert len(task.crashes) == 2, (task.crashes, context.cell.starts)
 
 
+@when(
+    "the workers of a workflow job fall silent one after the other,"
+    " {count:d} times"
+)
+def _(context, count):
+    cell = context.cell
+    cell.submit("job", run_s=60.0)
+    for _ in range(count):
+        cell.run(1.0)
+        name = cell.worker_of("job")
+        cell.silence(name, 1000.0)
+        cell.run(crash_harness.LEASE_S + 1.0)
+        # The worker ends its runs when their leases have lapsed.
+        cell.workers[name].runs = {}
+
+
+@then("the workflow job has {count:d} recorded starts and no excuse left")
+def _(context, count):
+    cell = context.cell
+    cell.store()
+    progress = workflow.decode_progress(cell.stored_jobs["job"])
+    assert len(progress.open_starts["0.0"]) == count, progress
+    assert progress.excused_crashes == {"0.0": [-1]}, progress
+
+
 @when("a workflow job with a deadly task crashes two workers unseen")
 def _(context):
     cell = context.cell
