Excuse the crashes of recorded tasks in power failures after a takeover

Three power failures of all workers, with the owner replaced beside the second or third, failed 16 of 16 innocent single-task jobs (8 of 8 that fill a worker). Without a new owner none was failed.

Cause: when a worker crashed in a takeover before it answered, the owner denied the excuse to all tasks of earlier owners. Only those can have had an unseen crash of which no crash was stored at the takeover: the starts of the others were recorded and are counted.

Ruled out: the missing time of a crash that is counted from a recorded start. Such a crash is excused without it, because it is not known what else ran on the worker.

--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -75,6 +75,9 @@
         self.tasks_given_up = 0
         # Whether runs that an earlier owner started may have crashed unseen.
         self._has_unseen = False
+        # Tasks with a crash that was stored before this ownership.  Their
+        # later starts were recorded, so none of those crashes is unseen.
+        self._recorded = set()
         self._given_up = collections.deque(maxlen=MAX_SHOWN)
         self._recent = collections.deque(maxlen=MAX_RECENT)
 
@@ -164,6 +167,7 @@
                 self._state.open_starts.drop_all(task)
             if task.crashes:
                 self.counted.pop(task.id, None)
+                self._recorded.discard(task.id)
 
     def restore(self, job, progress):
         """Restore the stored crashes and open starts of a job.
@@ -179,6 +183,7 @@
             task = job.task_of_key(key)
             task.crashes.update(numbers)
             self.counted[task.id] = task
+            self._recorded.add(task.id)
         for key, numbers in progress.excused_crashes.items():
             job.task_of_key(key).excused.update(numbers)
         self._mark_stored(job, progress)
@@ -294,9 +299,13 @@
         """Return whether a crash of a task may have been seen by no owner.
 
         This can be a start by an earlier owner on a worker that crashed before
-        it reported to this one.
+        it reported to this one, unless the starts of the task were recorded.
         """
-        return self._has_unseen and task.step.job.recovered
+        return (
+            self._has_unseen
+            and task.step.job.recovered
+            and task.id not in self._recorded
+        )
 
     def _in_outage(self, crash):
         since = crash.silent_since
--- a/src/citrondeal/workflow/tests/crash_harness.py
+++ b/src/citrondeal/workflow/tests/crash_harness.py
@@ -131,6 +131,18 @@
         while self.now < end - TICK_S / 2:
             self.tick()
 
+    def wait_until_all_run(self, limit_s):
+        """Advance the time until all tasks of all jobs run."""
+        limit = self.now + limit_s
+        tasks = {t.id for j in self.scheduler.jobs.values() for t in j.tasks()}
+        while True:
+            running = {t for w in self.workers.values() for t in w.runs}
+            if running == tasks:
+                return
+            waiting = sorted(tasks - running)
+            assert self.now < limit, f"do not run: {waiting}"
+            self.tick()
+
     def tick(self):
         """Advance the time by `TICK_S`."""
         self.now += TICK_S
--- a/src/citrondeal/workflow/tests/crashes.feature
+++ b/src/citrondeal/workflow/tests/crashes.feature
@@ -80,6 +80,27 @@
     And all other workers crash together with its fifth
     Then the workflow job "deadly" is failed after 5 starts
 
+  # Guards against innocent jobs that are failed by power failures because the
+  # owner is replaced beside one of them, at once or while the workers are away.
+  Scenario Outline: workflow crashes three power failures with a new owner <when> fail no job of <cores> cores
+    Given a workflow cell of 8 workers
+    And <jobs> running workflow jobs of <cores> cores
+    When 3 power failures hit all of them, with a new owner <when>
+    Then all other workflow jobs are completed
+
+    Examples:
+      | when                     | jobs | cores |
+      | never                    | 16   | 2     |
+      | at the first             | 16   | 2     |
+      | at the second            | 16   | 2     |
+      | at the third             | 16   | 2     |
+      | at the second and third  | 16   | 2     |
+      | after the second         | 16   | 2     |
+      | never                    | 8    | 8     |
+      | at the second            | 8    | 8     |
+      | at the third             | 8    | 8     |
+      | after the second         | 8    | 8     |
+
   # Guards against a crash that is not seen because the lease had lapsed, or
   # the worker was not listed any more, before it was back.
   Scenario Outline: workflow crashes a worker that is back after its lease is seen
--- a/src/citrondeal/workflow/tests/steps_crashes.py
+++ b/src/citrondeal/workflow/tests/steps_crashes.py
@@ -15,6 +15,11 @@
 # Largest record of the store.
 RECORD_BYTES = 262_144
 PROGRESS_TICKS = 150
+ORDINALS = ("first", "second", "third")
+RUN_S = 100.0  # longer than all power failures take
+AWAY_S = 3.0  # shortest time of a worker after a power failure
+NOTICED_S = 1.0  # after which an owner has stored which workers are silent
+RUN_AGAIN_S = 60.0  # within which all lost tasks have to run again
 
 
 @given("a workflow cell of {count:d} workers")
@@ -226,6 +231,28 @@
     assert progress.excused_crashes == {"0.0": [-1]}, progress
 
 
+@given("{jobs:d} running workflow jobs of {cores:d} cores")
+def _(context, jobs, cores):
+    for number in range(jobs):
+        context.cell.submit(f"job{number:02d}", run_s=RUN_S, cores=cores)
+    context.cell.run(1.0)
+
+
+@when("{count:d} power failures hit all of them, with a new owner {when}")
+def _(context, count, when):
+    cell = context.cell
+    for ordinal in ORDINALS[:count]:
+        cell.run(AWAY_S)
+        cell.wait_until_all_run(RUN_AGAIN_S)
+        for number, name in enumerate(list(cell.workers)):
+            cell.leave(name, AWAY_S + 0.2 * number)
+        if ordinal in when and when.startswith("after"):
+            cell.run(NOTICED_S)
+        if ordinal in when:
+            cell.take_over()
+    cell.run(2 * RUN_S)
+
+
 @when("a workflow job with a deadly task crashes two workers unseen")
 def _(context):
     cell = context.cell
