See an outage that began under an earlier owner

Three power failures, with the owner replaced while the workers were away for the third, failed 2 of 16 innocent jobs: those that were alone on a worker (8 of 8 that fill a worker).

Cause: the earlier owner stores which workers are silent, and their runs, but not since when. The next one had no time for them and so saw no outage.

A recovered worker now counts as silent since the takeover until it reports. At most one crash of a task is excused, so the budget does not depend on this.

Ruled out: the times at which the new incarnations began. The first workers that are back are judged before the others have begun.

--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -44,7 +44,7 @@
     ----------
     worker : str
     silent_since : float or None
-        When the worker last reported.
+        When the worker last reported, see `WorkerState.reported_at`.
     alone : bool
         Whether it is known that only one task ran there.
     """
--- a/src/citrondeal/workflow/_recovery.py
+++ b/src/citrondeal/workflow/_recovery.py
@@ -32,6 +32,9 @@
         for stored_worker in stored:
             worker = self._state.add_worker(stored_worker.info, now)
             worker.stored = stored_worker.runs is None
+            # Until it reports, it counts as silent since the takeover: several
+            # such workers show an outage that began under an earlier owner.
+            worker.reported_at = now
             worker.listed = False
             if stored_worker.runs is None:
                 self._state.changed_workers.pop(worker.id, None)
--- a/src/citrondeal/workflow/_workers.py
+++ b/src/citrondeal/workflow/_workers.py
@@ -20,6 +20,12 @@
         Seconds on the scheduler's clock.
     lease_expires_at : float
         Time from which no task can run there unless a lease is renewed.
+
+    Attributes
+    ----------
+    reported_at : float or None
+        When it last reported, or when this owner recovered it if that was
+        later; None if neither has happened.
     """
 
     def __init__(self, info, now, lease_expires_at):
--- a/src/citrondeal/workflow/tests/crashes.feature
+++ b/src/citrondeal/workflow/tests/crashes.feature
@@ -96,10 +96,12 @@
       | at the third             | 16   | 2     |
       | at the second and third  | 16   | 2     |
       | after the second         | 16   | 2     |
+      | after the third          | 16   | 2     |
       | never                    | 8    | 8     |
       | at the second            | 8    | 8     |
       | at the third             | 8    | 8     |
       | after the second         | 8    | 8     |
+      | after the third          | 8    | 8     |
 
   # Guards against a crash that is not seen because the lease had lapsed, or
   # the worker was not listed any more, before it was back.
