Do not take the rejection of a repeat for that of the call

The HTTP client sends a request again if a reused connection ends before the first byte of its answer. If the repeat was then rejected with 429, 503 or 507, callers took the whole call as not carried out. A client of a cell could get 503 ("not accepted and never runs") for a job whose submission is stored, and an owner could start a task on another worker although its first start was carried out or could still be.

The cause is that the reply did not say that the request had been sent before. It does now; an append that is rejected then has an unknown outcome (504), and a start or stop is unknown unless the repeat settles it, as for a start that the owner itself sends twice.

Found by reading; a repeat that cannot connect was handled correctly before, and a rejection of a request that was sent once still is one (both in scenarios). The new scenario fails without each of the two changes: "(429, Err(Failure(kind=unavailable)))" for the append, "(400, refused)" for the start.

--- a/src/citrondeal/cell/_orders.py
+++ b/src/citrondeal/cell/_orders.py
@@ -3,6 +3,7 @@
 import logging
 
 from citrondeal.cell import _clock
+from citrondeal import platform
 from citrondeal import telemetry
 from citrondeal import workflow
 
@@ -79,7 +80,7 @@
         ):
             # Sending the same run twice is safe: the worker starts it once,
             # whether one or both of the calls arrive.
-            outcome = outcome_after_repeat(
+            outcome = platform.outcome_after_repeat(
                 await lease.client.start(action, epoch, until_s)
             )
         return outcome
@@ -116,25 +117,3 @@
         self._scheduler.on_stopped(
             action.task, action.run, action.worker, outcome, _clock.now()
         )
-
-
-def outcome_after_repeat(outcome):
-    """Return the outcome of a start that was sent twice.
-
-    The first attempt got no answer. It may still be carried out after the
-    second was rejected, so the rejection is certain only if the worker has a
-    newer owner.
-
-    Parameters
-    ----------
-    outcome : citrondeal.workflow.OrderOutcome
-        Outcome of the second attempt.
-
-    Returns
-    -------
-    citrondeal.workflow.OrderOutcome
-        ``UNKNOWN`` unless the second attempt settles it.
-    """
-    if outcome in (workflow.OrderOutcome.OK, workflow.OrderOutcome.FENCED):
-        return outcome
-    return workflow.OrderOutcome.UNKNOWN
--- a/src/citrondeal/cell/tests/steps_leases.py
+++ b/src/citrondeal/cell/tests/steps_leases.py
@@ -8,6 +8,7 @@
 
 from citrondeal.cell import _leases
 from citrondeal.cell import _orders
+from citrondeal import platform
 from citrondeal import workflow
 from citrondeal.workflow.tests import harness as harnesses
 
@@ -50,7 +51,7 @@
 @then("cell a start sent twice is unknown unless it is done or fenced")
 def _(context):
     for outcome in OUTCOMES:
-        final = _orders.outcome_after_repeat(outcome)
+        final = platform.outcome_after_repeat(outcome)
         certain = outcome in (OUTCOMES.OK, OUTCOMES.FENCED)
         expected = outcome if certain else OUTCOMES.UNKNOWN
         assert final is expected, (outcome, final)
--- a/src/citrondeal/platform/__init__.py
+++ b/src/citrondeal/platform/__init__.py
@@ -28,6 +28,7 @@
     "build_app",
     "decode_catalog",
     "decode_worker",
+    "outcome_after_repeat",
     "read_settings",
     "settings_path",
     "step_name",
@@ -48,6 +49,7 @@
 decode_worker = _records.decode_worker
 LeaseRenewal = _runners.LeaseRenewal
 RunnerClient = _runners.RunnerClient
+outcome_after_repeat = _runners.outcome_after_repeat
 Settings = _settings.Settings
 SettingsError = _settings.SettingsError
 Batch = _store.Batch
--- a/src/citrondeal/platform/_runners.py
+++ b/src/citrondeal/platform/_runners.py
@@ -180,13 +180,38 @@
             if outcome.err_value.kind is errors.Kind.UNAVAILABLE:
                 return workflow.OrderOutcome.REFUSED
             return workflow.OrderOutcome.UNKNOWN
-        return _order_outcome(outcome.ok_value)
+        reply = outcome.ok_value
+        if reply.repeated:
+            return outcome_after_repeat(_order_outcome(reply))
+        return _order_outcome(reply)
 
     async def aclose(self):
         """Close idle connections."""
         await self._client.aclose()
 
 
+def outcome_after_repeat(outcome):
+    """Return the outcome of an order that was sent twice.
+
+    The first attempt got no answer. It may still be carried out after the
+    second was rejected, so the rejection is certain only if the worker has a
+    newer owner.
+
+    Parameters
+    ----------
+    outcome : citrondeal.workflow.OrderOutcome
+        Outcome of the second attempt.
+
+    Returns
+    -------
+    citrondeal.workflow.OrderOutcome
+        ``UNKNOWN`` unless the second attempt settles it.
+    """
+    if outcome in (workflow.OrderOutcome.OK, workflow.OrderOutcome.FENCED):
+        return outcome
+    return workflow.OrderOutcome.UNKNOWN
+
+
 def _order_outcome(reply):
     if reply.status == 200:
         return workflow.OrderOutcome.OK
--- a/src/citrondeal/platform/_store.py
+++ b/src/citrondeal/platform/_store.py
@@ -310,7 +310,7 @@
         out_of_sequence = _rejection_reason(reply.body) == "seq"
         kind = errors.Kind.CONFLICT if out_of_sequence else errors.Kind.BARRED
         return _failure(kind, text + f" {reply.body!r}")
-    if reply.status in (429, 503, 507):
+    if reply.status in (429, 503, 507) and not reply.repeated:
         return _unavailable(text)
     return _failure(errors.Kind.UNKNOWN_OUTCOME, text)
 
--- a/src/citrondeal/platform/tests/platform.feature
+++ b/src/citrondeal/platform/tests/platform.feature
@@ -65,3 +65,12 @@
   # because its record cannot be decoded.
   Scenario: platform an accepted job can be read back
     Then platform every job that is accepted can be read by an owner
+
+  # Guards against a job that runs although all its submissions were answered
+  # "not run", and against a task that is started elsewhere while its first
+  # start may still take effect: a call is sent again when its connection ends
+  # without an answer, and a rejection of the repeat says nothing of the first.
+  Scenario: platform a rejected repeat does not settle the first attempt
+    Then platform an append that was sent again and is rejected may be stored
+    And platform a start that was sent again and is rejected may be carried out
+    And platform an append that was sent once and is rejected is not stored
--- a/src/citrondeal/web/_client.py
+++ b/src/citrondeal/web/_client.py
@@ -41,10 +41,15 @@
     ----------
     status : int
     body : bytes
+    repeated : bool
+        Whether the request was sent before on a connection that ended without
+        an answer. The server may have carried it out then, or may still do
+        so, even if it rejects the repeat.
     """
 
     status: int
     body: bytes
+    repeated: bool = False
 
 
 class _RequestNotSent(Exception):
@@ -237,6 +242,7 @@
             except BaseException:
                 await _close_connection(connection)
                 raise
+            reply.repeated = is_repeat
             if connection.keep_alive:
                 connection.idle_since = anyio.current_time()
                 self._idle.append(connection)
