Show a suspect that waits for a worker without room for it

After two crashes a task is placed only on the worker with the most free cores. If that worker lacks memory, the task never starts, although another worker has room. Callers see a job that stays "running" without end.

Cause: `Isolation._emptiest` sorts by free cores and keeps one worker before it is checked whether the task fits there.

--- /dev/null
+++ b/src/citrondeal/workflow/tests/steps_isolation.py
@@ -0,0 +1,65 @@
+"""Steps for tasks that have crashed workers and wait for a place."""
+
+import dataclasses
+
+from behave import then
+from behave import when
+
+from citrondeal import workflow
+
+STATES = workflow.JobState
+LONG_S = 300.0
+DOWN_S = 2.0
+# Time in which returned workers report and their records are stored.
+SETTLE_S = 1.0
+
+
+def _submit(cell, job, millicores, memory_mb):
+    """Submit a job of one long task."""
+    step = workflow.Step(1, workflow.Size(millicores, memory_mb), LONG_S)
+    policy = workflow.Policy("queue", "service", 1, 3, 10.0)
+    submission = workflow.Submission(job, "", (step,), policy)
+    cell.submissions[job] = submission
+    cell.durations[job] = LONG_S
+    cell.scheduler.on_submission(submission, 0, cell.now)
+
+
+def _running_jobs(cell):
+    return {
+        task.job for worker in cell.workers.values() for task in worker.runs
+    }
+
+
+@when("a workflow suspect fits only beside others, on the fuller worker")
+def _(context):
+    cell = context.cell
+    _submit(cell, "suspect", 2000, 10)
+    cell.run(1.0)
+    cell.leave(cell.worker_of("suspect"), DOWN_S)
+    cell.run(DOWN_S + SETTLE_S)
+    name = cell.worker_of("suspect")
+    cell.leave(name, DOWN_S)
+    # It comes back only to leave, so that its crash is counted but it is not
+    # a place for the suspect.
+    worker = cell.workers[name]
+    worker.back_as = dataclasses.replace(worker.back_as, draining=True)
+    cell.run(0.5)
+    _submit(cell, "half-the-cores", 4000, 10)
+    cell.run(0.2)
+    _submit(cell, "all-memory", 1000, 10000)
+    cell.run(DOWN_S + SETTLE_S)
+    dump = cell.scheduler.dump()["crashes"]
+    assert len(dump["suspects"]) == 1, dump
+    running = _running_jobs(cell)
+    assert {"half-the-cores", "all-memory"} <= running, running
+
+
+@then("the workflow suspect starts within {seconds:d} seconds")
+def _(context, seconds):
+    cell = context.cell
+    cell.run(float(seconds))
+    used = {
+        name: sorted(task.job for task in worker.runs)
+        for name, worker in cell.workers.items()
+    }
+    assert "suspect" in _running_jobs(cell), (used, cell.starts)
