Show jobs that wait after two power failures of all workers

After the second power failure each task is a suspect and waits up to 8 s for a worker without other such tasks. On 8 workers with 24 of 64 cores in use, 16 of 24 jobs have no run from 3.0 to 6.6 s after the return of the workers.

Cause: `APART_WAIT_S` holds also while most of the cell is free.

--- a/src/citrondeal/workflow/tests/isolation.feature
+++ b/src/citrondeal/workflow/tests/isolation.feature
@@ -6,3 +6,11 @@
     Given a workflow cell of 3 workers
     When a workflow suspect fits only beside others, on the fuller worker
     Then the workflow suspect starts within 10 seconds
+
+  # Guards against jobs that have nothing running for over 3 s although more
+  # than half of the cores are free, because each is a suspect after two power
+  # failures.
+  Scenario: workflow isolation jobs go on soon after two power failures
+    Given a workflow cell of 8 workers
+    When two power failures hit a workflow cell that is not half full
+    Then all its workflow jobs run 3 seconds later
--- a/src/citrondeal/workflow/tests/steps_isolation.py
+++ b/src/citrondeal/workflow/tests/steps_isolation.py
@@ -63,3 +63,28 @@
         for name, worker in cell.workers.items()
     }
     assert "suspect" in _running_jobs(cell), (used, cell.starts)
+
+
+@when("two power failures hit a workflow cell that is not half full")
+def _(context):
+    cell = context.cell
+    for number in range(24):
+        cell.submit(f"job{number:02d}", run_s=LONG_S, cores=1)
+    cell.run(2.0)
+    for _ in range(2):
+        for name in list(cell.workers):
+            cell.leave(name, DOWN_S)
+        cell.run(DOWN_S + 2 * SETTLE_S)
+    context.returned_at = cell.now
+
+
+@then("all its workflow jobs run {seconds:d} seconds later")
+def _(context, seconds):
+    cell = context.cell
+    waits = {}
+    while cell.now < context.returned_at + 20.0:
+        waiting = set(cell.submissions) - _running_jobs(cell)
+        waits[round(cell.now - context.returned_at, 1)] = len(waiting)
+        cell.tick()
+    late = {s: n for s, n in waits.items() if s >= seconds and n}
+    assert not late, f"jobs without a run, by time: {late}"
