Show a suspect that keeps the only worker of a service for itself

After two power failures a long task is isolated on the only worker of its service, and nothing else starts there until it ends. Another job that fits beside it stays "queued".

Cause: `Isolation._may_close` allows as many closed workers as the task needs, even if these are all workers.

--- a/src/citrondeal/workflow/tests/isolation.feature
+++ b/src/citrondeal/workflow/tests/isolation.feature
@@ -14,3 +14,10 @@
     Given a workflow cell of 8 workers
     When two power failures hit a workflow cell that is not half full
     Then all its workflow jobs run 3 seconds later
+
+  # Guards against a service whose only worker runs nothing but one task until
+  # it ends, because that task is a suspect after two power failures.
+  Scenario: workflow isolation a suspect does not keep the only worker for itself
+    Given a workflow cell of 1 workers
+    When a workflow suspect runs on the only worker beside free cores
+    Then another workflow job is completed within 10 seconds
--- a/src/citrondeal/workflow/tests/steps_isolation.py
+++ b/src/citrondeal/workflow/tests/steps_isolation.py
@@ -88,3 +88,22 @@
         cell.tick()
     late = {s: n for s, n in waits.items() if s >= seconds and n}
     assert not late, f"jobs without a run, by time: {late}"
+
+
+@when("a workflow suspect runs on the only worker beside free cores")
+def _(context):
+    cell = context.cell
+    cell.submit("suspect", run_s=LONG_S)
+    cell.run(1.0)
+    for _ in range(2):
+        cell.leave("w0", DOWN_S)
+        cell.run(15.0)
+    assert _running_jobs(cell) == {"suspect"}, cell.starts
+    cell.submit("other", run_s=1.0)
+
+
+@then("another workflow job is completed within {seconds:d} seconds")
+def _(context, seconds):
+    cell = context.cell
+    cell.run(float(seconds))
+    assert cell.state("other") is STATES.COMPLETED, cell.state("other")
