Show tasks of a cancelled job that the next owner lets run on

A worker is cut off while its job is cancelled, and the owner changes. The next owner assumes the runs that the worker's record lists, also those of ended jobs, and when the worker answers they count as expected: nobody stops them.

Cause: `Recovery._assume_runs` does not check whether the job has ended, and `Reports._on_running` stops runs of ended jobs only if they are not known yet.

--- a/src/citrondeal/workflow/tests/workflow.feature
+++ b/src/citrondeal/workflow/tests/workflow.feature
@@ -111,3 +111,10 @@
   Scenario: workflow a cancellation outlives a change of the owner
     Then workflow a cancellation that no owner has applied ends a running job
     And workflow a cancellation does not change an end that is stored
+
+  # Guards against tasks of a cancelled job that run on, because the next owner
+  # takes them over from the record of a worker that was cut off.
+  Scenario: workflow a cancelled job is stopped by the next owner
+    Given a workflow cell of 2 workers
+    When a workflow job is cancelled while its worker is cut off
+    Then no workflow task of it runs on a worker 8 seconds later
