Show planning passes of seconds after a power failure

The event loop of the owner stands still meanwhile, so it answers no probe and renews no lease; it is replaced, and the next owner does the same.

Cause: `Planner._may_place_crashed` calls `OpenStarts.make_room` for each waiting task, before the limit of attempts per pass. If the job has no room, each call searches all tasks and starts of the job.

--- /dev/null
+++ b/src/citrondeal/workflow/tests/wide_jobs.feature
@@ -0,0 +1,7 @@
+Feature: workflow wide jobs
+
+  # Guards against planning passes in which each waiting task searches all
+  # recorded starts of its job, so that the owner answers nobody and is replaced.
+  Scenario: workflow wide jobs a planning pass stays short after a power failure
+    When a power failure hits a workflow job of 2900 running tasks
+    Then no workflow planning pass takes so long that the owner is replaced
