Show tasks of a wide job that wait for the ends of others after a crash

After one power failure only 1,000 of 1,200 tasks of a job run at a time, although all of them fit: each start of a task with a crash is recorded, a job has room for 1,000 records, and that of a running task stays until its end.

--- a/src/citrondeal/workflow/tests/steps_wide_jobs.py
+++ b/src/citrondeal/workflow/tests/steps_wide_jobs.py
@@ -42,3 +42,10 @@
     while len(passes) < 60 and max(passes, default=0.0) <= MAX_PASS_S:
         cell.tick()
     assert max(passes) <= MAX_PASS_S, (len(passes), max(passes))
+
+
+@then("all {tasks:d} workflow tasks run {seconds:d} seconds after its end")
+def _(context, tasks, seconds):
+    cell = context.cell
+    cell.run(DOWN_S + seconds)
+    assert _run_count(cell) == tasks, _run_count(cell)
