Show a scheduler that denies jobs after a suspension

`citrondeal-scheduler` denies a job if its last read reached the end of the log, however long ago that was. After a suspension it answers 404 for jobs that other schedulers have accepted meanwhile, until its next read is answered.

Cause: `JobService._unknown_job` checks no age of the view, unlike the owner of a cell.

--- a/src/citrondeal/scheduler/tests/scheduler.feature
+++ b/src/citrondeal/scheduler/tests/scheduler.feature
@@ -6,3 +6,8 @@
     Then a scheduler that has not read the log denies no job
     And a scheduler that has read the log denies a job that is not in it
     And a scheduler whose last read failed denies no job
+
+  # Guards against an accepted job that is denied by a scheduler that goes on
+  # after a suspension, during which others have accepted jobs.
+  Scenario: scheduler an old view of the log denies no job
+    Then a scheduler that was suspended for 3 seconds denies no job
