Show resources that stay reserved for a task with a crash

Resources are reserved on a worker while the ticket of a task with a crash is renewed. If the ticket is denied, they stay reserved until the job ends: of two workers one stays idle, {'w0': 1, 'w1': 0}, beside a task that fits there.

Cause: `Planner._place_crashed` releases no reservation if it finds no place, unlike `_plan_step`.

--- a/src/citrondeal/workflow/tests/isolation.feature
+++ b/src/citrondeal/workflow/tests/isolation.feature
@@ -21,3 +21,10 @@
     Given a workflow cell of 1 workers
     When a workflow suspect runs on the only worker beside free cores
     Then another workflow job is completed within 10 seconds
+
+  # Guards against resources that stay reserved for a task with a crash although
+  # the ticket service does not allow the worker any more.
+  Scenario: workflow isolation a task without a ticket keeps nothing reserved
+    Given a workflow cell of 2 workers with tickets
+    When a workflow task crashes its worker and gets no other ticket
+    Then other workflow tasks fill both workers within 3 seconds
