Show a scheduler that denies paths of settings that it has not read

A submission to `citrondeal-scheduler` is refused with 404 while its settings have not been read, or only a part of them. The path may exist, so callers must be told to try again.

Cause: `JobService.submit` looks the path up without asking whether the tree is read to the end of its log. `TreeReplica.complete` would not tell either: it is true after the first part of the records.

--- a/src/citrondeal/scheduler/tests/scheduler.feature
+++ b/src/citrondeal/scheduler/tests/scheduler.feature
@@ -11,3 +11,13 @@
   # after a suspension, during which others have accepted jobs.
   Scenario: scheduler an old view of the log denies no job
     Then a scheduler that was suspended for 3 seconds denies no job
+
+  # Guards against a submission that is refused for good, because its path is in
+  # settings that the scheduler has not read yet.
+  Scenario Outline: scheduler a path is not denied after <share> of the settings
+    Then a scheduler that has read <share> of the settings denies no path
+
+    Examples:
+      | share  |
+      | none   |
+      | a part |
