Show a job that fails although none of its tasks has run

Each crash of a worker counts for all starts that were sent there, also for one whose order got no answer because the worker had crashed before it arrived. After three of them the job is shown as "failed" with no run at all.

Cause: `Crashes.on_crash` counts runs in the state "starting" or "stopping" that no answer and no report has confirmed like those that were confirmed.

--- a/src/citrondeal/workflow/tests/isolation.feature
+++ b/src/citrondeal/workflow/tests/isolation.feature
@@ -28,3 +28,10 @@
     Given a workflow cell of 2 workers with tickets
     When a workflow task crashes its worker and gets no other ticket
     Then other workflow tasks fill both workers within 3 seconds
+
+  # Guards against a job that fails for crashes of workers on which none of its
+  # tasks has run, because its starts arrived after the crashes.
+  Scenario: workflow isolation a task that never ran is not given up
+    Given a workflow cell of 1 workers
+    When a workflow worker crashes 3 times just before a start arrives
+    Then the workflow job that never ran is not failed
