Show a task with a crash that never starts while the store is slow

The start of a task with a crash is recorded before it is sent. If the ticket expires in the meantime, the start is cancelled and all begins anew: with tickets for 2 s and a store that answers after 1 s it does not start within 30 s, while a task without a crash starts at once.

Cause: `WithheldStarts.take_due` cancels a recorded start whose ticket has expired instead of renewing the ticket for the same worker.

--- a/src/citrondeal/workflow/tests/isolation.feature
+++ b/src/citrondeal/workflow/tests/isolation.feature
@@ -35,3 +35,9 @@
     Given a workflow cell of 1 workers
     When a workflow worker crashes 3 times just before a start arrives
     Then the workflow job that never ran is not failed
+
+  # Guards against a task with a crash that never starts while the store is slow,
+  # because its ticket expires before its start is recorded.
+  Scenario: workflow isolation a slow store delays a recorded start only
+    Given a workflow cell with tickets whose store answers after 1000 ms
+    Then a workflow task with a crash starts like another one in 30 s
