--- /dev/null
+++ b/src/citrondeal/workflow/tests/isolation.feature
@@ -0,0 +1,43 @@
+Feature: workflow isolation
+
+  # Guards against a suspect that waits for ever for the worker with the most
+  # free cores, which lacks memory, while another one has room for it.
+  Scenario: workflow isolation a suspect starts on any worker with room for it
+    Given a workflow cell of 3 workers
+    When a workflow suspect fits only beside others, on the fuller worker
+    Then the workflow suspect starts within 10 seconds
+
+  # Guards against jobs that have nothing running for over 3 s although more
+  # than half of the cores are free, because each is a suspect after two power
+  # failures.
+  Scenario: workflow isolation jobs go on soon after two power failures
+    Given a workflow cell of 8 workers
+    When two power failures hit a workflow cell that is not half full
+    Then all its workflow jobs run 3 seconds later
+
+  # Guards against a service whose only worker runs nothing but one task until
+  # it ends, because that task is a suspect after two power failures.
+  Scenario: workflow isolation a suspect does not keep the only worker for itself
+    Given a workflow cell of 1 workers
+    When a workflow suspect runs on the only worker beside free cores
+    Then another workflow job is completed within 10 seconds
+
+  # Guards against resources that stay reserved for a task with a crash although
+  # the ticket service does not allow the worker any more.
+  Scenario: workflow isolation a task without a ticket keeps nothing reserved
+    Given a workflow cell of 2 workers with tickets
+    When a workflow task crashes its worker and gets no other ticket
+    Then other workflow tasks fill both workers within 3 seconds
+
+  # Guards against a job that fails for crashes of workers on which none of its
+  # tasks has run, because its starts arrived after the crashes.
+  Scenario: workflow isolation a task that never ran is not given up
+    Given a workflow cell of 1 workers
+    When a workflow worker crashes 3 times just before a start arrives
+    Then the workflow job that never ran is not failed
+
+  # Guards against a task with a crash that never starts while the store is slow,
+  # because its ticket expires before its start is recorded.
+  Scenario: workflow isolation a slow store delays a recorded start only
+    Given a workflow cell with tickets whose store answers after 1000 ms
+    Then a workflow task with a crash starts like another one in 30 s
