Bound the stored progress of a job by its size

The progress of an accepted job could outgrow a record of the store. The store refuses such a write, so its owner stores nothing more, for any job.

Cause: the limit counted failed runs, but not crashed, excused and open ones, nor the length of the names in open starts.

The size of the progress is now counted with each run that it lists, from the encoder's own sizes, and never too low. Open starts take 100,000 bytes at most. If a run does not fit, the open starts of ended runs make room, and then the job ends as failed with a reason in the log. Where a start is not recorded, the job has no excuse for a crash any more, because one may stay unseen.

Ruled out: encoding the progress at each store to check it, which finds the fault when nothing can be decided any more; and a number of runs, which depends on the size of their numbers and on how many tasks they belong to.

--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -12,7 +12,6 @@
 import logging
 
 from citrondeal.workflow import _events
-from citrondeal.workflow import _jobs
 from citrondeal.workflow import _model
 
 # A task with this many crashed runs is run apart from others, because some
@@ -181,11 +180,12 @@
             return
         for key, numbers in progress.crashes.items():
             task = job.task_of_key(key)
-            task.crashes.update(numbers)
+            job.restore_runs(task.crashes, task, numbers)
             self.counted[task.id] = task
             self._recorded.add(task.id)
         for key, numbers in progress.excused_crashes.items():
-            job.task_of_key(key).excused.update(numbers)
+            task = job.task_of_key(key)
+            job.restore_runs(task.excused, task, numbers)
         self._mark_stored(job, progress)
         for key, starts in progress.open_starts.items():
             task = job.task_of_key(key)
@@ -226,15 +226,13 @@
             return
         if self._may_have_unseen(task):
             # The next owner has to know it as well.
-            task.excused.add(_jobs.UNSEEN_RUN_NUMBER)
+            job.add_unseen(task)
         excused = self._is_excused(task, crash)
-        if excused:
-            task.excused.add(number)
-        else:
-            task.crashes.add(number)
+        numbers = task.excused if excused else task.crashes
+        self._state.count_run(numbers, task, number)
+        if task.crashes:
             self.counted[task.id] = task
             self._record_live_runs(task)
-        self._state.mark_changed(job)
         _events.log(
             logging.WARNING,
             "run ended by a crash of its worker",
@@ -247,6 +245,7 @@
         )
         if len(task.crashes) >= MAX_CRASHES:
             self._give_up(task, now)
+        self._state.end_full_jobs(now)
 
     def _record_live_runs(self, task):
         """Record the runs that go on, as if they were started from now on.
@@ -291,6 +290,8 @@
         """
         if len(task.crashes) + 1 < MAX_CRASHES:
             return False
+        if task.step.job.has_unseen:
+            return False
         if len(task.excused) >= MAX_EXCUSED or _has_unknown_end(task):
             return False
         return not crash.alone or self._in_outage(crash)
--- a/src/citrondeal/workflow/_jobs.py
+++ b/src/citrondeal/workflow/_jobs.py
@@ -3,7 +3,9 @@
 import dataclasses
 import enum
 
+from citrondeal.workflow import _limits
 from citrondeal.workflow import _model
+from citrondeal.workflow import _record_size
 
 STATES = _model.JobState
 # Number of a run whose actual number only its worker knows.
@@ -187,6 +189,13 @@
         Seconds on the scheduler's clock at which the job was accepted.
     recovered : bool
         Whether an earlier owner may have started tasks of it.
+
+    Attributes
+    ----------
+    record_bytes : int
+        Largest size that its stored progress can have.
+    has_unseen : bool
+        Whether any task may have had a crash that no owner has seen.
     """
 
     def __init__(self, submission, offset, now, recovered=False):
@@ -199,7 +208,8 @@
         self.stored_state = STATES.QUEUED
         self.ended_at = now
         self.submission_dropped = False
-        self.failed_runs = 0
+        self.has_unseen = False
+        self.record_bytes = _record_size.empty_progress(submission.steps)
         remaining = _longest_chains_s(submission.steps)
         self.steps = [
             StepState(self, i, spec, remaining[i])
@@ -241,6 +251,43 @@
         """Return all tasks of all steps."""
         return [task for step in self.steps for task in step.tasks]
 
+    def has_room(self, size):
+        """Return whether so many bytes more fit in its stored progress."""
+        return self.record_bytes + size <= _limits.MAX_RECORD_BYTES
+
+    def add_run(self, numbers, task, number):
+        """Add a run to the failed or crashed runs of a task.
+
+        Parameters
+        ----------
+        numbers : set of int
+            `failures`, `crashes` or `excused` of the task.
+        task : TaskState
+        number : int
+
+        Returns
+        -------
+        bool
+            False if it would not fit in the stored progress.
+        """
+        size = _added_bytes(numbers, task, number)
+        if not self.has_room(size):
+            return False
+        self.record_bytes += size
+        numbers.add(number)
+        return True
+
+    def add_unseen(self, task):
+        """Record that a crash of a task may have been seen by no owner."""
+        if not self.add_run(task.excused, task, UNSEEN_RUN_NUMBER):
+            self.has_unseen = True
+
+    def restore_runs(self, numbers, task, stored):
+        """Take over stored runs, which have fitted in a record."""
+        for number in stored:
+            self.record_bytes += _added_bytes(numbers, task, number)
+            numbers.add(number)
+
     def progress(self):
         """Return its `Progress` to be stored."""
         if self.ended:
@@ -260,12 +307,14 @@
             {k: sorted(t.crashes) for k, t in tasks.items() if t.crashes},
             {k: sorted(t.excused) for k, t in tasks.items() if t.excused},
             {k: _open_starts(t) for k, t in tasks.items() if t.open_starts},
+            self.has_unseen,
         )
 
     def restore(self, progress):
         """Take over the stored progress."""
         self.state = progress.state
         self.stored_state = progress.state
+        self.has_unseen = progress.has_unseen
         for step, bits in zip(self.steps, progress.done):
             value = int.from_bytes(bits, "little")
             for task in step.tasks:
@@ -273,8 +322,8 @@
                     task.done = True
                     step.done_count += 1
         for key, runs in progress.failures.items():
-            self.task_of_key(key).failures.update(runs)
-            self.failed_runs += len(runs)
+            task = self.task_of_key(key)
+            self.restore_runs(task.failures, task, runs)
 
     def task_of_key(self, key):
         """Return the task of a key of its progress, see `task_key`.
@@ -293,6 +342,13 @@
     return f"{task.id.step}.{task.id.index}"
 
 
+def _added_bytes(numbers, task, number):
+    if number in numbers:
+        return 0
+    size = _record_size.number(number)
+    return size if numbers else size + _record_size.entry(task_key(task))
+
+
 def _open_starts(task):
     return [
         _model.OpenStart(number, dict(places))
--- a/src/citrondeal/workflow/_limits.py
+++ b/src/citrondeal/workflow/_limits.py
@@ -13,12 +13,10 @@
 # A gang has to be complete within three seconds, and the capacity target is
 # 320 starts a second.
 MAX_GANG_TASKS = 1_000
-# A record of the store has 262,144 bytes, of which the key needs some.
+# A record of the store has 262,144 bytes, of which the key needs some. The
+# stored progress has the same limit. It lists the failed and crashed runs of
+# each task: 5,000 tasks with four failed runs each fit.
 MAX_RECORD_BYTES = 256 * 1024 - 1024
-# The stored progress takes up to 13 bytes for each task that has failed, and
-# up to 9 for each failed run; with this number it fits in a record. No job
-# with up to five attempts for each task reaches it.
-MAX_FAILED_RUNS = 20_000
 # A stored job may exceed the limits by this factor. Earlier versions accepted
 # larger jobs, which have to stay known; an owner can hold one of these.
 STORED_FACTOR = 10
--- a/src/citrondeal/workflow/_model.py
+++ b/src/citrondeal/workflow/_model.py
@@ -269,6 +269,8 @@
         for a run whose crash may not have been seen.
     open_starts : dict of str to list of OpenStart
         By the same keys.
+    has_unseen : bool
+        Whether any task may have had a crash that was not seen.
     """
 
     state: JobState
@@ -281,6 +283,7 @@
     open_starts: dict[str, list[OpenStart]] = dataclasses.field(
         default_factory=dict
     )
+    has_unseen: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/citrondeal/workflow/_open_starts.py
+++ b/src/citrondeal/workflow/_open_starts.py
@@ -10,14 +10,21 @@
 
 from citrondeal.workflow import _jobs
 from citrondeal.workflow import _model
+from citrondeal.workflow import _record_size
 
 # Only the newest open starts of a task are kept, so that its record stays
 # small.
 MAX_PER_TASK = 3
-# Places of all open starts of a job, of up to 100 bytes each: its progress has
-# to fit in a record of the store. The largest gang that is accepted needs as
-# many for one start.
+# Places of all open starts of a job. The largest gang that is accepted needs
+# as many for one start.
 MAX_PLACES_PER_JOB = 1_000
+# Open starts of a job take no more than this, so that its record has room for
+# two crashed runs of each task: 150,000 bytes for 5,000 tasks.
+MAX_BYTES_PER_JOB = 100_000
+# Room that a start needs before its workers are known, for each place and for
+# the rest. A place takes some 70 bytes with the names on the platform.
+EXPECTED_PLACE_BYTES = 100
+EXPECTED_START_BYTES = 400
 
 
 class OpenStarts:
@@ -33,10 +40,25 @@
         self._mark_changed = mark_changed
         self._index = {}  # worker id or address -> {task id: task}
         self._places = collections.Counter()  # by job id
+        self._bytes = collections.Counter()  # by job id
 
-    def has_room(self, job, count):
-        """Return whether so many places fit in the record of a job."""
-        return self._places[job.id] + count <= MAX_PLACES_PER_JOB
+    def has_room(self, job, count, size=None):
+        """Return whether so many places fit in the record of a job.
+
+        Parameters
+        ----------
+        job : JobRecord
+        count : int
+        size : int or None
+            Their size in bytes, or None if it is not known yet.
+        """
+        if size is None:
+            size = count * EXPECTED_PLACE_BYTES + EXPECTED_START_BYTES
+        return (
+            self._places[job.id] + count <= MAX_PLACES_PER_JOB
+            and self._bytes[job.id] + size <= MAX_BYTES_PER_JOB
+            and job.has_room(size)
+        )
 
     def make_room(self, job, count):
         """Drop starts of ended runs, the oldest first, until `count` fit.
@@ -51,18 +73,18 @@
         """
         if self.has_room(job, count):
             return True
-        ended = sorted(
-            (number, task.id, task)
-            for task in job.tasks()
-            for number in task.open_starts
-            if task.done or not _is_live(task, number)
-        )
-        for number, _, task in ended:
+        for number, task in _ended(job):
             self._forget(task, number)
             if self.has_room(job, count):
                 return True
         return not self._places[job.id]
 
+    def drop_ended(self, job):
+        """Drop all starts of ended runs, which take room in the record."""
+        for number, task in _ended(job):
+            self.drop(task, number)
+            job.has_unseen = True
+
     def add(self, task, number, worker):
         """Add the start of a run on a worker if the job has room for it.
 
@@ -77,10 +99,12 @@
             Number of the run.
         worker : WorkerState
         """
-        if not self.has_room(task.step.job, 1):
-            self._mark_unseen(task)
-            return
         place = _model.Place(worker.info.address, worker.info.born_ms)
+        size = _added_bytes(task, number, worker.id, place)
+        if not self.has_room(task.step.job, 1, size):
+            task.step.job.has_unseen = True
+            self._mark_changed(task.step.job)
+            return
         self.restore(task, number, {worker.id: place})
         while len(task.open_starts) > MAX_PER_TASK:
             self._forget(task, min(task.open_starts))
@@ -88,10 +112,13 @@
 
     def restore(self, task, number, places):
         """Add the places of a stored start."""
-        known = task.open_starts.setdefault(number, {})
-        self._places[task.step.job.id] += len(places.keys() - known.keys())
-        known.update(places)
+        job = task.step.job
         for worker_id, place in places.items():
+            size = _added_bytes(task, number, worker_id, place)
+            known = task.open_starts.setdefault(number, {})
+            self._add_bytes(job, size)
+            self._places[job.id] += worker_id not in known
+            known[worker_id] = place
             for key in (worker_id, place.address):
                 self._index.setdefault(key, {})[task.id] = task
 
@@ -103,9 +130,11 @@
             return
         if not places:
             del task.open_starts[number]
-        self._places[task.step.job.id] -= 1
-        if not self._places[task.step.job.id]:
-            del self._places[task.step.job.id]
+        job = task.step.job
+        self._add_bytes(job, -_added_bytes(task, number, worker_id, place))
+        self._places[job.id] -= 1
+        if not self._places[job.id]:
+            del self._places[job.id], self._bytes[job.id]
         for key in (worker_id, place.address):
             self._remove_from_index(task, key)
         self._mark_changed(task.step.job)
@@ -118,13 +147,13 @@
     def _forget(self, task, number):
         """Remove a start whose end will not be known."""
         self.drop(task, number)
-        self._mark_unseen(task)
-
-    def _mark_unseen(self, task):
-        """Record that a crash of a task may stay unseen."""
-        task.excused.add(_jobs.UNSEEN_RUN_NUMBER)
+        task.step.job.add_unseen(task)
         self._mark_changed(task.step.job)
 
+    def _add_bytes(self, job, size):
+        job.record_bytes += size
+        self._bytes[job.id] += size
+
     def drop_all(self, task):
         """Remove all starts of a task."""
         for number in list(task.open_starts):
@@ -158,6 +187,30 @@
             self._index.pop(key, None)
 
 
+def _added_bytes(task, number, worker_id, place):
+    """Return the size that a place adds, or has added, to the record."""
+    known = task.open_starts.get(number, {})
+    size = _record_size.place(worker_id, place)
+    if worker_id in known:
+        return size - _record_size.place(worker_id, known[worker_id])
+    if not known:
+        size += _record_size.start(number)
+    if not task.open_starts:
+        size += _record_size.entry(_jobs.task_key(task))
+    return size
+
+
+def _ended(job):
+    """Return the open starts of ended runs, the oldest first."""
+    starts = sorted(
+        (number, task.id, task)
+        for task in job.tasks()
+        for number in task.open_starts
+        if task.done or not _is_live(task, number)
+    )
+    return [(number, task) for number, _, task in starts]
+
+
 def _is_live(task, number):
     members = task.step.tasks if task.step.spec.gang else [task]
     return any(m.run is not None and m.run.number == number for m in members)
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -52,6 +52,7 @@
         if self._state.superseded:
             return []
         self._expire_leases(now)
+        self._state.end_full_jobs(now)
         actions = self._due_stops(now)
         self._check_capacities(now)
         if max_starts <= 0 or not self._capacities_valid:
--- a/src/citrondeal/workflow/_reports.py
+++ b/src/citrondeal/workflow/_reports.py
@@ -5,7 +5,6 @@
 from citrondeal.workflow import _crashes
 from citrondeal.workflow import _events
 from citrondeal.workflow import _jobs
-from citrondeal.workflow import _limits
 from citrondeal.workflow import _model
 from citrondeal.workflow import _placement
 
@@ -130,21 +129,14 @@
         if number in accounting_task.failures or task.done:
             return
         job = task.step.job
-        job.failed_runs += 1
-        accounting_task.failures.add(number)
+        self._state.count_run(
+            accounting_task.failures, accounting_task, number
+        )
         task.avoid.add(worker.id)
         worker.failed_at = now
-        self._state.mark_changed(job)
         if len(accounting_task.failures) >= job.policy.max_attempts:
             self._state.end_job(job, _model.JobState.FAILED, now)
-        elif job.failed_runs >= _limits.MAX_FAILED_RUNS:
-            _events.log(
-                logging.WARNING,
-                "job has too many failed runs to store",
-                job=job.id,
-                failed_runs=job.failed_runs,
-            )
-            self._state.end_job(job, _model.JobState.FAILED, now)
+        self._state.end_full_jobs(now)
 
     def _remove_unlisted_runs(self, worker, listed, sent_at, now):
         """Remove runs whose end a report proves by not listing them."""
--- a/src/citrondeal/workflow/_state.py
+++ b/src/citrondeal/workflow/_state.py
@@ -68,6 +68,7 @@
         self.pending_cancels = set()
         self.forgotten_jobs = []
         self.superseded = False
+        self._full_jobs = {}
         self.open_starts = _open_starts.OpenStarts(self.mark_changed)
         self.withheld = _withheld.WithheldStarts(self)
         self.crashes = self.crashes_class(self)
@@ -168,6 +169,46 @@
                 if not (step.spec.gang and step.done):
                     self.stop(task.run, f"job is {state.value}", now)
 
+    def count_run(self, numbers, task, number):
+        """Add a run to the failed or crashed runs of a task, to be stored.
+
+        If it does not fit, open starts of ended runs make room.  If it still
+        does not, the job is to end: see `end_full_jobs`.  Otherwise the owner
+        could store no more of it, or would start a task too often.
+
+        Parameters
+        ----------
+        numbers : set of int
+            `failures`, `crashes` or `excused` of the task.
+        task : TaskState
+        number : int
+        """
+        job = task.step.job
+        self.mark_changed(job)
+        if job.add_run(numbers, task, number):
+            return
+        self.open_starts.drop_ended(job)
+        if not job.add_run(numbers, task, number):
+            self.mark_full(job)
+
+    def mark_full(self, job):
+        """Record that the progress of a job does not fit in a record."""
+        self._full_jobs[job.id] = job
+
+    def end_full_jobs(self, now):
+        """End the jobs whose progress does not fit in a record as failed."""
+        while self._full_jobs:
+            _, job = self._full_jobs.popitem()
+            if job.ended:
+                continue
+            _events.log(
+                logging.WARNING,
+                "job has too many failed and crashed runs to store",
+                job=job.id,
+                record_bytes=job.record_bytes,
+            )
+            self.end_job(job, _model.JobState.FAILED, now)
+
     def mark_running(self, job):
         if job.state is _model.JobState.QUEUED:
             job.state = _model.JobState.RUNNING
--- a/src/citrondeal/workflow/_withheld.py
+++ b/src/citrondeal/workflow/_withheld.py
@@ -54,6 +54,9 @@
         for start in starts:
             worker = self._state.workers[start.worker]
             self._state.open_starts.add(task, start.run, worker)
+        if starts[0].run not in task.open_starts:
+            # It could not be sent without a record.
+            self._state.mark_full(task.step.job)
 
     def holds(self, task, number):
         """Return whether the order of a run has not been sent yet."""
--- a/src/citrondeal/workflow/tests/crashes.feature
+++ b/src/citrondeal/workflow/tests/crashes.feature
@@ -180,6 +180,31 @@
     Then the progress of the workflow job always fits in a record
     And the workflow job "wide" is completed at the end
 
+  # Guards against a job that was accepted and whose progress outgrows a record
+  # of the store, which would keep its owner from storing anything.
+  Scenario Outline: workflow crashes the progress of the widest job fits after <history>
+    Given the widest workflow job that is accepted, with the largest numbers
+    When all its tasks have <history>
+    Then its progress has always fitted in a record
+    And the workflow job has <end>
+
+    Examples:
+      | history                        | end                 |
+      | 4 failures                     | not ended           |
+      | 2 crashes, 1 lapse             | not ended           |
+      | 1 crash, 1 lapse, 1 crash      | not ended           |
+      | 1 lapse, 4 failures            | not ended           |
+      | 1 crash, 1 lapse, 1 failure    | not ended           |
+      | 4 failures, 1 crash            | failed for its size |
+      | 5 failures                     | failed for its size |
+      | 2 crashes, 1 lapse, 4 failures | failed for its size |
+
+  # Guards against progress that a new owner counts as smaller than it is.
+  Scenario: workflow crashes the size of restored progress is known
+    Given the widest workflow job that is accepted, with the largest numbers
+    When all its tasks have 1 crash, 1 lapse, 1 failure
+    Then the next owner knows the same size of the progress
+
   # Guards against tasks that wait for ever, because workers that are lost for
   # good never tell how the recorded starts on them ended.
   Scenario: workflow crashes lost workers do not block the tasks of a wide job
