Store that a worker crashed in a takeover before it answered

A task that crashes its workers was started six times, three of them after three crashes under it: two owners ended at its first two crashes, the third was replaced before it counted one, and a later crash was excused because the other workers crashed at the same time.

Cause: that an earlier crash may not have been seen was stored only with a counted crash of the task.

The record of the worker, which is written after its crash anyway, now has the time of the crash. The next owner excuses no third crash in jobs that were submitted before, unless a crash of the task had been stored.

Ruled out: a mark for each task that may be concerned. It makes the progress of wide jobs longer by some kilobytes in each write after a takeover.

--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -29,6 +29,8 @@
 # This many other workers that fell silent at the same time show a cause
 # outside of a task, such as a power failure.
 OUTAGE_WORKERS = 3
+# The clocks of a worker and of the process that accepted a job differ by less.
+CLOCK_SKEW_MS = 1_000
 # Newest crashes of workers that are searched for an outage.
 MAX_RECENT = 100
 # Entries of each list in the state dump, which is to stay short.
@@ -74,6 +76,8 @@
         self.tasks_given_up = 0
         # Whether runs that an earlier owner started may have crashed unseen.
         self._has_unseen = False
+        # Unix time of the newest crash that no earlier owner saw.
+        self._unseen_ms = 0
         # Tasks with a crash that was stored before this ownership.  Their
         # later starts were recorded, so none of those crashes is unseen.
         self._recorded = set()
@@ -85,13 +89,24 @@
         """Whether tasks cannot start before their crashes are stored."""
         return any(not may_start(task) for task in self.counted.values())
 
-    def on_crash(self, worker, now):
-        """Count a crash for all runs on a worker, before their release."""
+    def on_crash(self, worker, successor, born_ms, now):
+        """Count a crash for all runs on a worker, before their release.
+
+        Parameters
+        ----------
+        worker, successor : WorkerState
+            The same one, or the next one at its address.
+        born_ms : int
+            Incarnation of the successor.
+        now : float
+        """
         if worker.info.draining:
             return
         self.worker_crashes += 1
         if worker.id in self._state.unresolved_workers:
             self._has_unseen = True
+            successor.unseen_ms = born_ms
+            self._state.changed_workers[successor.id] = successor
         runs = {}
         for run in worker.runs.values():
             task = run.task.step.accounting_task(run.task)
@@ -194,6 +209,10 @@
                     task, start.number, start.places
                 )
 
+    def restore_unseen(self, unseen_ms):
+        """Restore that a worker had crashed unseen before a time."""
+        self._unseen_ms = max(self._unseen_ms, unseen_ms)
+
     def on_stored(self, job, progress):
         """Record that the progress of a job is stored."""
         self._mark_stored(job, progress)
@@ -300,13 +319,16 @@
         """Return whether a crash of a task may have been seen by no owner.
 
         This can be a start by an earlier owner on a worker that crashed before
-        it reported to this one, unless the starts of the task were recorded.
+        it reported to the next one, unless the starts of the task were
+        recorded.  A job that was submitted later had none.
         """
-        return (
-            self._has_unseen
-            and task.step.job.recovered
-            and task.id not in self._recorded
-        )
+        job = task.step.job
+        if not job.recovered or task.id in self._recorded:
+            return False
+        if self._has_unseen or not self._unseen_ms:
+            return self._has_unseen
+        submitted_ms = job.submission.submitted_unix * 1000
+        return submitted_ms < self._unseen_ms + CLOCK_SKEW_MS
 
     def _in_outage(self, crash):
         since = crash.silent_since
--- a/src/citrondeal/workflow/_intake.py
+++ b/src/citrondeal/workflow/_intake.py
@@ -109,7 +109,10 @@
                     by=info.worker,
                     lost_runs=len(other.runs),
                 )
-                self._state.crashes.on_crash(other, now)
+                successor = self._state.workers[info.worker]
+                self._state.crashes.on_crash(
+                    other, successor, info.born_ms, now
+                )
                 self._state.remove_worker(other, now)
 
     def on_workers_read(self, at):
--- a/src/citrondeal/workflow/_model.py
+++ b/src/citrondeal/workflow/_model.py
@@ -329,11 +329,15 @@
         stored the record, so that any task may have been started there.
     numbers : tuple of int
         Number of the run of each task in `runs`; may be missing.
+    unseen_ms : int
+        Unix time in milliseconds by which it had crashed without an owner that
+        knew its runs; 0 if that did not happen.
     """
 
     info: WorkerInfo
     runs: tuple[TaskId, ...] | None = None
     numbers: tuple[int, ...] = ()
+    unseen_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/citrondeal/workflow/_persistence.py
+++ b/src/citrondeal/workflow/_persistence.py
@@ -53,10 +53,13 @@
         if self._state.workers.get(worker.id) is not worker:
             return None
         if worker.reachable or len(worker.runs) > MAX_STORED_RUNS:
-            return _model.StoredWorker(worker.info)
+            return _model.StoredWorker(worker.info, unseen_ms=worker.unseen_ms)
         numbers = (run.last_known_number for run in worker.runs.values())
         return _model.StoredWorker(
-            worker.info, tuple(worker.runs), tuple(numbers)
+            worker.info,
+            tuple(worker.runs),
+            tuple(numbers),
+            worker.unseen_ms,
         )
 
     def on_stored(self, jobs, workers, ends):
--- a/src/citrondeal/workflow/_recovery.py
+++ b/src/citrondeal/workflow/_recovery.py
@@ -36,6 +36,8 @@
             # such workers show an outage that began under an earlier owner.
             worker.reported_at = now
             worker.listed = False
+            worker.unseen_ms = stored_worker.unseen_ms
+            self._state.crashes.restore_unseen(stored_worker.unseen_ms)
             if stored_worker.runs is None:
                 self._state.changed_workers.pop(worker.id, None)
                 self._state.unresolved_workers.add(worker.id)
--- a/src/citrondeal/workflow/_state.py
+++ b/src/citrondeal/workflow/_state.py
@@ -115,7 +115,7 @@
             worker=worker.id,
             lost_runs=len(worker.runs),
         )
-        self.crashes.on_crash(worker, now)
+        self.crashes.on_crash(worker, worker, born_ms, now)
         # The clock of an incarnation begins anew, so no entry of the new one
         # is older than what is known of it.
         worker.info = dataclasses.replace(
--- a/src/citrondeal/workflow/_workers.py
+++ b/src/citrondeal/workflow/_workers.py
@@ -26,6 +26,8 @@
     reported_at : float or None
         When it last reported, or when this owner recovered it if that was
         later; None if neither has happened.
+    unseen_ms : int
+        See `StoredWorker`.
     """
 
     def __init__(self, info, now, lease_expires_at):
@@ -39,6 +41,7 @@
         self.stored = False
         self.reachable = False
         self.reported_at = None
+        self.unseen_ms = 0
         self.lease_expires_at = lease_expires_at
         self.runs = {}
         self.unrecognized_runs = {}
--- a/src/citrondeal/workflow/tests/crashes.feature
+++ b/src/citrondeal/workflow/tests/crashes.feature
@@ -80,6 +80,15 @@
     And all other workers crash together with its fifth
     Then the workflow job "deadly" is failed after 5 starts
 
+  # Guards against the same if the owner that could know of unseen crashes is
+  # replaced before it counts one.
+  Scenario: workflow crashes unseen crashes are known to the owner after the next
+    Given a workflow cell of 8 workers
+    When a workflow job with a deadly task crashes two workers unseen
+    And the owner starts it once more and is replaced
+    And all other workers crash together with its fifth
+    Then the workflow job "deadly" is failed after 5 starts
+
   # Guards against innocent jobs that are failed by power failures because the
   # owner is replaced beside one of them, at once or while the workers are away.
   Scenario Outline: workflow crashes three power failures with a new owner <when> fail no job of <cores> cores
--- a/src/citrondeal/workflow/tests/steps_crashes.py
+++ b/src/citrondeal/workflow/tests/steps_crashes.py
@@ -272,6 +272,19 @@
     cell.take_over()
 
 
+@when("the owner starts it once more and is replaced")
+def _(context):
+    cell = context.cell
+    limit = cell.now + 10.0
+    while cell.start_count("deadly") < 3:
+        assert cell.now < limit, cell.starts
+        cell.tick()
+    [task] = cell.scheduler.jobs["deadly"].tasks()
+    assert not task.crashes, task.crashes
+    cell.run(0.3)
+    cell.take_over()
+
+
 @when("all other workers crash together with its fifth")
 def _(context):
     cell = context.cell
