Carry out a held append although its owner has ended

The state of the hung run: the held append was released, its owner had read the next owner's barrier and ended before ("ownership is lost"), which cancelled the append, and the test waits for its end without a limit.

The store carries out a call whose caller is gone, so the append is now shielded from the end of its owner. This is the stricter case: before, the late deletion did not take place in such runs. The wait has the limit of the others.

--- a/src/citrondeal/cell/tests/steps_deletions.py
+++ b/src/citrondeal/cell/tests/steps_deletions.py
@@ -56,7 +56,10 @@
     async def _before_append(self, topic, records):
         if not self.begun.is_set() and self._matches(topic, records):
             self.begun.set()
-            await self.released.wait()
+            # The store carries the append out although its caller may have
+            # ended meanwhile.
+            with anyio.CancelScope(shield=True):
+                await self.released.wait()
             self.done.set()
 
 
@@ -116,7 +119,8 @@
         task_group.start_soon(second.run)
         states = [await _state_at(second)]
         hold.released.set()
-        await hold.done.wait()
+        with anyio.fail_after(LIMIT_S):
+            await hold.done.wait()
         await _wait(lambda: not _is_submission_stored(store))
         states.append(second.scheduler.job_state(JOB))
         third = _create_owner(store, 3)
