Search once for room of a wide job's recorded starts

Cause: each waiting task of a job whose record is full asks for room, and each time all tasks of the job are searched and sorted for recorded starts of ended runs. The search is now repeated only after a start of the job was removed.

Ruled out: asking only for the tasks that are tried in a pass, which leaves up to 32 searches in each pass.

--- a/src/citrondeal/workflow/_open_starts.py
+++ b/src/citrondeal/workflow/_open_starts.py
@@ -41,6 +41,8 @@
         self._index = {}  # worker id or address -> {task id: task}
         self._places = collections.Counter()  # by job id
         self._bytes = collections.Counter()  # by job id
+        # Ids of jobs without room, until one of their starts is removed.
+        self._full = set()
 
     def has_room(self, job, count, size=None):
         """Return whether so many places fit in the record of a job.
@@ -71,12 +73,17 @@
             Whether there is room. A gang that is larger than the limit has
             room once nothing else is recorded.
         """
-        if self.has_room(job, count):
-            return True
-        for number, task in _ended(job):
-            self._forget(task, number)
-            if self.has_room(job, count):
-                return True
+        return self.has_room(job, count) or self._drop_until_room(job, count)
+
+    def _drop_until_room(self, job, count):
+        # The search looks at all tasks of the job, and each waiting task of it
+        # asks for room.
+        if job.id not in self._full:
+            for number, task in _ended(job):
+                self._forget(task, number)
+                if self.has_room(job, count):
+                    return True
+            self._full.add(job.id)
         return not self._places[job.id]
 
     def drop_ended(self, job):
@@ -131,6 +138,7 @@
         if not places:
             del task.open_starts[number]
         job = task.step.job
+        self._full.discard(job.id)
         self._add_bytes(job, -_added_bytes(task, number, worker_id, place))
         self._places[job.id] -= 1
         if not self._places[job.id]:
