Let tasks of wide jobs go on without a recorded start

After a power failure at most 1,000 tasks of a job ran at the same time, although there was room for all: of 1,200 lost tasks 1,000 ran again (scenario "all tasks go on after a power failure").

Cause: a task under which a worker has crashed starts only once its start is recorded, and the record of a job holds a limited number of starts of live runs.

A start that does not fit is now sent without a record. Its crash is counted as before if its owner lives to see it. To make up for one that is not seen, no crash of such a job is excused any more, as for other starts that are not recorded.

Ruled out: a larger limit, since the progress has to fit in a record of the store.

Evidence: the scenario fails without the change and passes with it.

--- a/src/citrondeal/workflow/_open_starts.py
+++ b/src/citrondeal/workflow/_open_starts.py
@@ -65,7 +65,9 @@
     def make_room(self, job, count):
         """Drop starts of ended runs, the oldest first, until `count` fit.
 
-        Their workers may have been lost for good and never tell the end.
+        Their workers may have been lost for good and never tell the end.  The
+        job has no excuse for a crash any more if there is no room, because
+        the crash of a start without a record may stay unseen.
 
         Returns
         -------
@@ -73,7 +75,12 @@
             Whether there is room. A gang that is larger than the limit has
             room once nothing else is recorded.
         """
-        return self.has_room(job, count) or self._drop_until_room(job, count)
+        if self.has_room(job, count) or self._drop_until_room(job, count):
+            return True
+        if not job.has_unseen:
+            job.has_unseen = True
+            self._mark_changed(job)
+        return False
 
     def _drop_until_room(self, job, count):
         # The search looks at all tasks of the job, and each waiting task of it
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -224,16 +224,12 @@
             task = step.accounting_task(tasks[0])
             if not task.crashes:
                 others += tasks
-            elif self._may_place_crashed(step, tasks, task):
+            elif self._may_place_crashed(task):
                 self._place_crashed(step, tasks, task, actions, now)
         return others
 
-    def _may_place_crashed(self, step, tasks, task):
-        return (
-            _crashes.may_start(task)
-            and self._state.open_starts.make_room(step.job, len(tasks))
-            and self._isolation.may_attempt(task)
-        )
+    def _may_place_crashed(self, task):
+        return _crashes.may_start(task) and self._isolation.may_attempt(task)
 
     def _place_crashed(self, step, tasks, task, actions, now):
         usable, allowed = self._candidates(step, task)
@@ -295,11 +291,21 @@
             if ticket is not None:
                 starts.append(self._start(task, worker, ticket, number, now))
         task = step.accounting_task(chosen[0][0])
-        if starts and task.crashes:
+        if self._is_recorded(task, starts):
             self._state.withheld.hold(task, starts)
         else:
             actions.extend(starts)
 
+    def _is_recorded(self, task, starts):
+        """Return whether starts are recorded before their orders are sent.
+
+        Tasks of a wide job whose starts do not fit in its record are not to
+        wait until others end.
+        """
+        return bool(
+            starts and task.crashes
+        ) and self._state.open_starts.make_room(task.step.job, len(starts))
+
     def _ask_for_tickets(self, step, unplaced, usable, actions, now):
         """Request tickets for workers that were not asked about yet."""
         if not step.job.policy.ticketed or not self._may_fetch_tickets(
