Stop runs that are found after the end of their job

Tasks of a cancelled job ran on for as long as they liked: a worker was cut off, its job was cancelled, the owner was replaced, and the worker answered. Of two tasks that run 300 s, one ran 8 s after the takeover (scenario "a cancelled job is stopped by the next owner").

Cause: the next owner assumes the runs that are stored for a silent worker. If the job has ended, a report that lists such a run was taken for the expected one, while the job's end had stopped only the runs known then.

A reported run of an ended job is now stopped, unless its task is done.

Ruled out: leaving these runs out in the recovery. Their workers would then be used as if they were free.

Evidence: the scenario fails without the change and passes with it.

--- a/src/citrondeal/workflow/_reports.py
+++ b/src/citrondeal/workflow/_reports.py
@@ -168,6 +168,7 @@
         if run is not None and run.number == _jobs.UNKNOWN_RUN_NUMBER:
             run.number = reported.number
         if run is not None and run.number == reported.number:
+            run.unanswered = False
             if run.state is _jobs.RunState.STARTING:
                 run.state = _jobs.RunState.RUNNING
                 run.confirmed_at = now
@@ -177,6 +178,7 @@
                 run.progress_at = now
             if reported.checkpoint:
                 self._record_checkpoint(run.task, reported.checkpoint)
+            self._stop_if_ended(run, now)
             return
         task = self._state.task(reported.task)
         if run is not None or task is None or task.step.job.ended:
@@ -184,6 +186,12 @@
             return
         self._adopt(worker, task, reported, now)
 
+    def _stop_if_ended(self, run, now):
+        """Stop a run that was taken over after the end of its job."""
+        job = run.task.step.job
+        if job.ended and not run.task.done:
+            self._state.stop(run, f"job is {job.state.value}", now)
+
     def _adopt(self, worker, task, reported, now):
         run = _jobs.Run(
             task, reported.number, worker.id, _jobs.RunState.RUNNING, now, now
