Excuse the crash of a worker that may not have got the start

A job was shown as failed although no task of it ever ran: three times a worker crashed just before a start arrived, and each counted as a crash under the task (scenario "a task that never ran is not given up").

Cause: starts without an answer count like runs. They have to, because a task that crashes its worker at once leaves its start unanswered as well.

Such a crash is now passed over once, as one beside other tasks is: it is not known that the task ran there. The bound of one excused crash stays, so a task that does crash its workers starts four times at most.

Ruled out: not counting unanswered starts, which lets a task that crashes its workers within the time of an answer start without end.

Evidence: the scenario fails without the change and passes with it; all scenarios of crashes pass.

--- a/src/citrondeal/workflow/_answers.py
+++ b/src/citrondeal/workflow/_answers.py
@@ -42,6 +42,7 @@
             outcome=outcome.value,
         )
         if outcome is _model.OrderOutcome.UNKNOWN:
+            run.unanswered = True
             self._state.stop(run, "start got no answer", now)
             worker.failed_at = now
         else:
--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -47,7 +47,8 @@
     silent_since : float or None
         When the worker last reported, see `WorkerState.reported_at`.
     alone : bool
-        Whether it is known that only one task ran there.
+        Whether it is known that exactly one task ran there. It is not if the
+        worker has not confirmed the start, which may not have arrived.
     """
 
     worker: str
@@ -115,7 +116,9 @@
         crash = _WorkerCrash(
             worker.id,
             worker.reported_at,
-            len(runs) == 1 and not worker.unrecognized_runs,
+            len(runs) == 1
+            and not worker.unrecognized_runs
+            and not any(run.is_uncertain for run in worker.runs.values()),
         )
         self._recent.append(crash)
         for task, number in runs.values():
@@ -301,7 +304,8 @@
     def _is_excused(self, task, crash):
         """Return whether a crash may well have had another cause.
 
-        Any other task that ran on the worker may have been the cause; and
+        Any other task that ran on the worker may have been the cause; the
+        worker may have crashed before a start arrived that got no answer; and
         other workers that crashed at the same time point to a power failure.
         A task gets no excuse if it may have had one crash more: an earlier
         start whose end is not known, or a crash that was not seen, which
--- a/src/citrondeal/workflow/_jobs.py
+++ b/src/citrondeal/workflow/_jobs.py
@@ -52,6 +52,8 @@
         unknown.
     isolated : bool
         Whether no other task is placed on its worker while it runs.
+    unanswered : bool
+        Whether its start got no answer and no report has listed it.
     """
 
     task: object
@@ -65,6 +67,12 @@
     progress_at: float = 0.0
     stored_number: int = UNKNOWN_RUN_NUMBER
     isolated: bool = False
+    unanswered: bool = False
+
+    @property
+    def is_uncertain(self):
+        """Whether it is not known that its start arrived at the worker."""
+        return self.unanswered or self.state is RunState.STARTING
 
     @property
     def last_known_number(self):
