--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -12,7 +12,6 @@
 import logging
 
 from citrondeal.workflow import _events
-from citrondeal.workflow import _jobs
 from citrondeal.workflow import _model
 
 # A task with this many crashed runs is run apart from others, because some
@@ -30,6 +29,8 @@
 # This many other workers that fell silent at the same time show a cause
 # outside of a task, such as a power failure.
 OUTAGE_WORKERS = 3
+# The clocks of a worker and of the process that accepted a job differ by less.
+CLOCK_SKEW_MS = 1_000
 # Newest crashes of workers that are searched for an outage.
 MAX_RECENT = 100
 # Entries of each list in the state dump, which is to stay short.
@@ -46,7 +47,8 @@
     silent_since : float or None
         When the worker last reported, see `WorkerState.reported_at`.
     alone : bool
-        Whether it is known that only one task ran there.
+        Whether it is known that exactly one task ran there. It is not if the
+        worker has not confirmed the start, which may not have arrived.
     """
 
     worker: str
@@ -75,6 +77,8 @@
         self.tasks_given_up = 0
         # Whether runs that an earlier owner started may have crashed unseen.
         self._has_unseen = False
+        # Unix time of the newest crash that no earlier owner saw.
+        self._unseen_ms = 0
         # Tasks with a crash that was stored before this ownership.  Their
         # later starts were recorded, so none of those crashes is unseen.
         self._recorded = set()
@@ -86,13 +90,24 @@
         """Whether tasks cannot start before their crashes are stored."""
         return any(not may_start(task) for task in self.counted.values())
 
-    def on_crash(self, worker, now):
-        """Count a crash for all runs on a worker, before their release."""
+    def on_crash(self, worker, successor, born_ms, now):
+        """Count a crash for all runs on a worker, before their release.
+
+        Parameters
+        ----------
+        worker, successor : WorkerState
+            The same one, or the next one at its address.
+        born_ms : int
+            Incarnation of the successor.
+        now : float
+        """
         if worker.info.draining:
             return
         self.worker_crashes += 1
         if worker.id in self._state.unresolved_workers:
             self._has_unseen = True
+            successor.unseen_ms = born_ms
+            self._state.changed_workers[successor.id] = successor
         runs = {}
         for run in worker.runs.values():
             task = run.task.step.accounting_task(run.task)
@@ -101,7 +116,9 @@
         crash = _WorkerCrash(
             worker.id,
             worker.reported_at,
-            len(runs) == 1 and not worker.unrecognized_runs,
+            len(runs) == 1
+            and not worker.unrecognized_runs
+            and not any(run.is_uncertain for run in worker.runs.values()),
         )
         self._recent.append(crash)
         for task, number in runs.values():
@@ -181,11 +198,12 @@
             return
         for key, numbers in progress.crashes.items():
             task = job.task_of_key(key)
-            task.crashes.update(numbers)
+            job.restore_runs(task.crashes, task, numbers)
             self.counted[task.id] = task
             self._recorded.add(task.id)
         for key, numbers in progress.excused_crashes.items():
-            job.task_of_key(key).excused.update(numbers)
+            task = job.task_of_key(key)
+            job.restore_runs(task.excused, task, numbers)
         self._mark_stored(job, progress)
         for key, starts in progress.open_starts.items():
             task = job.task_of_key(key)
@@ -194,6 +212,10 @@
                     task, start.number, start.places
                 )
 
+    def restore_unseen(self, unseen_ms):
+        """Restore that a worker had crashed unseen before a time."""
+        self._unseen_ms = max(self._unseen_ms, unseen_ms)
+
     def on_stored(self, job, progress):
         """Record that the progress of a job is stored."""
         self._mark_stored(job, progress)
@@ -226,15 +248,13 @@
             return
         if self._may_have_unseen(task):
             # The next owner has to know it as well.
-            task.excused.add(_jobs.UNSEEN_RUN_NUMBER)
+            job.add_unseen(task)
         excused = self._is_excused(task, crash)
-        if excused:
-            task.excused.add(number)
-        else:
-            task.crashes.add(number)
+        numbers = task.excused if excused else task.crashes
+        self._state.count_run(numbers, task, number)
+        if task.crashes:
             self.counted[task.id] = task
             self._record_live_runs(task)
-        self._state.mark_changed(job)
         _events.log(
             logging.WARNING,
             "run ended by a crash of its worker",
@@ -247,6 +267,7 @@
         )
         if len(task.crashes) >= MAX_CRASHES:
             self._give_up(task, now)
+        self._state.end_full_jobs(now)
 
     def _record_live_runs(self, task):
         """Record the runs that go on, as if they were started from now on.
@@ -283,7 +304,8 @@
     def _is_excused(self, task, crash):
         """Return whether a crash may well have had another cause.
 
-        Any other task that ran on the worker may have been the cause; and
+        Any other task that ran on the worker may have been the cause; the
+        worker may have crashed before a start arrived that got no answer; and
         other workers that crashed at the same time point to a power failure.
         A task gets no excuse if it may have had one crash more: an earlier
         start whose end is not known, or a crash that was not seen, which
@@ -291,6 +313,8 @@
         """
         if len(task.crashes) + 1 < MAX_CRASHES:
             return False
+        if task.step.job.has_unseen:
+            return False
         if len(task.excused) >= MAX_EXCUSED or _has_unknown_end(task):
             return False
         return not crash.alone or self._in_outage(crash)
@@ -299,13 +323,16 @@
         """Return whether a crash of a task may have been seen by no owner.
 
         This can be a start by an earlier owner on a worker that crashed before
-        it reported to this one, unless the starts of the task were recorded.
+        it reported to the next one, unless the starts of the task were
+        recorded.  A job that was submitted later had none.
         """
-        return (
-            self._has_unseen
-            and task.step.job.recovered
-            and task.id not in self._recorded
-        )
+        job = task.step.job
+        if not job.recovered or task.id in self._recorded:
+            return False
+        if self._has_unseen or not self._unseen_ms:
+            return self._has_unseen
+        submitted_ms = job.submission.submitted_unix * 1000
+        return submitted_ms < self._unseen_ms + CLOCK_SKEW_MS
 
     def _in_outage(self, crash):
         since = crash.silent_since
--- a/src/citrondeal/workflow/_model.py
+++ b/src/citrondeal/workflow/_model.py
@@ -269,6 +269,8 @@
         for a run whose crash may not have been seen.
     open_starts : dict of str to list of OpenStart
         By the same keys.
+    has_unseen : bool
+        Whether any task may have had a crash that was not seen.
     """
 
     state: JobState
@@ -281,6 +283,7 @@
     open_starts: dict[str, list[OpenStart]] = dataclasses.field(
         default_factory=dict
     )
+    has_unseen: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -326,11 +329,15 @@
         stored the record, so that any task may have been started there.
     numbers : tuple of int
         Number of the run of each task in `runs`; may be missing.
+    unseen_ms : int
+        Unix time in milliseconds by which it had crashed without an owner that
+        knew its runs; 0 if that did not happen.
     """
 
     info: WorkerInfo
     runs: tuple[TaskId, ...] | None = None
     numbers: tuple[int, ...] = ()
+    unseen_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/citrondeal/workflow/_reports.py
+++ b/src/citrondeal/workflow/_reports.py
@@ -5,7 +5,6 @@
 from citrondeal.workflow import _crashes
 from citrondeal.workflow import _events
 from citrondeal.workflow import _jobs
-from citrondeal.workflow import _limits
 from citrondeal.workflow import _model
 from citrondeal.workflow import _placement
 
@@ -130,21 +129,14 @@
         if number in accounting_task.failures or task.done:
             return
         job = task.step.job
-        job.failed_runs += 1
-        accounting_task.failures.add(number)
+        self._state.count_run(
+            accounting_task.failures, accounting_task, number
+        )
         task.avoid.add(worker.id)
         worker.failed_at = now
-        self._state.mark_changed(job)
         if len(accounting_task.failures) >= job.policy.max_attempts:
             self._state.end_job(job, _model.JobState.FAILED, now)
-        elif job.failed_runs >= _limits.MAX_FAILED_RUNS:
-            _events.log(
-                logging.WARNING,
-                "job has too many failed runs to store",
-                job=job.id,
-                failed_runs=job.failed_runs,
-            )
-            self._state.end_job(job, _model.JobState.FAILED, now)
+        self._state.end_full_jobs(now)
 
     def _remove_unlisted_runs(self, worker, listed, sent_at, now):
         """Remove runs whose end a report proves by not listing them."""
@@ -176,6 +168,7 @@
         if run is not None and run.number == _jobs.UNKNOWN_RUN_NUMBER:
             run.number = reported.number
         if run is not None and run.number == reported.number:
+            run.unanswered = False
             if run.state is _jobs.RunState.STARTING:
                 run.state = _jobs.RunState.RUNNING
                 run.confirmed_at = now
@@ -185,6 +178,7 @@
                 run.progress_at = now
             if reported.checkpoint:
                 self._record_checkpoint(run.task, reported.checkpoint)
+            self._stop_if_ended(run, now)
             return
         task = self._state.task(reported.task)
         if run is not None or task is None or task.step.job.ended:
@@ -192,6 +186,12 @@
             return
         self._adopt(worker, task, reported, now)
 
+    def _stop_if_ended(self, run, now):
+        """Stop a run that was taken over after the end of its job."""
+        job = run.task.step.job
+        if job.ended and not run.task.done:
+            self._state.stop(run, f"job is {job.state.value}", now)
+
     def _adopt(self, worker, task, reported, now):
         run = _jobs.Run(
             task, reported.number, worker.id, _jobs.RunState.RUNNING, now, now
