Start tasks with crashes within 2 s after power failures

Callers saw jobs that had nothing running for over 3 s after a second power failure of all workers, although more than half of the cores were free.

Cause: each task was a suspect, and a suspect started beside another task with a crash only after 8 s. With more such tasks than workers, most had to wait.

A suspect now waits 2 s at most. Then it goes to a worker without other tasks with crashes, else to one without other suspects, else to any. And crashes in an outage, in which three other workers fell silent at the same time, make no suspect: they point to no task, and the wait would come on top of the detection and of the record of the start. This owner alone knows of the outage; after a takeover its tasks are suspects, which wait 2 s at most.

The count of crashes and the excuse do not change, so the number of starts of a task that crashes its workers stays the same. Ruled out: a longer wait while few suspects wait. It would keep the jobs of the others waiting as well, and the histories do not need it.

"jobs go on soon after two power failures" failed before and passes. "an outage of many workers makes no suspects" is new; it fails with the shorter wait alone.

--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -232,6 +232,8 @@
             task.excused.add(number)
         else:
             task.crashes.add(number)
+            if self._in_outage(crash):
+                task.outage_crashes.add(number)
             self.counted[task.id] = task
             self._record_live_runs(task)
         self._state.mark_changed(job)
@@ -325,8 +327,12 @@
 
 
 def is_suspect(task):
-    """Return whether a task is run apart from others."""
-    return len(task.crashes) >= SUSPECT_CRASHES
+    """Return whether a task is run apart from others.
+
+    Crashes in an outage of many workers point to no task, and all tasks that
+    it hit have to find room at the same time.
+    """
+    return len(task.crashes - task.outage_crashes) >= SUSPECT_CRASHES
 
 
 def may_start(task):
--- a/src/citrondeal/workflow/_isolation.py
+++ b/src/citrondeal/workflow/_isolation.py
@@ -7,13 +7,10 @@
 from citrondeal.workflow import _placement
 
 # A suspect waits this long for a worker that runs nothing else, because on a
-# busy cell there may never be one. Then it starts beside other tasks, and no
-# more are started there while it runs.
+# busy cell there may never be one. Then it starts beside other tasks, if need
+# be beside other suspects: no job may have nothing running for 3 s while there
+# is room for it.
 ISOLATION_WAIT_S = 2.0
-# A suspect starts beside another task that has crashed workers only after this
-# time, because a crash would not tell which of them is at fault.  On a cell
-# with few workers, most runs end sooner.
-APART_WAIT_S = 8.0
 # At most this share of the workers of a service runs nothing but suspects, so
 # that many suspects, as after power failures, leave room for other tasks.
 MAX_ISOLATED_SHARE = 0.25
@@ -53,7 +50,7 @@
             for run in _runs(task):
                 self._note(task, run)
         task = self._held_for
-        if task and not self._keeps_waiting(task, now, APART_WAIT_S):
+        if task and not self.waits(task, now):
             self._held_for, self._held = None, set()
 
     def concerns(self, step):
@@ -126,13 +123,18 @@
             self._hold(
                 task, _placement.choose_to_reserve(step, tasks, workers)
             )
-        if self._keeps_waiting(task, now, ISOLATION_WAIT_S):
+        if self.waits(task, now):
             return []
         return self._choose_apart(step, tasks, workers, is_preferred, now)
 
     def waits(self, task, now):
         """Return whether a task waits for workers that run nothing else."""
-        return self._keeps_waiting(task, now, ISOLATION_WAIT_S)
+        since = task.isolation_wanted_at
+        return (
+            since is not None
+            and now - since < ISOLATION_WAIT_S
+            and not task.step.job.ended
+        )
 
     def on_start(self, task, run):
         """Note a start, after which its worker may be closed.
@@ -153,14 +155,6 @@
         if run.isolated:
             self._closed.add(run.worker)
 
-    def _keeps_waiting(self, task, now, limit_s):
-        since = task.isolation_wanted_at
-        return (
-            since is not None
-            and now - since < limit_s
-            and not task.step.job.ended
-        )
-
     def _hold(self, task, chosen):
         """Keep workers for a suspect, one suspect at a time."""
         if self._held_for is None:
@@ -181,16 +175,16 @@
     def _choose_apart(self, step, tasks, workers, is_preferred, now):
         """Choose workers without other tasks that have crashed workers.
 
-        If there is no room on these, others are chosen, for a suspect only
-        after `APART_WAIT_S`.  A suspect goes to the worker with the most free
+        If there is no room on these, those without other suspects come next,
+        and then all others.  A suspect goes to the worker with the most free
         resources, where it does the least damage.
         """
         task = step.accounting_task(tasks[0])
-        choices = [self._without(workers, task, lambda other: True)]
-        if not self._keeps_waiting(task, now, APART_WAIT_S):
-            choices.append(self._without(workers, task, _crashes.is_suspect))
-            choices.append(workers)
-        for candidates in choices:
+        for candidates in (
+            self._without(workers, task, lambda other: True),
+            self._without(workers, task, _crashes.is_suspect),
+            workers,
+        ):
             if _crashes.is_suspect(task) and not step.spec.gang:
                 candidates = _emptiest(step, candidates)
             chosen = _placement.choose(
--- a/src/citrondeal/workflow/_jobs.py
+++ b/src/citrondeal/workflow/_jobs.py
@@ -90,6 +90,8 @@
     crashes : set of int
         Numbers of the runs that ended by a crash of their worker, without
         those in `excused`.
+    outage_crashes : set of int
+        Those of `crashes` that this owner saw in an outage of many workers.
     stored_crashes : frozenset of int
         Those of `crashes` and `excused` that are stored for the next owner.
     excused : set of int
@@ -109,6 +111,7 @@
     failures: set = dataclasses.field(default_factory=set)
     avoid: set = dataclasses.field(default_factory=set)
     crashes: set = dataclasses.field(default_factory=set)
+    outage_crashes: set = dataclasses.field(default_factory=set)
     stored_crashes: frozenset = frozenset()
     excused: set = dataclasses.field(default_factory=set)
     open_starts: dict = dataclasses.field(default_factory=dict)
--- a/src/citrondeal/workflow/tests/isolation.feature
+++ b/src/citrondeal/workflow/tests/isolation.feature
@@ -15,6 +15,14 @@
     When two power failures hit a workflow cell that is not half full
     Then all its workflow jobs run 3 seconds later
 
+  # Guards against tasks that have nothing running for 3 s after the return of
+  # their workers, because they wait to be separated after an outage of many
+  # workers, which points to no task.
+  Scenario: workflow isolation an outage of many workers makes no suspects
+    Given a workflow cell of 8 workers
+    When two power failures hit a workflow cell that is not half full
+    Then none of its workflow tasks is a suspect, and all ran within 3 seconds
+
   # Guards against a service whose only worker runs nothing but one task until
   # it ends, because that task is a suspect after two power failures.
   Scenario: workflow isolation a suspect does not keep the only worker for itself
--- a/src/citrondeal/workflow/tests/steps_isolation.py
+++ b/src/citrondeal/workflow/tests/steps_isolation.py
@@ -90,6 +90,20 @@
     assert not late, f"jobs without a run, by time: {late}"
 
 
+@then(
+    "none of its workflow tasks is a suspect, "
+    "and all ran within {seconds:d} seconds"
+)
+def _(context, seconds):
+    cell = context.cell
+    dump = cell.scheduler.dump()["crashes"]
+    assert not dump["suspects"], dump
+    waited = cell.now - (context.returned_at - 2 * SETTLE_S)
+    cell.run(max(0.0, seconds - waited))
+    waiting = set(cell.submissions) - _running_jobs(cell)
+    assert not waiting, sorted(waiting)
+
+
 @when("a workflow suspect runs on the only worker beside free cores")
 def _(context):
     cell = context.cell
