Start a suspect on any worker that has room for it

Callers saw a job that stays "running" without end: after two crashes, its task was placed only on the worker with the most free cores. If that worker lacked memory, the task never started although another worker had room.

Cause: one worker was kept before it was checked whether the task fits there. This also passed over the preferences for other workers: those with a valid ticket, those on which the task has not failed, and those without a recent failure.

The workers are now tried one after the other, those with the most free cores first within these preferences. A valid ticket comes before free cores, since otherwise another worker may be the emptiest each time a ticket is renewed.

"a suspect starts on any worker with room for it" failed before and passes.

--- a/src/citrondeal/workflow/_isolation.py
+++ b/src/citrondeal/workflow/_isolation.py
@@ -186,10 +186,13 @@
             workers,
         ):
             if _crashes.is_suspect(task) and not step.spec.gang:
-                candidates = _emptiest(step, candidates)
-            chosen = _placement.choose(
-                step, tasks, candidates, is_preferred, now
-            )
+                chosen = _placement.choose_emptiest(
+                    step, tasks[0], candidates, is_preferred, now
+                )
+            else:
+                chosen = _placement.choose(
+                    step, tasks, candidates, is_preferred, now
+                )
             if len(chosen) == len(tasks):
                 if _crashes.is_suspect(task) and self._may_close(chosen, step):
                     self._isolated = task
@@ -211,10 +214,3 @@
 def _runs(task):
     members = task.step.tasks if task.step.spec.gang else [task]
     return [member.run for member in members if member.run is not None]
-
-
-def _emptiest(step, workers):
-    """Return the worker with the most free resources, as a list."""
-    return sorted(
-        workers, key=lambda w: (-w.available(step).millicores, w.id)
-    )[:1]
