Open a worker to other tasks while a suspect lasts

Callers saw a job that stays "queued" beside free cores: a suspect kept the only worker of its service for itself until it ended, or up to a quarter of the workers, each for one task. A task that never ends kept them for ever.

Cause: the limit let a suspect close as many workers as it needs, even all of them, and a closed worker was opened only by the end of the run.

A worker is now closed for 2 s from the confirmed start: a task that crashes its worker does so soon, and no other job may have nothing running for 3 s. And a suspect closes a worker, or keeps one until it is free, only if another open worker of the service has all its labels and at least its capacity, so that no task has all its workers closed. Ruled out: a check of what waits now, since a job that arrives the next moment would meet the closed worker.

A task that crashes its worker later than 2 s after its start may take others with it. These crashes count as before, so the number of its starts does not change.

"a suspect does not keep the only worker for itself" failed before ("queued") and passes. "a suspect that lasts is joined by others" is new; without the change the other job does not start.

--- a/src/citrondeal/workflow/_isolation.py
+++ b/src/citrondeal/workflow/_isolation.py
@@ -4,6 +4,7 @@
 """
 
 from citrondeal.workflow import _crashes
+from citrondeal.workflow import _jobs
 from citrondeal.workflow import _placement
 
 # A suspect waits this long for a worker that runs nothing else, because on a
@@ -14,6 +15,10 @@
 # At most this share of the workers of a service runs nothing but suspects, so
 # that many suspects, as after power failures, leave room for other tasks.
 MAX_ISOLATED_SHARE = 0.25
+# A worker runs nothing but a suspect for this long from the confirmed start. A
+# task that crashes its worker does so soon, and no other job may have nothing
+# running for 3 s while there is room for it.
+MAX_ISOLATED_S = 2.0
 # Each task that has crashed workers is placed by itself, which takes an owner
 # about a millisecond. After a power failure there may be hundreds of them.
 MAX_ATTEMPTS_PER_PASS = 32
@@ -48,7 +53,7 @@
         for task in self._state.crashes.counted.values():
             self._steps.add(task.step.id)
             for run in _runs(task):
-                self._note(task, run)
+                self._note(task, run, now)
         task = self._held_for
         if task and not self.waits(task, now):
             self._held_for, self._held = None, set()
@@ -115,7 +120,7 @@
             task.isolation_wanted_at = now
         empty = [w for w in workers if not w.runs]
         chosen = _placement.choose(step, tasks, empty, is_preferred, now)
-        if len(chosen) == len(tasks) and self._may_close(chosen, step):
+        if len(chosen) == len(tasks) and self._may_close(task, chosen):
             self._isolated = task
             self._hold(task, chosen)
             return chosen
@@ -136,7 +141,7 @@
             and not task.step.job.ended
         )
 
-    def on_start(self, task, run):
+    def on_start(self, task, run, now):
         """Note a start, after which its worker may be closed.
 
         Parameters
@@ -144,33 +149,56 @@
         task : TaskState
             For a gang, the task that holds its failures.
         run : Run
+        now : float
         """
         task.isolation_wanted_at = None
         run.isolated = task is self._isolated
         if task.crashes:
-            self._note(task, run)
+            self._note(task, run, now)
 
-    def _note(self, task, run):
+    def _note(self, task, run, now):
         self._worker_tasks.setdefault(run.worker, []).append(task)
-        if run.isolated:
+        if run.isolated and not _has_lasted(run, now):
             self._closed.add(run.worker)
 
     def _hold(self, task, chosen):
         """Keep workers for a suspect, one suspect at a time."""
-        if self._held_for is None:
-            self._held_for = task
-            self._held = {worker.id for _, worker in chosen}
+        needed = {worker.id for _, worker in chosen}
+        if self._held_for is None and self._leaves_room(task, needed):
+            self._held_for, self._held = task, needed
 
-    def _may_close(self, chosen, step):
+    def _may_close(self, task, chosen):
         needed = {worker.id for _, worker in chosen}
-        service = step.job.policy.service
-        count = sum(
-            1
+        count = len(self._service_workers(task))
+        limit = max(len(needed), MAX_ISOLATED_SHARE * count)
+        if len(self._closed | needed) > limit:
+            return False
+        return self._leaves_room(task, needed)
+
+    def _leaves_room(self, task, needed):
+        """Return whether others can still run whatever runs on some workers.
+
+        For each of them, an open worker has all its labels and at least its
+        capacity.
+        """
+        workers = self._service_workers(task)
+        taken = self._closed | needed
+        if self._held_for is not task:
+            taken |= self._held
+        left = [worker for worker in workers if worker.id not in taken]
+        return all(
+            any(_can_replace(other, worker) for other in left)
+            for worker in workers
+            if worker.id in needed
+        )
+
+    def _service_workers(self, task):
+        service = task.step.job.policy.service
+        return [
+            worker
             for worker in self._state.workers.values()
             if worker.usable and worker.info.service == service
-        )
-        limit = max(len(needed), MAX_ISOLATED_SHARE * count)
-        return len(self._closed | needed) <= limit
+        ]
 
     def _choose_apart(self, step, tasks, workers, is_preferred, now):
         """Choose workers without other tasks that have crashed workers.
@@ -194,7 +222,7 @@
                     step, tasks, candidates, is_preferred, now
                 )
             if len(chosen) == len(tasks):
-                if _crashes.is_suspect(task) and self._may_close(chosen, step):
+                if _crashes.is_suspect(task) and self._may_close(task, chosen):
                     self._isolated = task
                 return chosen
         return []
@@ -214,3 +242,18 @@
 def _runs(task):
     members = task.step.tasks if task.step.spec.gang else [task]
     return [member.run for member in members if member.run is not None]
+
+
+def _has_lasted(run, now):
+    """Return whether a run has lasted too long to keep its worker closed."""
+    if run.state is _jobs.RunState.STOPPING:
+        return True
+    since = run.confirmed_at
+    return since is not None and now - since >= MAX_ISOLATED_S
+
+
+def _can_replace(worker, other):
+    """Return whether a worker can run each task that another one can run."""
+    return set(other.info.labels) <= set(
+        worker.info.labels
+    ) and other.info.capacity.fits(worker.info.capacity)
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -350,7 +350,7 @@
         task.run = run
         worker.add(run)
         step = task.step
-        self._isolation.on_start(step.accounting_task(task), run)
+        self._isolation.on_start(step.accounting_task(task), run, now)
         _events.log(
             logging.INFO,
             "start is decided",
--- a/src/citrondeal/workflow/tests/isolation.feature
+++ b/src/citrondeal/workflow/tests/isolation.feature
@@ -30,6 +30,13 @@
     When a workflow suspect runs on the only worker beside free cores
     Then another workflow job is completed within 10 seconds
 
+  # Guards against a worker that runs nothing but a suspect for as long as it
+  # lasts, while another job has nothing running for 3 s.
+  Scenario: workflow isolation a suspect that lasts is joined by others
+    Given a workflow cell of 2 workers
+    When a workflow suspect starts on a free worker beside a full one
+    Then no task joins it for 1 second, and another one does within 3 seconds
+
   # Guards against resources that stay reserved for a task with a crash although
   # the ticket service does not allow the worker any more.
   Scenario: workflow isolation a task without a ticket keeps nothing reserved
--- a/src/citrondeal/workflow/tests/steps_isolation.py
+++ b/src/citrondeal/workflow/tests/steps_isolation.py
@@ -121,3 +121,35 @@
     cell = context.cell
     cell.run(float(seconds))
     assert cell.state("other") is STATES.COMPLETED, cell.state("other")
+
+
+@when("a workflow suspect starts on a free worker beside a full one")
+def _(context):
+    cell = context.cell
+    cell.submit("suspect", run_s=LONG_S)
+    cell.submit("full", run_s=LONG_S, cores=8)
+    cell.run(1.0)
+    for _ in range(2):
+        cell.crash(cell.worker_of("suspect"))
+        cell.run(DOWN_S - 0.5)
+        count = cell.start_count("suspect")
+        limit = cell.now + 10.0
+        while cell.start_count("suspect") == count:
+            assert cell.now < limit, cell.starts
+            cell.tick()
+    assert len(cell.scheduler.dump()["crashes"]["suspects"]) == 1
+    cell.submit("other", run_s=LONG_S)
+
+
+@then(
+    "no task joins it for {closed:d} second, "
+    "and another one does within {seconds:d} seconds"
+)
+def _(context, closed, seconds):
+    cell = context.cell
+    name = cell.worker_of("suspect")
+    cell.run(float(closed))
+    assert {t.job for t in cell.workers[name].runs} == {"suspect"}
+    cell.run(float(seconds - closed))
+    jobs = {t.job for t in cell.workers[name].runs}
+    assert jobs == {"suspect", "other"}, (jobs, cell.starts)
