Release the resources of a task with a crash that gets no ticket

Callers saw jobs that wait although a worker is idle: resources are reserved on it while the ticket of a task with a crash is renewed, and if the ticket is denied, they stayed reserved until the job ended.

Cause: the plan of a task with a crash that finds no place released nothing, unlike that of other tasks. Ruled out: a release while a call for tickets is open, since another task of the same step may wait for it; after its answer the next attempt, 0.3 s later, releases them.

"a task without a ticket keeps nothing reserved" failed before and passes.

--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -243,6 +243,10 @@
             self._start_or_renew_tickets(step, chosen, actions, now)
             return
         self._isolation.on_not_placed(task, now)
+        if not step.open_calls:
+            # Another task of the step may have reserved resources while its
+            # ticket is renewed.
+            self._state.reserve(step, [])
         self._ask_for_tickets(step, len(tasks), usable, actions, now)
         if not self._isolation.waits(task, now):
             self._reserve_for_pass(step, tasks, allowed, now)
