--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -252,6 +252,8 @@
         excused = self._is_excused(task, crash)
         numbers = task.excused if excused else task.crashes
         self._state.count_run(numbers, task, number)
+        if not excused and self._in_outage(crash):
+            task.outage_crashes.add(number)
         if task.crashes:
             self.counted[task.id] = task
             self._record_live_runs(task)
@@ -352,8 +354,12 @@
 
 
 def is_suspect(task):
-    """Return whether a task is run apart from others."""
-    return len(task.crashes) >= SUSPECT_CRASHES
+    """Return whether a task is run apart from others.
+
+    Crashes in an outage of many workers point to no task, and all tasks that
+    it hit have to find room at the same time.
+    """
+    return len(task.crashes - task.outage_crashes) >= SUSPECT_CRASHES
 
 
 def may_start(task):
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -240,6 +240,10 @@
             self._start_or_renew_tickets(step, chosen, actions, now)
             return
         self._isolation.on_not_placed(task, now)
+        if not step.open_calls:
+            # Another task of the step may have reserved resources while its
+            # ticket is renewed.
+            self._state.reserve(step, [])
         self._ask_for_tickets(step, len(tasks), usable, actions, now)
         if not self._isolation.waits(task, now):
             self._reserve_for_pass(step, tasks, allowed, now)
@@ -357,7 +361,7 @@
         task.run = run
         worker.add(run)
         step = task.step
-        self._isolation.on_start(step.accounting_task(task), run)
+        self._isolation.on_start(step.accounting_task(task), run, now)
         _events.log(
             logging.INFO,
             "start is decided",
--- a/src/citrondeal/workflow/tests/isolation.feature
+++ b/src/citrondeal/workflow/tests/isolation.feature
@@ -15,6 +15,14 @@
     When two power failures hit a workflow cell that is not half full
     Then all its workflow jobs run 3 seconds later
 
+  # Guards against tasks that have nothing running for 3 s after the return of
+  # their workers, because they wait to be separated after an outage of many
+  # workers, which points to no task.
+  Scenario: workflow isolation an outage of many workers makes no suspects
+    Given a workflow cell of 8 workers
+    When two power failures hit a workflow cell that is not half full
+    Then none of its workflow tasks is a suspect, and all ran within 3 seconds
+
   # Guards against a service whose only worker runs nothing but one task until
   # it ends, because that task is a suspect after two power failures.
   Scenario: workflow isolation a suspect does not keep the only worker for itself
@@ -22,6 +30,13 @@
     When a workflow suspect runs on the only worker beside free cores
     Then another workflow job is completed within 10 seconds
 
+  # Guards against a worker that runs nothing but a suspect for as long as it
+  # lasts, while another job has nothing running for 3 s.
+  Scenario: workflow isolation a suspect that lasts is joined by others
+    Given a workflow cell of 2 workers
+    When a workflow suspect starts on a free worker beside a full one
+    Then no task joins it for 1 second, and another one does within 3 seconds
+
   # Guards against resources that stay reserved for a task with a crash although
   # the ticket service does not allow the worker any more.
   Scenario: workflow isolation a task without a ticket keeps nothing reserved
