Renew the ticket of a recorded start that has expired

Callers saw a task with a crash that never starts while the store is slow: with tickets for 2 s and a store that answers after 1 s it did not start within 30 s, while a task without a crash started at once.

Cause: a start whose ticket expired while it was recorded was cancelled, and the next one had to be recorded anew, for ever. The recorded start now stays, and its ticket is renewed for the same worker. Its room on the worker stays taken, as it is for other tasks during a renewal. It is cancelled if the ticket service does not allow the worker any more, or if the worker is not usable any more.

Ruled out: a renewal before the record is stored. It would take calls for every such start, and the time until the store answers is not known.

"a slow store delays a recorded start only" failed before and passes. "a recorded start without a ticket is cancelled" is new; it also passes before this change, and fails if starts without an allowed worker are kept.

--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -57,6 +57,7 @@
         if max_starts <= 0 or not self._capacities_valid:
             return actions
         actions += self._state.withheld.take_due(now)
+        self._renew_expired_tickets(actions, now)
         self._reserving_gang = None
         self._usable_workers = {}
         for worker in self._state.workers.values():
@@ -329,6 +330,12 @@
                 step, list(needed.values()), actions, renewal=True
             )
 
+    def _renew_expired_tickets(self, actions, now):
+        """Renew the tickets of starts that were recorded too late for them."""
+        for step, workers in self._state.withheld.expired_tickets():
+            if self._may_fetch_tickets(step, now):
+                self._add_ticket_call(step, workers, actions, renewal=True)
+
     def _may_fetch_tickets(self, step, now):
         return not step.open_calls and now >= step.ask_again_at
 
--- a/src/citrondeal/workflow/_tickets.py
+++ b/src/citrondeal/workflow/_tickets.py
@@ -71,12 +71,23 @@
         return list(workers.values())
     return [
         worker
-        for name, ticket in step.tickets.items()
+        for name in step.tickets
         if (worker := workers.get(name)) is not None
-        and ticket.born_ms == worker.info.born_ms
+        and is_allowed(step, worker)
     ]
 
 
+def is_allowed(step, worker):
+    """Return whether a worker is known to be allowed to run a step.
+
+    Its ticket may have expired, see `valid_ticket`.
+    """
+    if not step.job.policy.ticketed:
+        return True
+    ticket = step.tickets.get(worker.id)
+    return ticket is not None and ticket.born_ms == worker.info.born_ms
+
+
 def valid_ticket(step, worker, now):
     """Return the value of the ticket for a start now.
 
--- a/src/citrondeal/workflow/_withheld.py
+++ b/src/citrondeal/workflow/_withheld.py
@@ -72,17 +72,42 @@
     def take_due(self, now):
         """Return the starts to be sent now, whose record is stored.
 
-        Those that are not valid any more are cancelled.
+        Those that are not valid any more are cancelled, also if the ticket
+        service does not allow a worker any more.  Those of which a ticket has
+        expired wait for its renewal, see `expired_tickets`.
         """
         due = []
         for group in [g for g in self._groups.values() if g.stored]:
-            if all(self._is_valid(start, now) for start in group.starts):
+            if not all(self._is_valid(start) for start in group.starts):
+                self._cancel(group)
+            elif not any(self._has_expired(s, now) for s in group.starts):
                 del self._groups[group.task.id]
                 due.extend(self._with_ticket(s, now) for s in group.starts)
-            else:
-                self._cancel(group)
         return due
 
+    def expired_tickets(self):
+        """Return the workers of the stored starts that `take_due` kept.
+
+        All tickets of a gang are renewed, so that they are valid at the same
+        time.
+
+        Returns
+        -------
+        list of (StepState, list of WorkerState)
+        """
+        workers = {}
+        for group in self._groups.values():
+            if not group.stored:
+                continue
+            for start in group.starts:
+                worker = self._state.workers.get(start.worker)
+                if worker is not None:
+                    needed = workers.setdefault(group.task.step, {})
+                    needed[worker.id] = worker
+        return [
+            (step, list(found.values())) for step, found in workers.items()
+        ]
+
     def on_job_ended(self, job):
         """Cancel the starts of a job that has ended."""
         for group in list(self._groups.values()):
@@ -95,7 +120,7 @@
         if self.holds(task, run.number):
             self._cancel(self._groups[task.id])
 
-    def _is_valid(self, start, now):
+    def _is_valid(self, start):
         worker = self._state.workers.get(start.worker)
         run = worker and worker.runs.get(start.task)
         return (
@@ -104,9 +129,12 @@
             and run.state is _jobs.RunState.STARTING
             and worker.usable
             and worker.info.born_ms == start.born_ms
-            and self._ticket(start, now) is not None
+            and _tickets.is_allowed(run.task.step, worker)
         )
 
+    def _has_expired(self, start, now):
+        return self._ticket(start, now) is None
+
     def _ticket(self, start, now):
         return _tickets.valid_ticket(
             self._state.task(start.task).step,
--- a/src/citrondeal/workflow/tests/isolation.feature
+++ b/src/citrondeal/workflow/tests/isolation.feature
@@ -56,3 +56,10 @@
   Scenario: workflow isolation a slow store delays a recorded start only
     Given a workflow cell with tickets whose store answers after 1000 ms
     Then a workflow task with a crash starts like another one in 30 s
+
+  # Guards against a recorded start that keeps its resources for ever although
+  # the ticket service does not allow its worker any more.
+  Scenario: workflow isolation a recorded start without a ticket is cancelled
+    Given a workflow cell with tickets whose store answers after 3000 ms
+    When no workflow worker is allowed any more while a start is recorded
+    Then the recorded workflow start is cancelled and nothing stays reserved
--- a/src/citrondeal/workflow/tests/steps_slow_store.py
+++ b/src/citrondeal/workflow/tests/steps_slow_store.py
@@ -2,6 +2,7 @@
 
 from behave import given
 from behave import then
+from behave import when
 
 from citrondeal import workflow
 from citrondeal.workflow.tests import crash_harness
@@ -16,6 +17,7 @@
 
     answer_s = 0.0
     call = None
+    allows = True
 
     def store(self):
         if self.call is not None and self.call[0] <= self.now:
@@ -29,7 +31,8 @@
         if not isinstance(action, workflow.FetchTickets):
             super()._deliver(action)
             return
-        granted = dict.fromkeys(action.workers, "ticket")
+        allowed = action.workers if self.allows else ()
+        granted = dict.fromkeys(allowed, "ticket")
         valid_until = self.now + TICKET_S
         self.scheduler.on_tickets(
             action.step, action.workers, granted, valid_until, self.now
@@ -62,3 +65,40 @@
     cell.run(float(seconds))
     assert cell.start_count("other") == 1, cell.starts
     assert cell.start_count("crashed") == 2, cell.starts
+
+
+def _runs_of(cell, job):
+    return [
+        run
+        for worker in cell.scheduler.workers.values()
+        for task, run in worker.runs.items()
+        if task.job == job
+    ]
+
+
+@when("no workflow worker is allowed any more while a start is recorded")
+def _(context):
+    cell = context.cell
+    limit = cell.now + 30.0
+    while (
+        _runs_of(cell, "crashed")
+        or not cell.scheduler.dump()["crashes"]["worker_crashes"]
+    ):
+        assert cell.now < limit, "its crash is not counted"
+        cell.tick()
+    while not _runs_of(cell, "crashed"):
+        assert cell.now < limit, "its next start is not decided"
+        cell.tick()
+    cell.allows = False
+
+
+@then("the recorded workflow start is cancelled and nothing stays reserved")
+def _(context):
+    cell = context.cell
+    cell.run(15.0)
+    assert cell.start_count("crashed") == 1, cell.starts
+    assert not _runs_of(cell, "crashed")
+    free = [w for w in cell.scheduler.workers.values() if not w.runs]
+    cell.submit("wide", tasks=len(free), run_s=LONG_S, cores=8)
+    cell.run(5.0)
+    assert cell.start_count("wide") == len(free), cell.starts
