Let an owner that was suspended read the claims before it answers

After a suspension under 2 s, callers could see "running" after "completed": the owner's last confirmation counts for 2 s from its request, but the next owner can claim 0.65 s after the suspension began and show a later state before the 2 s are over. The cause is that time in suspension counted like time in which the owner answers probes; a silent owner is replaced after 0.9 s.

The owner now notes every 0.1 s, and at each query, that it runs. After a gap of over 0.5 s it names "queued" and "running" only once the store has answered a read of the claims that was requested after the gap, which is sent at once, or all members were asked after it and each zone knew no later claim. Final states, starts and renewals are as before, and without a gap a confirmation counts as long as before, also while the store is away.

The scripted scenario fails if gaps are not noticed.

--- a/src/citrondeal/cell/_confirmation.py
+++ b/src/citrondeal/cell/_confirmation.py
@@ -11,6 +11,8 @@
 from citrondeal import telemetry
 
 CHECK_PERIOD_S = 0.3
+# A suspension shows as a longer time between two turns.
+PAUSE_CHECK_PERIOD_S = 0.1
 ASK_TIMEOUT_S = 0.5
 # Members asked in each zone; one of them may be cut off from the others.
 MEMBERS_PER_ZONE = 3
@@ -46,12 +48,35 @@
     def holds(self, now):
         """Return whether the owner may start tasks and renew leases."""
         self._state.on_store_read(self._members.store_confirmed_at)
-        zones = {m.zone for m in self._members.others.values()}
-        # A cell with all members in one zone is confirmed by that zone.
-        held = self._state.holds((zones - {self._own_zone}) or zones, now)
+        held = self._state.holds(self._zones(), now)
         self._log_transition(held)
         return held
 
+    def may_answer(self, now):
+        """Return whether the owner may name states that may change."""
+        # The first event after a suspension may be a query.
+        self._on_running(now)
+        self._state.on_store_read(self._members.store_confirmed_at)
+        return self._state.may_answer(self._zones(), now)
+
+    def _zones(self):
+        """Return the zones whose members confirm the epoch."""
+        zones = {m.zone for m in self._members.others.values()}
+        # A cell with all members in one zone is confirmed by that zone.
+        return (zones - {self._own_zone}) or zones
+
+    def _on_running(self, now):
+        if not self._state.on_running(now):
+            return
+        self._members.read_claims_now()
+        telemetry.event(
+            _LOG,
+            logging.WARNING,
+            "owner may have been suspended, passing states wait for a"
+            " confirmation",
+            epoch=self._epoch,
+        )
+
     def _log_transition(self, held):
         if held == self._held:
             return
@@ -67,13 +92,22 @@
 
     async def run(self):
         """Ask members while the store confirms nothing, until superseded."""
-        while not self._state.superseded:
-            await anyio.sleep(CHECK_PERIOD_S)
-            self._state.on_store_read(self._members.store_confirmed_at)
-            if self._state.must_ask_members(_clock.now()):
-                await self._ask_members()
+        async with anyio.create_task_group() as task_group:
+            task_group.start_soon(self._watch_pauses)
+            while not self._state.superseded:
+                await anyio.sleep(CHECK_PERIOD_S)
+                self._state.on_store_read(self._members.store_confirmed_at)
+                if self._state.must_ask_members(_clock.now()):
+                    await self._ask_members()
+            task_group.cancel_scope.cancel()
+
+    async def _watch_pauses(self):
+        while True:
+            self._on_running(_clock.now())
+            await anyio.sleep(PAUSE_CHECK_PERIOD_S)
 
     async def _ask_members(self):
+        started = _clock.now()
         by_zone = {}
         for member in self._members.others.values():
             by_zone.setdefault(member.zone, []).append(member)
@@ -81,6 +115,7 @@
             for members in by_zone.values():
                 for member in members[:MEMBERS_PER_ZONE]:
                     task_group.start_soon(self._ask, member)
+        self._state.on_members_asked(self._zones(), started)
 
     async def _ask(self, member):
         sent_at = _clock.now()
--- a/src/citrondeal/cell/_follower.py
+++ b/src/citrondeal/cell/_follower.py
@@ -46,6 +46,8 @@
         self._confirmed_at = -math.inf
         self._failing = False
         self._failing_since = None
+        self._read_scope = None
+        self._hurried = False
 
     @property
     def end(self):
@@ -143,9 +145,12 @@
         """Read the next records once, or load again if they were deleted."""
         # A long poll takes longer to find out that the store is still
         # unreachable, and would notice its return later.
-        wait_s = 0.0 if self._failing else self._wait_s
+        wait_s = 0.0 if self._failing or self._hurried else self._wait_s
+        self._hurried = False
         sent_at = _clock.now()
-        outcome = await self._store.read(self._topic, self._position, wait_s)
+        outcome = await self._read(wait_s)
+        if outcome is None:
+            return
         if outcome.is_ok():
             batch = outcome.ok_value
             self._position = batch.next_offset
@@ -164,6 +169,22 @@
             self._on_failure(outcome.err_value)
             await anyio.sleep(RETRY_DELAY_S)
 
+    def read_now(self):
+        """Read without waiting for records; end a read that is under way."""
+        self._hurried = True
+        if self._read_scope is not None:
+            self._read_scope.cancel()
+
+    async def _read(self, wait_s):
+        """Return the outcome of a read; None if `read_now` has ended it."""
+        outcome = None
+        with anyio.CancelScope() as self._read_scope:
+            outcome = await self._store.read(
+                self._topic, self._position, wait_s
+            )
+        self._read_scope = None
+        return outcome
+
     def _complete_at(self, end, sent_at):
         """Return when the last request was sent whose end has been read.
 
--- a/src/citrondeal/cell/_members.py
+++ b/src/citrondeal/cell/_members.py
@@ -84,6 +84,10 @@
         """When the last read of claims that was answered was sent."""
         return self._follower.confirmed_at
 
+    def read_claims_now(self):
+        """Read the newest claims without waiting for the read under way."""
+        self._follower.read_now()
+
     @property
     def store_answers(self):
         """Whether the last read of the cell's records was answered."""
--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -129,7 +129,7 @@
     @property
     def is_confirmed(self):
         """Whether no newer owner can have changed the state of jobs yet."""
-        return self._confirmation.holds(_clock.now())
+        return self._confirmation.may_answer(_clock.now())
 
     async def run(self):
         """Recover the state, then schedule until superseded or cancelled."""
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -96,6 +96,10 @@
   # 1022 and 1045).
   Scenario: cell an owner that may have been replaced names no passing state
     Then a cell owner that is not confirmed names only states that are final
+    And a cell owner that was suspended waits for a later read of the claims
+    And a cell owner that was suspended waits until all members were asked
+    And a cell owner that was never suspended needs no later confirmation
+    And a cell follower that has to read at once ends its long poll
 
   # Guards against ended jobs that are unknown to the next owner, because the
   # last one deleted a submission whose end is not stored. Deletions are not
--- a/src/citrondeal/cell/tests/steps_deletions.py
+++ b/src/citrondeal/cell/tests/steps_deletions.py
@@ -39,6 +39,9 @@
     def holds(self, now):
         return True
 
+    def may_answer(self, now):
+        return True
+
     async def run(self):
         await anyio.sleep_forever()
 
