Let taken-over suspects close few workers only

Callers saw no start for some time after a takeover: a new owner knows of the crashes but not that they were part of an outage, so each run that it takes over is one of a suspect, and together they close all workers.

Cause: the runs that are taken over closed their workers without the check that a start makes. The check is now made in each pass, for all tasks whose runs are recent.

"suspects that are taken over do not close all workers" is new; it fails without the change (the other job does not start within 1 s) and passes with it.

--- a/src/citrondeal/workflow/_isolation.py
+++ b/src/citrondeal/workflow/_isolation.py
@@ -50,13 +50,12 @@
         self._steps, self._closed, self._worker_tasks = set(), set(), {}
         self._attempts_left = MAX_ATTEMPTS_PER_PASS
         self._retry_at = {i: t for i, t in self._retry_at.items() if t > now}
-        for task in self._state.crashes.counted.values():
-            self._steps.add(task.step.id)
-            for run in _runs(task):
-                self._note(task, run, now)
         task = self._held_for
         if task and not self.waits(task, now):
             self._held_for, self._held = None, set()
+        for task in self._state.crashes.counted.values():
+            self._steps.add(task.step.id)
+            self._note_runs(task, now)
 
     def concerns(self, step):
         """Return whether a task of a step has crashed workers."""
@@ -120,7 +119,7 @@
             task.isolation_wanted_at = now
         empty = [w for w in workers if not w.runs]
         chosen = _placement.choose(step, tasks, empty, is_preferred, now)
-        if len(chosen) == len(tasks) and self._may_close(task, chosen):
+        if len(chosen) == len(tasks) and self._may_close(task, _ids(chosen)):
             self._isolated = task
             self._hold(task, chosen)
             return chosen
@@ -141,7 +140,7 @@
             and not task.step.job.ended
         )
 
-    def on_start(self, task, run, now):
+    def on_start(self, task, run):
         """Note a start, after which its worker may be closed.
 
         Parameters
@@ -149,26 +148,35 @@
         task : TaskState
             For a gang, the task that holds its failures.
         run : Run
-        now : float
         """
         task.isolation_wanted_at = None
         run.isolated = task is self._isolated
         if task.crashes:
-            self._note(task, run, now)
-
-    def _note(self, task, run, now):
-        self._worker_tasks.setdefault(run.worker, []).append(task)
-        if run.isolated and not _has_lasted(run, now):
+            self._worker_tasks.setdefault(run.worker, []).append(task)
+        if run.isolated:
             self._closed.add(run.worker)
 
+    def _note_runs(self, task, now):
+        """Note the runs of a task, and close their workers again.
+
+        The runs of suspects that this owner took over have closed none so far,
+        and together they may need too many.
+        """
+        isolated = set()
+        for run in _runs(task):
+            self._worker_tasks.setdefault(run.worker, []).append(task)
+            if run.isolated and not _has_lasted(run, now):
+                isolated.add(run.worker)
+        if not isolated <= self._closed and self._may_close(task, isolated):
+            self._closed |= isolated
+
     def _hold(self, task, chosen):
         """Keep workers for a suspect, one suspect at a time."""
-        needed = {worker.id for _, worker in chosen}
+        needed = _ids(chosen)
         if self._held_for is None and self._leaves_room(task, needed):
             self._held_for, self._held = task, needed
 
-    def _may_close(self, task, chosen):
-        needed = {worker.id for _, worker in chosen}
+    def _may_close(self, task, needed):
         count = len(self._service_workers(task))
         limit = max(len(needed), MAX_ISOLATED_SHARE * count)
         if len(self._closed | needed) > limit:
@@ -222,7 +230,9 @@
                     step, tasks, candidates, is_preferred, now
                 )
             if len(chosen) == len(tasks):
-                if _crashes.is_suspect(task) and self._may_close(task, chosen):
+                if _crashes.is_suspect(task) and self._may_close(
+                    task, _ids(chosen)
+                ):
                     self._isolated = task
                 return chosen
         return []
@@ -239,6 +249,10 @@
         ]
 
 
+def _ids(chosen):
+    return {worker.id for _, worker in chosen}
+
+
 def _runs(task):
     members = task.step.tasks if task.step.spec.gang else [task]
     return [member.run for member in members if member.run is not None]
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -361,7 +361,7 @@
         task.run = run
         worker.add(run)
         step = task.step
-        self._isolation.on_start(step.accounting_task(task), run, now)
+        self._isolation.on_start(step.accounting_task(task), run)
         _events.log(
             logging.INFO,
             "start is decided",
--- a/src/citrondeal/workflow/tests/isolation.feature
+++ b/src/citrondeal/workflow/tests/isolation.feature
@@ -37,6 +37,14 @@
     When a workflow suspect starts on a free worker beside a full one
     Then no task joins it for 1 second, and another one does within 3 seconds
 
+  # Guards against a new owner that starts nothing at first, because each worker
+  # runs a suspect that it took over.
+  Scenario: workflow isolation suspects that are taken over do not close all workers
+    Given a workflow cell of 8 workers
+    When two power failures hit a workflow cell that is not half full
+    And the owner of the workflow cell is replaced while all jobs run
+    Then another workflow job starts within 1 second
+
   # Guards against resources that stay reserved for a task with a crash although
   # the ticket service does not allow the worker any more.
   Scenario: workflow isolation a task without a ticket keeps nothing reserved
--- a/src/citrondeal/workflow/tests/steps_isolation.py
+++ b/src/citrondeal/workflow/tests/steps_isolation.py
@@ -153,3 +153,23 @@
     cell.run(float(seconds - closed))
     jobs = {t.job for t in cell.workers[name].runs}
     assert jobs == {"suspect", "other"}, (jobs, cell.starts)
+
+
+@when("the owner of the workflow cell is replaced while all jobs run")
+def _(context):
+    cell = context.cell
+    cell.wait_until_all_run(20.0)
+    cell.take_over()
+    limit = cell.now + 10.0
+    while not cell.scheduler.dump()["crashes"]["suspects"]:
+        assert cell.now < limit, "no suspects are known"
+        cell.tick()
+    # It starts what is new once it knows all runs of the earlier owner.
+    cell.submit("other", run_s=1.0)
+
+
+@then("another workflow job starts within {seconds:d} second")
+def _(context, seconds):
+    cell = context.cell
+    cell.run(float(seconds))
+    assert cell.start_count("other") == 1, cell.starts[-3:]
