Keep a task with crashes from those that are near their limit

Callers saw jobs fail that had no fault: after outages every worker runs tasks with crashes, and a task that crashes its workers was then placed on the fullest of them, or on the same ones again, until its neighbours were given up.

Cause: if no worker was free of such tasks, all were treated as equal. Those are now tried first on which the crashes of the other tasks are the fewest, the excused ones included, and then those with the most free cores. This takes the place of the order in which a suspect avoided workers with a recent failure: those are often the emptiest, and so the safest for others.

What it does not cover: cells of one to four workers with one to three such tasks.

--- a/src/citrondeal/workflow/_isolation.py
+++ b/src/citrondeal/workflow/_isolation.py
@@ -212,31 +212,64 @@
         """Choose workers without other tasks that have crashed workers.
 
         If there is no room on these, those without other suspects come next,
-        and then all others.  A suspect goes to the worker with the most free
-        resources, where it does the least damage.
+        and then all others.
         """
+        task = step.accounting_task(tasks[0])
+        if step.spec.gang:
+            chosen = self._choose_for_gang(
+                step, tasks, workers, is_preferred, now
+            )
+        else:
+            chosen = self._choose_for_task(task, workers, is_preferred, now)
+        if (
+            chosen
+            and _crashes.is_suspect(task)
+            and self._may_close(task, _ids(chosen))
+        ):
+            self._isolated = task
+        return chosen
+
+    def _choose_for_gang(self, step, tasks, workers, is_preferred, now):
         task = step.accounting_task(tasks[0])
         for candidates in (
             self._without(workers, task, lambda other: True),
             self._without(workers, task, _crashes.is_suspect),
             workers,
         ):
-            if _crashes.is_suspect(task) and not step.spec.gang:
-                chosen = _placement.choose_emptiest(
-                    step, tasks[0], candidates, is_preferred, now
-                )
-            else:
-                chosen = _placement.choose(
-                    step, tasks, candidates, is_preferred, now
-                )
+            chosen = _placement.choose(
+                step, tasks, candidates, is_preferred, now
+            )
             if len(chosen) == len(tasks):
-                if _crashes.is_suspect(task) and self._may_close(
-                    task, _ids(chosen)
-                ):
-                    self._isolated = task
                 return chosen
         return []
 
+    def _choose_for_task(self, task, workers, is_preferred, now):
+        """Choose a worker where a crash does the least damage.
+
+        Another crash is the worst for tasks with several ones, which may be
+        given up, so these are avoided first.  Then a worker with many free
+        resources runs few other tasks.
+        """
+        step = task.step
+        if not _crashes.is_suspect(task):
+            apart = self._without(workers, task, lambda other: True)
+            chosen = _placement.choose(step, [task], apart, is_preferred, now)
+            if chosen:
+                return chosen
+
+        def rank(worker):
+            others = self._worker_tasks.get(worker.id, ())
+            return (
+                bool(others) + any(map(_crashes.is_suspect, others)),
+                not is_preferred(worker),
+                worker.id in task.avoid,
+                sum(len(o.crashes) + len(o.excused) for o in others),
+                -worker.available(step).millicores,
+                worker.id,
+            )
+
+        return _placement.choose_first(step, task, workers, rank, now)
+
     def _without(self, workers, task, matches):
         """Return the workers that run no other matching task."""
         return [
--- a/src/citrondeal/workflow/_placement.py
+++ b/src/citrondeal/workflow/_placement.py
@@ -50,29 +50,16 @@
     return _choose(step, tasks, workers, is_preferred, now)
 
 
-def choose_emptiest(step, task, workers, is_preferred, now):
-    """Choose the worker with the most free resources for one task.
-
-    Preferred workers come first, and those on which the task or another one
-    failed come last.
+def choose_first(step, task, workers, rank, now):
+    """Choose the first worker on which one task fits, in the order of a rank.
 
     Returns
     -------
     list of (TaskState, WorkerState)
         Empty if the task fits on none of the workers.
     """
-
-    def rank(worker):
-        return (
-            not is_preferred(worker),
-            worker.id in task.avoid,
-            failed_recently(worker, now),
-            -worker.available(step).millicores,
-            worker.id,
-        )
-
     for worker in sorted(workers, key=rank):
-        chosen = choose(step, [task], [worker], is_preferred, now)
+        chosen = choose(step, [task], [worker], lambda worker: True, now)
         if chosen:
             return chosen
     return []
--- a/src/citrondeal/workflow/tests/isolation.feature
+++ b/src/citrondeal/workflow/tests/isolation.feature
@@ -23,6 +23,20 @@
     When two power failures hit a workflow cell that is not half full
     Then none of its workflow tasks is a suspect, and all ran within 3 seconds
 
+  # Guards against tasks without fault that are given up because a task which
+  # crashes its workers is placed beside the same ones again and again.
+  Scenario Outline: workflow isolation neighbours go on after <outages> outages and a deadly task
+    Given a workflow cell of 8 workers
+    When <outages> outages hit 24 workflow jobs and a deadly task arrives
+    Then the deadly workflow task is given up after at most 4 starts
+    And all other workflow jobs are completed
+
+    Examples:
+      | outages |
+      | 0       |
+      | 1       |
+      | 2       |
+
   # Guards against a service whose only worker runs nothing but one task until
   # it ends, because that task is a suspect after two power failures.
   Scenario: workflow isolation a suspect does not keep the only worker for itself
--- a/src/citrondeal/workflow/tests/steps_isolation.py
+++ b/src/citrondeal/workflow/tests/steps_isolation.py
@@ -173,3 +173,24 @@
     cell = context.cell
     cell.run(float(seconds))
     assert cell.start_count("other") == 1, cell.starts[-3:]
+
+
+@when("{count:d} outages hit 24 workflow jobs and a deadly task arrives")
+def _(context, count):
+    cell = context.cell
+    for number in range(24):
+        cell.submit(f"job{number:02d}", run_s=30.0, cores=1)
+    cell.run(2.0)
+    for _ in range(count):
+        for name in list(cell.workers):
+            cell.leave(name, DOWN_S)
+        cell.run(DOWN_S + 2 * SETTLE_S)
+    cell.submit("deadly", run_s=LONG_S, cores=1, deadly=(0,))
+    cell.run(150.0)
+
+
+@then("the deadly workflow task is given up after at most {count:d} starts")
+def _(context, count):
+    cell = context.cell
+    assert cell.state("deadly") is STATES.FAILED, cell.state("deadly")
+    assert cell.start_count("deadly") <= count, cell.starts
