--- a/src/citrondeal/workflow/_isolation.py
+++ b/src/citrondeal/workflow/_isolation.py
@@ -50,13 +50,12 @@
         self._steps, self._closed, self._worker_tasks = set(), set(), {}
         self._attempts_left = MAX_ATTEMPTS_PER_PASS
         self._retry_at = {i: t for i, t in self._retry_at.items() if t > now}
-        for task in self._state.crashes.counted.values():
-            self._steps.add(task.step.id)
-            for run in _runs(task):
-                self._note(task, run, now)
         task = self._held_for
         if task and not self.waits(task, now):
             self._held_for, self._held = None, set()
+        for task in self._state.crashes.counted.values():
+            self._steps.add(task.step.id)
+            self._note_runs(task, now)
 
     def concerns(self, step):
         """Return whether a task of a step has crashed workers."""
@@ -120,7 +119,7 @@
             task.isolation_wanted_at = now
         empty = [w for w in workers if not w.runs]
         chosen = _placement.choose(step, tasks, empty, is_preferred, now)
-        if len(chosen) == len(tasks) and self._may_close(task, chosen):
+        if len(chosen) == len(tasks) and self._may_close(task, _ids(chosen)):
             self._isolated = task
             self._hold(task, chosen)
             return chosen
@@ -141,7 +140,7 @@
             and not task.step.job.ended
         )
 
-    def on_start(self, task, run, now):
+    def on_start(self, task, run):
         """Note a start, after which its worker may be closed.
 
         Parameters
@@ -149,26 +148,35 @@
         task : TaskState
             For a gang, the task that holds its failures.
         run : Run
-        now : float
         """
         task.isolation_wanted_at = None
         run.isolated = task is self._isolated
         if task.crashes:
-            self._note(task, run, now)
-
-    def _note(self, task, run, now):
-        self._worker_tasks.setdefault(run.worker, []).append(task)
-        if run.isolated and not _has_lasted(run, now):
+            self._worker_tasks.setdefault(run.worker, []).append(task)
+        if run.isolated:
             self._closed.add(run.worker)
 
+    def _note_runs(self, task, now):
+        """Note the runs of a task, and close their workers again.
+
+        The runs of suspects that this owner took over have closed none so far,
+        and together they may need too many.
+        """
+        isolated = set()
+        for run in _runs(task):
+            self._worker_tasks.setdefault(run.worker, []).append(task)
+            if run.isolated and not _has_lasted(run, now):
+                isolated.add(run.worker)
+        if not isolated <= self._closed and self._may_close(task, isolated):
+            self._closed |= isolated
+
     def _hold(self, task, chosen):
         """Keep workers for a suspect, one suspect at a time."""
-        needed = {worker.id for _, worker in chosen}
+        needed = _ids(chosen)
         if self._held_for is None and self._leaves_room(task, needed):
             self._held_for, self._held = task, needed
 
-    def _may_close(self, task, chosen):
-        needed = {worker.id for _, worker in chosen}
+    def _may_close(self, task, needed):
         count = len(self._service_workers(task))
         limit = max(len(needed), MAX_ISOLATED_SHARE * count)
         if len(self._closed | needed) > limit:
@@ -204,29 +212,64 @@
         """Choose workers without other tasks that have crashed workers.
 
         If there is no room on these, those without other suspects come next,
-        and then all others.  A suspect goes to the worker with the most free
-        resources, where it does the least damage.
+        and then all others.
         """
+        task = step.accounting_task(tasks[0])
+        if step.spec.gang:
+            chosen = self._choose_for_gang(
+                step, tasks, workers, is_preferred, now
+            )
+        else:
+            chosen = self._choose_for_task(task, workers, is_preferred, now)
+        if (
+            chosen
+            and _crashes.is_suspect(task)
+            and self._may_close(task, _ids(chosen))
+        ):
+            self._isolated = task
+        return chosen
+
+    def _choose_for_gang(self, step, tasks, workers, is_preferred, now):
         task = step.accounting_task(tasks[0])
         for candidates in (
             self._without(workers, task, lambda other: True),
             self._without(workers, task, _crashes.is_suspect),
             workers,
         ):
-            if _crashes.is_suspect(task) and not step.spec.gang:
-                chosen = _placement.choose_emptiest(
-                    step, tasks[0], candidates, is_preferred, now
-                )
-            else:
-                chosen = _placement.choose(
-                    step, tasks, candidates, is_preferred, now
-                )
+            chosen = _placement.choose(
+                step, tasks, candidates, is_preferred, now
+            )
             if len(chosen) == len(tasks):
-                if _crashes.is_suspect(task) and self._may_close(task, chosen):
-                    self._isolated = task
                 return chosen
         return []
 
+    def _choose_for_task(self, task, workers, is_preferred, now):
+        """Choose a worker where a crash does the least damage.
+
+        Another crash is the worst for tasks with several ones, which may be
+        given up, so these are avoided first.  Then a worker with many free
+        resources runs few other tasks.
+        """
+        step = task.step
+        if not _crashes.is_suspect(task):
+            apart = self._without(workers, task, lambda other: True)
+            chosen = _placement.choose(step, [task], apart, is_preferred, now)
+            if chosen:
+                return chosen
+
+        def rank(worker):
+            others = self._worker_tasks.get(worker.id, ())
+            return (
+                bool(others) + any(map(_crashes.is_suspect, others)),
+                not is_preferred(worker),
+                worker.id in task.avoid,
+                sum(len(o.crashes) + len(o.excused) for o in others),
+                -worker.available(step).millicores,
+                worker.id,
+            )
+
+        return _placement.choose_first(step, task, workers, rank, now)
+
     def _without(self, workers, task, matches):
         """Return the workers that run no other matching task."""
         return [
@@ -239,6 +282,10 @@
         ]
 
 
+def _ids(chosen):
+    return {worker.id for _, worker in chosen}
+
+
 def _runs(task):
     members = task.step.tasks if task.step.spec.gang else [task]
     return [member.run for member in members if member.run is not None]
--- a/src/citrondeal/workflow/tests/isolation.feature
+++ b/src/citrondeal/workflow/tests/isolation.feature
@@ -23,6 +23,20 @@
     When two power failures hit a workflow cell that is not half full
     Then none of its workflow tasks is a suspect, and all ran within 3 seconds
 
+  # Guards against tasks without fault that are given up because a task which
+  # crashes its workers is placed beside the same ones again and again.
+  Scenario Outline: workflow isolation neighbours go on after <outages> outages and a deadly task
+    Given a workflow cell of 8 workers
+    When <outages> outages hit 24 workflow jobs and a deadly task arrives
+    Then the deadly workflow task is given up after at most 4 starts
+    And all other workflow jobs are completed
+
+    Examples:
+      | outages |
+      | 0       |
+      | 1       |
+      | 2       |
+
   # Guards against a service whose only worker runs nothing but one task until
   # it ends, because that task is a suspect after two power failures.
   Scenario: workflow isolation a suspect does not keep the only worker for itself
@@ -37,6 +51,14 @@
     When a workflow suspect starts on a free worker beside a full one
     Then no task joins it for 1 second, and another one does within 3 seconds
 
+  # Guards against a new owner that starts nothing at first, because each worker
+  # runs a suspect that it took over.
+  Scenario: workflow isolation suspects that are taken over do not close all workers
+    Given a workflow cell of 8 workers
+    When two power failures hit a workflow cell that is not half full
+    And the owner of the workflow cell is replaced while all jobs run
+    Then another workflow job starts within 1 second
+
   # Guards against resources that stay reserved for a task with a crash although
   # the ticket service does not allow the worker any more.
   Scenario: workflow isolation a task without a ticket keeps nothing reserved
