Record the starts of jobs' tasks under which workers have crashed

What callers saw: a task that crashes its workers beside each change of the owner restarted them without end, although its budget is in the log: 20 restarts in the new scenario, where the test stops; 4 are allowed.

Cause: an owner that is lost before it has seen the crash, or before its record is in the log, takes the knowledge of the run with it. The next owner sees the worker for the first time and has nothing to compare its `boot_id` with.

Change: from the first counted crash on, each start of such a task is recorded with the `boot_id` of its worker before it is sent. An owner that finds another `boot_id` there counts a crash. A recorded start that ends without one, or is never sent, is closed by an entry "released", so that a later restart of the worker doesn't count. A crash is not excused if an earlier owner may have lost a run before the first counted one.

Ruled out: recording each start of each task, which costs a write and its delay for all of them; denying the excuse to all jobs that an owner has taken over, which would fail jobs without fault after power failures.

--- a/src/citrondeal/jobs/_budget.py
+++ b/src/citrondeal/jobs/_budget.py
@@ -28,10 +28,14 @@
         Those that count against the budget.
     excused : int
         Those that another cause may explain.
+    has_unseen : bool
+        Whether a run before the first counted crash may have crashed unseen.
+        There is no excuse then.
     """
 
     counted: int = 0
     excused: int = 0
+    has_unseen: bool = False
 
     @property
     def spent(self):
@@ -50,7 +54,8 @@
         ----------
         entry : dict
             Entry of the ``finished`` record.  Without ``alone`` another task
-            may have been the cause, without ``ran_s`` the run was short.
+            may have been the cause, without ``ran_s`` the run was short.  With
+            ``unseen`` an earlier run may have crashed unseen.
         is_service : bool
             Whether the job is a service.
         """
@@ -58,8 +63,10 @@
         is_long = numbers.is_finite(ran_s) and ran_s >= LONG_RUN_S
         if is_service and is_long:
             self.counted = self.excused = 0
+            self.has_unseen = False
+        self.has_unseen = self.has_unseen or entry.get("unseen") is True
         is_last = self.counted + 1 >= MAX_CRASHES
-        may_excuse = entry.get("alone") is not True
+        may_excuse = entry.get("alone") is not True and not self.has_unseen
         if is_last and may_excuse and self.excused < MAX_EXCUSED:
             self.excused += 1
         else:
@@ -74,7 +81,10 @@
 
 def to_state(crashes):
     """Return the crashes of a job's tasks for a snapshot."""
-    return {str(k): [v.counted, v.excused] for k, v in crashes.items()}
+    return {
+        str(k): [v.counted, v.excused, int(v.has_unseen)]
+        for k, v in crashes.items()
+    }
 
 
 def from_state(state):
@@ -85,4 +95,7 @@
     TypeError, ValueError
         If the state is malformed.
     """
-    return {int(k): TaskCrashes(*map(int, v)) for k, v in state.items()}
+    return {
+        int(index): TaskCrashes(int(counted), int(excused), bool(has_unseen))
+        for index, (counted, excused, has_unseen) in state.items()
+    }
--- a/src/citrondeal/jobs/_crashes.py
+++ b/src/citrondeal/jobs/_crashes.py
@@ -78,6 +78,8 @@
         """Forget everything but the counters, as a new owner does."""
         # Task ids by the key of the task.
         self._unrecorded = {}
+        # Keys of tasks that an earlier owner may have lost unseen.
+        self._maybe_lost = set()
         # Runs whose lease ended on a worker that did not answer, by worker.
         self._lapsed = {}
         self._recent = collections.deque(maxlen=MAX_RECENT)
@@ -87,6 +89,15 @@
         """Return whether a crash of a task is not in the log yet."""
         return task_key in self._unrecorded
 
+    def on_not_found(self, job, index):
+        """Note that a task of an earlier owner does not run any more.
+
+        It may have crashed its worker.  After the first counted crash the
+        recorded starts show whether it has.
+        """
+        if index not in job.crashes:
+            self._maybe_lost.add((job.id, index))
+
     def has_crashed(self, worker):
         """Return whether one of the newest crashes was one of the worker."""
         return worker in self._recent_names
@@ -127,6 +138,12 @@
         self._recent_names = frozenset(c.worker for c in self._recent)
         return crash, lapsed
 
+    def unseen(self, worker):
+        """Return a crash that no owner has seen; what ran is not known."""
+        return WorkerCrash(
+            worker.info.name, False, worker.list_request_sent_at
+        )
+
     def on_same_incarnation(self, worker):
         """Forget the lapsed runs of a worker, which was only silent."""
         self._lapsed.pop(worker.info.name, None)
@@ -162,13 +179,17 @@
             crashes_before=crashes.counted if crashes else 0,
             alone=crash.alone,
         )
-        return {
+        entry = {
             "task": run.task,
             "outcome": "crashed",
             "worker": crash.worker,
             "alone": crash.alone,
             "ran_s": round(run.ran_s, 3),
         }
+        if task_key in self._maybe_lost:
+            self._maybe_lost.discard(task_key)
+            entry["unseen"] = True
+        return entry
 
     def on_recorded(self, task_key, task):
         """Note that the log has the crash of a run."""
--- a/src/citrondeal/jobs/_job_table.py
+++ b/src/citrondeal/jobs/_job_table.py
@@ -11,6 +11,7 @@
 
 from citrondeal import errors
 from citrondeal.jobs import _budget
+from citrondeal.jobs import _starts
 from citrondeal import numbers
 from citrondeal import placement
 
@@ -20,8 +21,9 @@
 OUTCOMES = {OPEN: "open", FINISHED: "finished", FAILED: "failed"}
 OUTCOMES[UNKNOWN] = "unknown"
 
-# Outcomes in ``finished`` records.
-RECORDED_OUTCOMES = ("finished", "failed", "unknown", "crashed")
+# Outcomes in ``finished`` records; "released" is the end of a recorded start
+# without an outcome and without a crash.
+RECORDED_OUTCOMES = ("finished", "failed", "unknown", "crashed", "released")
 
 MAX_TASKS = 10_000  # per job; keeps a snapshot record under 2 MiB
 # Attempts per task whose recorded end is remembered, so that a repeated
@@ -205,6 +207,7 @@
         self._config = config or JobTableConfig()
         self._open = {}
         self._history = collections.OrderedDict()
+        self._starts = _starts.Starts()
         self._malformed = 0
         self._offset = -1
 
@@ -223,6 +226,11 @@
         """Offset of the last record applied, -1 before the first."""
         return self._offset
 
+    @property
+    def starts(self):
+        """Recorded starts of tasks under which workers have crashed."""
+        return self._starts
+
     @property
     def open_jobs(self):
         """Mapping of ids to jobs that have not ended; not a copy."""
@@ -360,13 +368,29 @@
     def _apply_intent(self, record, _appended_after):
         task = record.get("task")
         job, index, attempt = self._find_task(task)
-        if job is None or not job.once or index in job.intents:
+        if job is not None and not job.once:
+            return self._apply_start(job, index, attempt, record)
+        if job is None or index in job.intents:
             return None
         if job.intents is _EMPTY:
             job.intents = {}
         job.intents[index] = attempt
         return Change("intent", job.id, (task,))
 
+    def _apply_start(self, job, index, attempt, record):
+        """Remember where a task under which workers crashed is started."""
+        task = record["task"]
+        worker = record.get("worker")
+        boot_id = record.get("boot_id")
+        if job.ended or not job.is_open(index) or boot_id is None:
+            return None
+        if not (_is_text(worker) and worker and _is_text(boot_id)):
+            raise ValueError("intent needs the name of a worker and a boot_id")
+        is_ended = self.is_end_recorded(job, index, attempt)
+        if index in job.crashes and not is_ended:
+            self._starts.add((job.id, index), task, worker, boot_id)
+        return Change("intent", job.id, (task,))
+
     def _apply_finished(self, record, _appended_after):
         entries = record.get("tasks")
         if not isinstance(entries, list):
@@ -398,6 +422,10 @@
                 self._malformed += 1
                 continue
             applied.append(task)
+            if job is not None:
+                self._starts.remove((job.id, index), task)
+            if outcome == "released":
+                continue
             if job is not None and outcome == "crashed" and not job.once:
                 if self._apply_crash(job, index, attempt, worker, entry):
                     given_up.append(task)
@@ -497,6 +525,7 @@
 
     def _close_task(self, job, index, outcome):
         job.outcomes[index] = ord(outcome)
+        self._starts.remove_all((job.id, index))
         for table in (job.attempts, job.failures, job.crashes):
             if index in table:
                 del table[index]
@@ -506,6 +535,8 @@
 
     def _close_job(self, job):
         self._open.pop(job.id, None)
+        for index in job.crashes:
+            self._starts.remove_all((job.id, index))
         # The command is not needed any more, as no task will be started;
         # without it, a snapshot of the history stays small.
         job.command = ""
@@ -524,6 +555,7 @@
                 "malformed": self._malformed,
                 "open": [_job_to_state(j) for j in self._open.values()],
                 "history": [_job_to_state(j) for j in self._history.values()],
+                "starts": self._starts.to_state(),
             },
         }
 
@@ -546,6 +578,10 @@
                 for raw in state[name]:
                     job = job_table._job_from_state(raw)
                     table[job.id] = job
+            # Snapshots of earlier versions have no starts.
+            job_table._starts = _starts.Starts.from_state(
+                state.get("starts", [])
+            )
             job_table._malformed = int(state["malformed"])
             job_table._offset = int(record["covers"])
         except (KeyError, TypeError, AttributeError) as exc:
--- a/src/citrondeal/jobs/_owner.py
+++ b/src/citrondeal/jobs/_owner.py
@@ -139,11 +139,22 @@
             if name not in named:
                 if not worker.unlisted:
                     self._worker_unlisted_at = now
-                    self._crashes.on_unlisted(name)
+                    self._on_unlisted(worker, now)
                 worker.unlisted = True
                 self._update_pool_worker(worker, now)
                 self._remove_if_unlisted(worker)
 
+    def _on_unlisted(self, worker, now):
+        """Forget what would count if a worker that has left had crashed."""
+        name = worker.info.name
+        self._crashes.on_unlisted(name)
+        if not self._owned or not self._caught_up:
+            return
+        for task, _ in self._job_table.starts.at(name):
+            if task not in worker.assignments:
+                task_key = _job_table.parse_task_id(task)[:2]
+                self._release_start(task_key, task, now)
+
     def _update_pool_worker(self, worker, now):
         info = worker.info
         is_open = self._is_open(worker)
@@ -447,6 +458,7 @@
             worker.boot_id = reply["boot_id"]
         else:
             self._crashes.on_same_incarnation(worker)
+        self._settle_starts(worker, tasks, sent_at, now)
         worker.drained = worker.info.leaving
         worker.task_list_read = True
         worker.list_request_sent_at = sent_at
@@ -488,6 +500,42 @@
                     if run is not None:
                         self._record_crash(run, crash, now)
                 self._on_not_running(worker, assignment, may_have_run, now)
+            elif self._has_recorded_starts(assignment.job, assignment):
+                # The recorded start is for the previous incarnation.
+                self._on_not_running(worker, assignment, False, now)
+
+    def _settle_starts(self, worker, tasks, sent_at, now):
+        """Record the end of recorded starts that a worker doesn't list.
+
+        Most of them are of previous owners, or on a worker that was silent.
+        """
+        if not self._caught_up:
+            # The log may have their ends.
+            return
+        name = worker.info.name
+        for task, boot_id in self._job_table.starts.at(name):
+            if task in tasks or task in worker.assignments:
+                continue
+            job_id, index, _ = _job_table.parse_task_id(task)
+            if boot_id == worker.boot_id or worker.drained:
+                # The start of a previous owner may still arrive until then.
+                if sent_at >= self._previous_until + self._margin:
+                    self._release_start((job_id, index), task, now)
+                continue
+            crash = self._crashes.unseen(worker)
+            job = self._job_table.get(job_id)
+            if job is not None:
+                run = _crashes.Run(job, index, task, 0.0)
+                self._record_crash(run, crash, now)
+
+    def _release_start(self, task_key, task, now):
+        """Record that a recorded start has ended without a crash."""
+        if task in self._unrecorded_ends:
+            return
+        if self._job_table.starts.has(task_key, task):
+            entry = {"task": task, "outcome": "released"}
+            self._unrecorded_ends[task] = entry
+            self._end_append_at[task] = now
 
     def _run_of(self, assignment):
         """Return the run whose crash would count, or None."""
@@ -615,15 +663,21 @@
         self._remove_if_unlisted(worker)
 
     def _on_not_running(
-        self, worker, assignment, may_have_run, now, pause_s=0.0
+        self, worker, assignment, may_have_run, now, lapsed=False
     ):
         """Record or requeue a task that certainly does not run any more.
 
-        `may_have_run` tells whether the attempt may have been started.
+        `may_have_run` tells whether the attempt may have been started,
+        `lapsed` whether its worker may have crashed.
         """
+        if assignment.task not in worker.assignments:
+            # It was removed with another task of its gang.
+            return
         self._remove_assignment(worker, assignment)
         if assignment.task_key is None:
             return
+        if not lapsed:
+            self._release_start(assignment.task_key, assignment.task, now)
         index = assignment.task_key[1]
         if assignment.job is None:
             self._queue_open_tasks(
@@ -635,8 +689,7 @@
                 assignment.job, index, assignment.task, "unknown", "", now
             )
             return
-        if not may_have_run:
-            pause_s = max(pause_s, self._config.refused_pause_s)
+        pause_s = 0.0 if may_have_run else self._config.refused_pause_s
         self._requeue(assignment.job, index, now, pause_s)
 
     def _on_end_listed(self, worker, assignment, listing, now):
@@ -671,6 +724,7 @@
             self._record_end(job, index, task, "unknown", name, now)
         else:
             worker.acks.add(task)
+            self._release_start((job.id, index), task, now)
         if assignment is not None and assignment.task_key is not None:
             pause = 0.0
             if state == "failed":
@@ -765,6 +819,7 @@
                 continue
             if assignment.phase in (_assignments.INTENT, _assignments.READY):
                 self._remove_assignment(assignment.worker, assignment)
+                self._release_start((job.id, index), assignment.task, now)
                 continue
             none_running = False
             if assignment.stop_order is None:
@@ -884,6 +939,10 @@
                 ]
                 if any(assigned) and not all(assigned):
                     self._stop_gang(job, now, 0.0)
+            if not self._is_submitted_after_previous_owner(job):
+                for index in job.open_indices():
+                    if (job.id, index) not in self._assigned:
+                        self._crashes.on_not_found(job, index)
             self._queue_open_tasks(job, now)
         self._found_in_recovery.clear()
 
@@ -963,7 +1022,10 @@
                     run = self._run_of(assignment)
                     if run is not None and assignment.may_have_run:
                         self._crashes.on_lapse(worker, run)
-                    self._on_not_running(worker, assignment, True, now)
+                    may_have_crashed = not (worker.unlisted or worker.drained)
+                    self._on_not_running(
+                        worker, assignment, True, now, lapsed=may_have_crashed
+                    )
 
     def _drain_workers(self, now):
         """Move tasks off leaving workers, and stop slow checkpoints.
@@ -1044,21 +1106,36 @@
             job.work.size,
             _assignments.READY,
         )
-        if job.once and task_key not in self._usable_intents:
+        needs_intent = job.once and task_key not in self._usable_intents
+        if needs_intent or self._has_recorded_starts(job, assignment):
             assignment.phase = _assignments.INTENT
             self._intent_append_at[task] = (now, assignment)
         worker.assignments[task] = assignment
         self._assigned[task_key] = assignment
 
+    def _has_recorded_starts(self, job, assignment):
+        """Return whether starts of a task are recorded due to crashes."""
+        if job is None or job.once or assignment.task_key is None:
+            return False
+        return assignment.task_key[1] in job.crashes
+
     def _on_intent(self, task, now):
         task_key = _job_table.parse_task_id(task)[:2]
         assignment = self._assigned.get(task_key)
         if assignment is not None and assignment.task == task:
             if assignment.phase == _assignments.INTENT:
                 assignment.phase = _assignments.READY
-                self._usable_intents.add(task_key)
+                if assignment.job.once:
+                    self._usable_intents.add(task_key)
                 self._intent_append_at.pop(task, None)
             return
+        job = self._job_table.get(task_key[0])
+        if not job.once:
+            # This owner has given up a start before its record was read.
+            attempt = _job_table.parse_task_id(task)[2]
+            if attempt.startswith(f"{self._epoch}."):
+                self._release_start(task_key, task, now)
+            return
         if not self._caught_up:
             return
         if assignment is not None and assignment.phase != _assignments.INTENT:
@@ -1069,7 +1146,6 @@
         if assignment is not None:
             self._remove_assignment(assignment.worker, assignment)
         self._usable_intents.add(task_key)
-        job = self._job_table.get(task_key[0])
         if not job.ended and self._may_queue(job, task_key[1]):
             self._enqueue(job, [task_key[1]], now)
 
@@ -1106,15 +1182,8 @@
                 self._remove_assignment(assignment.worker, assignment)
             elif at <= now:
                 self._intent_append_at[task] = (now + retry, assignment)
-                actions.append(
-                    _assignments.AppendRecord(
-                        {
-                            "kind": "intent",
-                            "task": task,
-                            "worker": assignment.worker.info.name,
-                        }
-                    )
-                )
+                record = _intent_record(assignment)
+                actions.append(_assignments.AppendRecord(record))
         return actions
 
     # Queries
@@ -1249,6 +1318,18 @@
         }
 
 
+def _intent_record(assignment):
+    worker = assignment.worker
+    record = {
+        "kind": "intent",
+        "task": assignment.task,
+        "worker": worker.info.name,
+    }
+    if not assignment.job.once:
+        record["boot_id"] = worker.boot_id
+    return record
+
+
 def _counted_crashes(job, index):
     crashes = job.crashes.get(index)
     return 0 if crashes is None else crashes.counted
--- a/src/citrondeal/jobs/tests/jobs.feature
+++ b/src/citrondeal/jobs/tests/jobs.feature
@@ -41,6 +41,8 @@
       | relative lease                        | 4    |
       | lease mapped from the send time       | 1    |
       | replacement before the move           | 1    |
+      | crash not recorded                    | 1    |
+      | silence counted as a crash            | 5    |
 
   Scenario: jobs snapshot replaces the records that it covers
     # Guards against replicas that differ after a snapshot, and against a
@@ -338,6 +340,57 @@
       | another scheduler                  |
       | another scheduler with a snapshot  |
 
+  Scenario: jobs crashes that no owner has seen count after the first one
+    # Guards against a task that crashes its workers beside each change of the
+    # owner: neither the old nor the new one sees another boot_id.
+    Given jobs a scheduler that owns a pool of 6 workers
+    When jobs "a" with 1 tasks is submitted and 2 s pass
+    And jobs every worker restarts and 6 s pass
+    And jobs each worker that runs "a" restarts, and another scheduler takes over at once
+    Then jobs at most 4 workers restarted because of "a"
+    And jobs the state of "a" is "failed"
+
+  Scenario: jobs a recorded start that ends without a crash does not count
+    # Guards against a crash that the next owner counts although the run was
+    # moved, or its worker was silent.
+    Given jobs a scheduler that owns a pool of 3 workers
+    When jobs "a" with 1 tasks is submitted and 2 s pass
+    And jobs every worker restarts and 6 s pass
+    Then jobs task 0 of "a" has 1 crashes
+    When jobs 2 times the worker of "a" is left by its tasks and restarts
+    And jobs another scheduler takes over and 40 s pass
+    And jobs 1 times the worker of "a" is cut off for 40 s
+    And jobs another scheduler takes over and 40 s pass
+    Then jobs 1 tasks of "a" run
+    And jobs task 0 of "a" has 1 crashes
+
+  Scenario: jobs a recorded start that was never sent does not count
+    # Guards against a crash that is counted for a task that was about to start,
+    # and against an error when a worker restarts on which several tasks of a
+    # gang wait for the records of their starts.
+    Given jobs a scheduler that owns a pool of 1 workers
+    When jobs gang "g" with 3 tasks is submitted and 5 s pass
+    And jobs appends of intents are lost
+    And jobs every worker restarts and 8 s pass
+    Then jobs 0 tasks of "g" run
+    When jobs every worker restarts and 8 s pass
+    Then jobs 0 tasks of "g" run
+    When jobs lost appends of intents arrive late
+    And jobs another scheduler takes over and 40 s pass
+    Then jobs 3 tasks of "g" run
+    And jobs task 0 of "g" has 1 crashes
+
+  Scenario: jobs a leaving worker gives back a gang that waits for records
+    # Guards against an error when several tasks of a gang wait on a worker for
+    # the records of their starts: all of them are removed with the first one.
+    Given jobs a scheduler that owns a pool of 1 workers
+    When jobs gang "g" with 3 tasks is submitted and 5 s pass
+    And jobs appends of intents are lost
+    And jobs every worker restarts and 8 s pass
+    And jobs worker "w0" is leaving and 8 s pass
+    Then jobs 0 tasks of "g" run
+    And jobs the state of "g" is "open"
+
   Scenario: jobs a crash counts if the worker is away for longer than a lease
     # Guards against a budget that is never spent because each crashed worker
     # is silent until its tasks have started elsewhere.
--- a/src/citrondeal/jobs/tests/machine.py
+++ b/src/citrondeal/jobs/tests/machine.py
@@ -14,6 +14,9 @@
 from citrondeal import placement
 
 VALIDITY = 4.0  # seconds after a renewal, as in citrondeal.ownership
+# Most crashes of workers by a task that crashes each worker that starts it:
+# after the third one it may be started twice more.
+MAX_CRASHES = 5
 KINDS = ("batch", "batch", "once", "gang", "service")
 # What the network does with a request and its reply: "drop" loses the
 # request, "late" delivers it after other exchanges, "reply_lost" loses the
@@ -131,7 +134,7 @@
             self.now += 0.7
         reply = self.deliver(worker, request, sent_at)
         self.now += 0.01
-        if delivery in ("ok", "slow"):
+        if reply is not None and delivery in ("ok", "slow"):
             owner.on_reply(worker.name, reply, sent_at, self.now)
         else:
             owner.on_exchange_failed(worker.name, self.now)
@@ -150,6 +153,10 @@
                 job, index, _ = jobs.parse_task_id(task["task"])
                 if job.startswith("once"):
                     self.once_starts[job, index] += 1
+        tasks = worker.running(self.now)
+        if any(task["job"].startswith("deadly") for task in tasks):
+            self.reboot(worker)
+            return None
         return reply
 
     def reboot(self, worker):
@@ -205,7 +212,7 @@
         once = kind == "once"
         record = fakes.submit(
             f"{kind}{self.submitted + 1}",
-            kind="batch" if once else kind,
+            kind="batch" if kind in ("once", "deadly") else kind,
             once=once,
             tasks=tasks,
             cores=cores,
@@ -247,6 +254,11 @@
             assert crashes >= 2, (
                 f"{task_key} was given up after {crashes} crashes"
             )
+        for task_key, crashes in self.crashes.items():
+            if task_key[0].startswith("deadly"):
+                assert crashes <= MAX_CRASHES, (
+                    f"{task_key} has crashed {crashes} workers"
+                )
 
     def given_up(self):
         """Return the keys of the tasks that the log shows as given up."""
@@ -342,6 +354,12 @@
         if len(self.world.holder.owner.job_table.open_jobs) < 8:
             self.world.submit(kind, tasks, cores, priority)
 
+    @stateful.rule(tasks=st.integers(1, 2), cores=st.sampled_from([1, 3]))
+    def submit_deadly(self, tasks, cores):
+        """Submit a job whose tasks crash each worker that starts them."""
+        if len(self.world.holder.owner.job_table.open_jobs) < 8:
+            self.world.submit("deadly", tasks, cores, "normal")
+
     @stateful.rule(number=st.integers(0, 7))
     def cancel(self, number):
         ids = self.world.job_ids()
--- a/src/citrondeal/jobs/tests/mutations.py
+++ b/src/citrondeal/jobs/tests/mutations.py
@@ -152,6 +152,30 @@
         return super()._all_tasks_found(now)
 
 
+class CrashNotRecorded(jobs.PoolOwner):
+    """A crash of a worker is not recorded for the tasks that ran there."""
+
+    def _record_crash(self, run, crash, now):
+        pass
+
+
+class SilenceCounted(jobs.PoolOwner):
+    """A lease that ends on a silent worker counts as a crash."""
+
+    def _expire_assignments(self, now):
+        before = {
+            assignment.task: (worker, assignment)
+            for worker in self._workers.values()
+            for assignment in worker.assignments.values()
+            if assignment.may_have_run
+        }
+        super()._expire_assignments(now)
+        for task, (worker, assignment) in before.items():
+            run = self._run_of(assignment)
+            if task not in worker.assignments and run is not None:
+                self._record_crash(run, self._crashes.unseen(worker), now)
+
+
 def machine_with(owner_class):
     """Return a fault machine that uses another owner class."""
     return type("Mutated", (machine.Machine,), {"owner_class": owner_class})
@@ -178,4 +202,6 @@
     "relative lease": RelativeLease,
     "lease mapped from the send time": machine_with(ClockReadAtSend),
     "replacement before the move": machine_with(RequeuedBeforeStop),
+    "crash not recorded": machine_with(CrashNotRecorded),
+    "silence counted as a crash": machine_with(SilenceCounted),
 }
--- a/src/citrondeal/jobs/tests/random_records.py
+++ b/src/citrondeal/jobs/tests/random_records.py
@@ -41,11 +41,24 @@
     },
     TASKS,
     st.sampled_from(
-        ["finished", "failed", "failed", "unknown", "other", "crashed"]
+        [
+            "finished",
+            "failed",
+            "failed",
+            "unknown",
+            "other",
+            "crashed",
+            "crashed",
+            "released",
+        ]
     ),
     st.sampled_from(["w1", "w2", "w3", 4]),
     st.sampled_from(
-        [{}, {"alone": True, "ran_s": 1.0}, {"alone": 1, "ran_s": "long"}]
+        [
+            {},
+            {"alone": True, "ran_s": 1.0},
+            {"alone": 1, "ran_s": "long", "unseen": True},
+        ]
     ),
 )
 RECORDS = st.one_of(
@@ -55,7 +68,18 @@
         lambda job: {"kind": "cancel", "job": job},
         st.sampled_from((*IDS, 7)),
     ),
-    st.builds(lambda task: {"kind": "intent", "task": task}, TASKS),
+    st.builds(
+        lambda task, fields: {"kind": "intent", "task": task, **fields},
+        TASKS,
+        st.sampled_from(
+            [
+                {},
+                {"worker": "w1", "boot_id": "b1"},
+                {"worker": "w2", "boot_id": "b2"},
+                {"worker": 4, "boot_id": "b2"},
+            ]
+        ),
+    ),
     st.builds(
         lambda tasks: {"kind": "finished", "tasks": tasks},
         st.lists(ENTRIES, max_size=4),
--- a/src/citrondeal/jobs/tests/steps_crashes.py
+++ b/src/citrondeal/jobs/tests/steps_crashes.py
@@ -92,6 +92,17 @@
         steps.take_over(context, 3)
 
 
+@when(
+    'jobs each worker that runs "{job}" restarts,'
+    " and another scheduler takes over at once"
+)
+def _(context, job):
+    reset_counts(context)
+    while wait_for_start(context, job) and context.crashes < 20:
+        crash_workers(context, job)
+        steps.take_over(context, 3)
+
+
 @when(
     'jobs each worker that runs "{job}" restarts,'
     " and another scheduler with a snapshot takes over"
@@ -148,6 +159,44 @@
         steps.run(context, 5)
 
 
+@when("jobs appends of intents are lost")
+def _(context):
+    context.lost_intents = []
+
+    def append(record):
+        if record["kind"] == "intent":
+            context.lost_intents.append(record)
+        else:
+            context.log.records.append(record)
+
+    context.log.append = append
+
+
+@when("jobs lost appends of intents arrive late")
+def _(context):
+    del context.log.append
+    assert context.lost_intents
+    context.log.records.extend(context.lost_intents)
+    steps.run(context, 2)
+
+
+@when(
+    'jobs {count:d} times the worker of "{job}" is left by its tasks'
+    " and restarts"
+)
+def _(context, count, job):
+    for _ in range(count):
+        [worker] = workers_of(context, job)
+        worker.leaving = True
+        steps.publish(context)
+        steps.run(context, 10)
+        assert worker not in workers_of(context, job)
+        worker.reboot()
+        worker.leaving = False
+        steps.publish(context)
+        steps.run(context, 5)
+
+
 @then('jobs at most {limit:d} workers restarted because of "{job}"')
 def _(context, limit, job):
     assert 1 <= context.crashes <= limit, context.crashes
@@ -185,5 +234,6 @@
     snapshot = table.snapshot()
     for job in snapshot["state"]["open"]:
         del job["crashes"], job["give_up"]
+    del snapshot["state"]["starts"]
     restored = jobs.JobTable.from_snapshot(snapshot)
     assert restored.snapshot() == table.snapshot()
