--- a/src/citrondeal/jobs/_owner.py
+++ b/src/citrondeal/jobs/_owner.py
@@ -8,6 +8,8 @@
 import math
 
 from citrondeal.jobs import _assignments
+from citrondeal.jobs import _crashes
+from citrondeal.jobs import _isolation
 from citrondeal.jobs import _job_table
 from citrondeal import numbers
 from citrondeal import placement
@@ -43,6 +45,7 @@
         self._worker_unlisted_at = -math.inf
         self._log_end_read_at = None
         self._owned = False
+        self._crashes = _crashes.Crashes()
         self._reset(-math.inf)
 
     @classmethod
@@ -81,6 +84,18 @@
         # for all open tasks of the job.
         self._delayed = []
         self._sequence = itertools.count()
+        self._crashes.reset()
+        self._isolation = _isolation.Isolation(
+            self._pool,
+            self._workers,
+            self._is_open,
+            self._crashes.has_crashed,
+        )
+
+    @property
+    def crashes(self):
+        """Crashes of workers that this process has seen."""
+        return self._crashes
 
     @property
     def job_table(self):
@@ -117,25 +132,34 @@
             if worker is None:
                 worker = self._workers[name] = _assignments.Worker(info)
             worker.info = info
+            worker.drained = worker.drained or info.leaving
             worker.unlisted = False
             self._update_pool_worker(worker, now)
         for name, worker in list(self._workers.items()):
             if name not in named:
                 if not worker.unlisted:
                     self._worker_unlisted_at = now
+                    self._on_unlisted(worker, now)
                 worker.unlisted = True
                 self._update_pool_worker(worker, now)
                 self._remove_if_unlisted(worker)
 
+    def _on_unlisted(self, worker, now):
+        """Forget what would count if a worker that has left had crashed."""
+        name = worker.info.name
+        self._crashes.on_unlisted(name)
+        if not self._owned or not self._caught_up:
+            return
+        for task, _ in self._job_table.starts.at(name):
+            if task not in worker.assignments:
+                task_key = _job_table.parse_task_id(task)[:2]
+                self._release_start(task_key, task, now)
+
     def _update_pool_worker(self, worker, now):
         info = worker.info
-        is_open = (
-            self._owned
-            and worker.task_list_read
-            and worker.answering
-            and not worker.unlisted
-            and not info.leaving
-        )
+        is_open = self._is_open(worker)
+        if self._isolation.is_closed(info.name):
+            is_open = False
         self._pool.set_worker(
             info.name,
             placement.capacity_of(
@@ -146,6 +170,16 @@
             now,
         )
 
+    def _is_open(self, worker):
+        """Return whether tasks may be started on the worker."""
+        return (
+            self._owned
+            and worker.task_list_read
+            and worker.answering
+            and not worker.unlisted
+            and not worker.info.leaving
+        )
+
     def _remove_if_unlisted(self, worker):
         if worker.unlisted and not worker.assignments:
             self._pool.remove_worker(worker.info.name)
@@ -184,6 +218,9 @@
             self._on_intent(change.tasks[0], now)
         elif change.kind == "finished":
             self._on_finished(change.tasks, now)
+            for task in change.given_up:
+                job_id = _job_table.parse_task_id(task)[0]
+                self._crashes.on_given_up(self._job_table.get(job_id), task)
         return change
 
     def on_log_end_read(self, sent_at, now):
@@ -248,6 +285,7 @@
         """
         for job_id in list(self._job_table.open_jobs):
             self._pool.withdraw(job_id)
+        self._isolation.clear()
         self._job_table = job_table
         self._log_end_read_at = None
         for assignment in self._assigned.values():
@@ -416,19 +454,12 @@
         worker.clock_s = reply["clock_s"]
         worker.clock_read_at = now
         if worker.boot_id != reply["boot_id"]:
+            self._on_incarnation(worker, now)
             worker.boot_id = reply["boot_id"]
-            for assignment in list(worker.assignments.values()):
-                if assignment.phase in (
-                    _assignments.SENT,
-                    _assignments.RUNNING,
-                ):
-                    # A start without a reply may have run before the
-                    # restart.
-                    may_have_run = (
-                        assignment.phase == _assignments.RUNNING
-                        or assignment.start_unanswered_until > -math.inf
-                    )
-                    self._on_not_running(worker, assignment, may_have_run, now)
+        else:
+            self._crashes.on_same_incarnation(worker)
+        self._settle_starts(worker, tasks, sent_at, now)
+        worker.drained = worker.info.leaving
         worker.task_list_read = True
         worker.list_request_sent_at = sent_at
         worker.acks.intersection_update(tasks)
@@ -451,6 +482,86 @@
         self._update_pool_worker(worker, now)
         return True
 
+    def _on_incarnation(self, worker, now):
+        """Requeue the tasks of a worker that has restarted."""
+        crash, lapsed = self._crashes.on_incarnation(
+            worker,
+            self._workers.values(),
+            self._pool.is_quarantined(worker.info.name),
+        )
+        for run in lapsed:
+            self._record_crash(run, crash, now)
+        for assignment in list(worker.assignments.values()):
+            if assignment.phase in (_assignments.SENT, _assignments.RUNNING):
+                # A start without a reply may have run before the restart.
+                may_have_run = assignment.may_have_run
+                if may_have_run and crash is not None:
+                    run = self._run_of(assignment)
+                    if run is not None:
+                        self._record_crash(run, crash, now)
+                self._on_not_running(worker, assignment, may_have_run, now)
+            elif self._has_recorded_starts(assignment.job, assignment):
+                # The recorded start is for the previous incarnation.
+                self._on_not_running(worker, assignment, False, now)
+
+    def _settle_starts(self, worker, tasks, sent_at, now):
+        """Record the end of recorded starts that a worker doesn't list.
+
+        Most of them are of previous owners, or on a worker that was silent.
+        """
+        if not self._caught_up:
+            # The log may have their ends.
+            return
+        name = worker.info.name
+        for task, boot_id in self._job_table.starts.at(name):
+            if task in tasks or task in worker.assignments:
+                continue
+            job_id, index, _ = _job_table.parse_task_id(task)
+            if boot_id == worker.boot_id or worker.drained:
+                # The start of a previous owner may still arrive until then.
+                if sent_at >= self._previous_until + self._margin:
+                    self._release_start((job_id, index), task, now)
+                continue
+            crash = self._crashes.unseen(worker)
+            job = self._job_table.get(job_id)
+            if job is not None:
+                run = _crashes.Run(job, index, task, 0.0)
+                self._record_crash(run, crash, now)
+
+    def _release_start(self, task_key, task, now):
+        """Record that a recorded start has ended without a crash."""
+        if task in self._unrecorded_ends:
+            return
+        if self._job_table.starts.has(task_key, task):
+            entry = {"task": task, "outcome": "released"}
+            self._unrecorded_ends[task] = entry
+            self._end_append_at[task] = now
+
+    def _run_of(self, assignment):
+        """Return the run whose crash would count, or None."""
+        if assignment.job is None or assignment.task_key is None:
+            return None
+        started_at = assignment.listed_at
+        ended_at = assignment.worker.list_request_sent_at
+        ran_s = max(0.0, ended_at - started_at)
+        return _crashes.Run(
+            assignment.job, assignment.task_key[1], assignment.task, ran_s
+        )
+
+    def _record_crash(self, run, crash, now):
+        """Hold a task back until the log has the crash of its worker."""
+        job = self._job_table.get(run.job.id)
+        parts = _job_table.parse_task_id(run.task)
+        # The outcome of a task that must run once is unknown.
+        if job is None or job.once or run.task in self._unrecorded_ends:
+            return
+        if job.ended or self._job_table.is_end_recorded(
+            job, run.index, parts[2]
+        ):
+            return
+        self._unrecorded_ends[run.task] = self._crashes.entry(run, crash)
+        self._end_append_at[run.task] = now
+
     @property
     def _margin(self):
         return self._config.lease_margin_s
@@ -552,15 +663,21 @@
         self._remove_if_unlisted(worker)
 
     def _on_not_running(
-        self, worker, assignment, may_have_run, now, pause_s=0.0
+        self, worker, assignment, may_have_run, now, lapsed=False
     ):
         """Record or requeue a task that certainly does not run any more.
 
-        `may_have_run` tells whether the attempt may have been started.
+        `may_have_run` tells whether the attempt may have been started,
+        `lapsed` whether its worker may have crashed.
         """
+        if assignment.task not in worker.assignments:
+            # It was removed with another task of its gang.
+            return
         self._remove_assignment(worker, assignment)
         if assignment.task_key is None:
             return
+        if not lapsed:
+            self._release_start(assignment.task_key, assignment.task, now)
         index = assignment.task_key[1]
         if assignment.job is None:
             self._queue_open_tasks(
@@ -572,8 +689,7 @@
                 assignment.job, index, assignment.task, "unknown", "", now
             )
             return
-        if not may_have_run:
-            pause_s = max(pause_s, self._config.refused_pause_s)
+        pause_s = 0.0 if may_have_run else self._config.refused_pause_s
         self._requeue(assignment.job, index, now, pause_s)
 
     def _on_end_listed(self, worker, assignment, listing, now):
@@ -608,6 +724,7 @@
             self._record_end(job, index, task, "unknown", name, now)
         else:
             worker.acks.add(task)
+            self._release_start((job.id, index), task, now)
         if assignment is not None and assignment.task_key is not None:
             pause = 0.0
             if state == "failed":
@@ -663,6 +780,10 @@
                 worker.acks.add(task)
             if job is None or job.ended or job.hold_reason:
                 self._pool.withdraw(parts[0])
+            if entry is not None and entry["outcome"] == "crashed":
+                self._crashes.on_recorded(task_key, task)
+                if job is not None and task_key not in self._assigned:
+                    self._requeue(job, task_key[1], now, 0.0)
 
     # Queueing
 
@@ -672,6 +793,7 @@
         if len(indices) > 1 and waiting:
             waiting = set(waiting)
         added = [index for index in indices if index not in waiting]
+        added = self._isolation.take(job, added, now)
         if added:
             self._pool.offer(job.work, added, now, job.failed_on)
 
@@ -697,6 +819,7 @@
                 continue
             if assignment.phase in (_assignments.INTENT, _assignments.READY):
                 self._remove_assignment(assignment.worker, assignment)
+                self._release_start((job.id, index), assignment.task, now)
                 continue
             none_running = False
             if assignment.stop_order is None:
@@ -727,6 +850,7 @@
             job.hold_reason
             or task_key in self._assigned
             or task_key in self._unrecorded_final_ends
+            or self._crashes.holds(task_key)
         ):
             return False
         if job.once and index in job.intents:
@@ -815,6 +939,10 @@
                 ]
                 if any(assigned) and not all(assigned):
                     self._stop_gang(job, now, 0.0)
+            if not self._is_submitted_after_previous_owner(job):
+                for index in job.open_indices():
+                    if (job.id, index) not in self._assigned:
+                        self._crashes.on_not_found(job, index)
             self._queue_open_tasks(job, now)
         self._found_in_recovery.clear()
 
@@ -849,6 +977,7 @@
             elif job.is_open(index) and self._may_queue(job, index):
                 self._enqueue(job, [index], now)
         self._drain_workers(now)
+        self._start_suspects(now)
         for _ in range(self._config.place_rounds):
             if len(self._unrecorded_ends) >= self._config.max_unrecorded:
                 break
@@ -863,6 +992,16 @@
                 break
         return self._due_appends(now)
 
+    def _start_suspects(self, now):
+        """Start tasks under which workers have crashed apart from others."""
+        if len(self._unrecorded_ends) < self._config.max_unrecorded:
+            for action in self._isolation.place(self._may_queue, now):
+                self._on_start(action, now)
+        for name in self._isolation.changed_workers():
+            worker = self._workers.get(name)
+            if worker is not None:
+                self._update_pool_worker(worker, now)
+
     def _expire_assignments(self, now):
         """Remove tasks whose leases ended on workers that do not answer.
 
@@ -880,7 +1019,13 @@
                     if worker.unlisted:
                         self._on_not_running(worker, assignment, False, now)
                 elif now > assignment.lease_end + self._margin:
-                    self._on_not_running(worker, assignment, True, now)
+                    run = self._run_of(assignment)
+                    if run is not None and assignment.may_have_run:
+                        self._crashes.on_lapse(worker, run)
+                    may_have_crashed = not (worker.unlisted or worker.drained)
+                    self._on_not_running(
+                        worker, assignment, True, now, lapsed=may_have_crashed
+                    )
 
     def _drain_workers(self, now):
         """Move tasks off leaving workers, and stop slow checkpoints.
@@ -961,21 +1106,36 @@
             job.work.size,
             _assignments.READY,
         )
-        if job.once and task_key not in self._usable_intents:
+        needs_intent = job.once and task_key not in self._usable_intents
+        if needs_intent or self._has_recorded_starts(job, assignment):
             assignment.phase = _assignments.INTENT
             self._intent_append_at[task] = (now, assignment)
         worker.assignments[task] = assignment
         self._assigned[task_key] = assignment
 
+    def _has_recorded_starts(self, job, assignment):
+        """Return whether starts of a task are recorded due to crashes."""
+        if job is None or job.once or assignment.task_key is None:
+            return False
+        return assignment.task_key[1] in job.crashes
+
     def _on_intent(self, task, now):
         task_key = _job_table.parse_task_id(task)[:2]
         assignment = self._assigned.get(task_key)
         if assignment is not None and assignment.task == task:
             if assignment.phase == _assignments.INTENT:
                 assignment.phase = _assignments.READY
-                self._usable_intents.add(task_key)
+                if assignment.job.once:
+                    self._usable_intents.add(task_key)
                 self._intent_append_at.pop(task, None)
             return
+        job = self._job_table.get(task_key[0])
+        if not job.once:
+            # This owner has given up a start before its record was read.
+            attempt = _job_table.parse_task_id(task)[2]
+            if attempt.startswith(f"{self._epoch}."):
+                self._release_start(task_key, task, now)
+            return
         if not self._caught_up:
             return
         if assignment is not None and assignment.phase != _assignments.INTENT:
@@ -986,7 +1146,6 @@
         if assignment is not None:
             self._remove_assignment(assignment.worker, assignment)
         self._usable_intents.add(task_key)
-        job = self._job_table.get(task_key[0])
         if not job.ended and self._may_queue(job, task_key[1]):
             self._enqueue(job, [task_key[1]], now)
 
@@ -1023,15 +1182,8 @@
                 self._remove_assignment(assignment.worker, assignment)
             elif at <= now:
                 self._intent_append_at[task] = (now + retry, assignment)
-                actions.append(
-                    _assignments.AppendRecord(
-                        {
-                            "kind": "intent",
-                            "task": task,
-                            "worker": assignment.worker.info.name,
-                        }
-                    )
-                )
+                record = _intent_record(assignment)
+                actions.append(_assignments.AppendRecord(record))
         return actions
 
     # Queries
@@ -1143,6 +1295,7 @@
                     if assignment
                     else None,
                     "failures": job.failures.get(index, 0),
+                    "crashes": _counted_crashes(job, index),
                 }
             )
         status["task_states"] = tasks
@@ -1161,9 +1314,27 @@
             "unrecorded": len(self._unrecorded_ends),
             "book": self._job_table.dump(),
             "pool": self._pool.dump(),
+            "crashes": self._crashes.dump() | self._isolation.dump(),
         }
 
 
+def _intent_record(assignment):
+    worker = assignment.worker
+    record = {
+        "kind": "intent",
+        "task": assignment.task,
+        "worker": worker.info.name,
+    }
+    if not assignment.job.once:
+        record["boot_id"] = worker.boot_id
+    return record
+
+
+def _counted_crashes(job, index):
+    crashes = job.crashes.get(index)
+    return 0 if crashes is None else crashes.counted
+
+
 def _parse_reply(reply):
     """Return the listed tasks by id, or None if the reply is malformed."""
     try:
