Give up leases when their log was replaced

When the log of a group was replaced by an empty one, running processes kept their lease table. They ignored all records of the new log up to their old position, kept their leases by promises for up to the outage limit and appended claims with epochs of the earlier log, while a new process found the resources unclaimed and held them too.

Cause: `LeaseDriver._load(None)` reported the empty state as loaded without loading it. The settings tree keeps its state in this case, but refuses the empty state, so that the tree is incomplete. For leases that is not enough: holders would go on by promises, and new processes would still claim. Continuing from the old table is no choice either, since two replicas may have read different parts of the earlier log.

The driver now loads the empty state: own leases are lost at once. A process that cannot read the new log may still be valid by promises, so `LeaseGroup` claims nothing for the outage limit and its clock drift, doesn't use a claim that took effect in the new log before that, gives this time as the bound of the previous holder, and refuses promises for leases that its table doesn't show.

--- a/src/citrondeal/ownership/_lease_group.py
+++ b/src/citrondeal/ownership/_lease_group.py
@@ -129,6 +129,10 @@
         self._drain_requests = {}
         # Promises given to peers and received from peers.
         self._promised_until = float("-inf")
+        # Latest end of the validity of a holder that only an earlier log
+        # names, after this log was replaced by another one.
+        self._unknown_holders_until = float("-inf")
+        self._replacement_count = 0
         self._relayed_at = {}
         self._promise_requests = {}
         self._promises_requested_at = None
@@ -287,6 +291,10 @@
         for resource, epoch in epochs.items():
             lease = self._table.leases.get(resource)
             if lease is None or lease.epoch < epoch:
+                if now < self._unknown_holders_until:
+                    # The holder may not know yet that the log that named it
+                    # was replaced, while others may claim by the new log.
+                    return False, []
                 continue
             is_current = (lease.epoch, lease.holder, lease.incarnation) == (
                 epoch,
@@ -347,6 +355,11 @@
     def load(self, state, now):
         """Replace the lease table by the state of a snapshot.
 
+        None, or a state of an earlier position, means that the log was
+        replaced by another one.  A process that has not read the new log
+        yet, or cannot, may hold any resource for the outage limit, so that
+        nothing is claimed until then.
+
         Returns
         -------
         bool
@@ -364,7 +377,8 @@
             self._table.load(state)
         except ValueError:
             return False, []
-        if self._table.position < position:
+        if state is None or self._table.position < position:
+            self._on_log_replaced(now)
             # An older state may contain leases that were lost later.
             epochs = {}
         self._read_at = dict.fromkeys(self._table.leases, now)
@@ -387,8 +401,18 @@
             self._add_own_lease(resource, None, now, self._usable_from(now))
         return True, self._validity_changes(now)
 
+    def _on_log_replaced(self, now):
+        self._replacement_count += 1
+        ttl = self._config.outage_limit_s
+        self._unknown_holders_until = now + ttl * self._config.drift
+
     # Queries.
 
+    @property
+    def replacement_count(self):
+        """Number of times that the log was replaced by another one."""
+        return self._replacement_count
+
     def valid_until(self, resource, now):
         """Return the time until which this process is a valid holder.
 
@@ -467,10 +491,9 @@
                 }
                 for name in own[:_DUMP_LIMIT]
             },
-            "promised_until": (
-                self._promised_until
-                if self._promised_until > float("-inf")
-                else None
+            "promised_until": _finite_or_none(self._promised_until),
+            "unknown_holders_until": _finite_or_none(
+                self._unknown_holders_until
             ),
         }
 
@@ -565,6 +588,11 @@
         elif replaced.age_s is not None:
             drift = self._config.drift
             previous_until = self._read_at[resource] - replaced.age_s / drift
+        if self._unknown_holders_until > -math.inf:
+            previous_until = max(
+                self._unknown_holders_until,
+                -math.inf if previous_until is None else previous_until,
+            )
         usable = self._usable_from(now)
         if previous_until is not None:
             usable = max(usable, previous_until)
@@ -719,11 +747,16 @@
     def _is_promise_running(self, now):
         return now < self._promised_until
 
+    def _may_have_unknown_holders(self, now):
+        margin_s = self._config.lease_margin_s
+        return now < self._unknown_holders_until + margin_s
+
     def _due_claims(self, now):
         if (
             not self._complete
             or not self._has_live_view(now)
             or self._is_promise_running(now)
+            or self._may_have_unknown_holders(now)
             or self._last_read_back_seq is None
         ):
             return {}
@@ -886,3 +919,7 @@
             )
             actions.append(_actions.Drain(resource, best))
         return actions
+
+
+def _finite_or_none(time_s):
+    return time_s if math.isfinite(time_s) else None
--- a/src/citrondeal/ownership/tests/mutations.py
+++ b/src/citrondeal/ownership/tests/mutations.py
@@ -116,6 +116,31 @@
         return {name: [item[0], None] for name, item in releases.items()}
 
 
+class _HoldersForgotten(ownership.LeaseGroup):
+    """Forgets after a replacement of the log that there may be holders."""
+
+    def _on_log_replaced(self, now):
+        pass
+
+
+class _UnknownHoldersPromised(ownership.LeaseGroup):
+    """Grants promises to holders that only an earlier log names."""
+
+    def grant_promise(self, *args):
+        until = self._unknown_holders_until
+        self._unknown_holders_until = float("-inf")
+        result = super().grant_promise(*args)
+        self._unknown_holders_until = until
+        return result
+
+
+class _ClaimsAtOnce(ownership.LeaseGroup):
+    """Claims at once after a replacement, what it may not use yet."""
+
+    def _may_have_unknown_holders(self, now):
+        return False
+
+
 class _NeverClaims(ownership.LeaseGroup):
     def _due_claims(self, now):
         return {}
@@ -146,4 +171,7 @@
     "valid while releasing": _ValidWhileReleasing,
     "age missing in release": _AgeMissing,
     "no claims": _NeverClaims,
+    "holders forgotten": _HoldersForgotten,
+    "unknown holders are promised": _UnknownHoldersPromised,
+    "claims at once": _ClaimsAtOnce,
 }
--- a/src/citrondeal/ownership/tests/ownership.feature
+++ b/src/citrondeal/ownership/tests/ownership.feature
@@ -74,3 +74,21 @@
   # not be shorter than a promise.
   Scenario: ownership settings that break the wait are refused
     Then ownership a promise longer than the wait is refused
+
+  # Guards against a second holder after the log was replaced by an empty one
+  # while a process holds its leases by promises, and against resources that
+  # stay without a holder afterwards.
+  Scenario: ownership a replaced log gives no second holder
+    Then ownership the state machine passes 40 histories with a replaced log
+
+  # The histories must fail if one rule for a replaced log is broken.
+  Scenario Outline: ownership a replaced log and <name>
+    Then ownership the history "<history>" of a replaced log passes
+    And ownership the history "<history>" finds the mutation "<name>"
+
+    Examples:
+      | history          | name                         |
+      | unlisted process | holders forgotten            |
+      | late first claim | holders forgotten            |
+      | later process    | unknown holders are promised |
+      | later process    | claims at once               |
--- a/src/citrondeal/ownership/tests/steps.py
+++ b/src/citrondeal/ownership/tests/steps.py
@@ -9,6 +9,7 @@
 from citrondeal.ownership.tests import machine
 from citrondeal.ownership.tests import mutations
 from citrondeal.ownership.tests import reference
+from citrondeal.ownership.tests import replaced_log
 
 
 def _fails(function, *args):
@@ -331,3 +332,29 @@
     except ValueError:
         return
     raise AssertionError("a promise longer than the wait was accepted")
+
+
+_REPLACED_LOG_HISTORIES = {
+    "unlisted process": replaced_log.unlisted_process,
+    "late first claim": replaced_log.late_first_claim,
+    "later process": replaced_log.later_process,
+}
+
+
+@then(
+    "ownership the state machine passes {count:d} histories with a replaced "
+    "log"
+)
+def replaced_log_machine_passes(context, count):
+    machine.run(replaced_log.Machine, count)
+
+
+@then('ownership the history "{history}" of a replaced log passes')
+def replaced_log_passes(context, history):
+    _REPLACED_LOG_HISTORIES[history]()
+
+
+@then('ownership the history "{history}" finds the mutation "{name}"')
+def replaced_log_finds(context, history, name):
+    group_class = mutations.MUTATIONS[name]
+    assert _fails(_REPLACED_LOG_HISTORIES[history], group_class), name
--- a/src/citrondeal/runtime/_leases.py
+++ b/src/citrondeal/runtime/_leases.py
@@ -199,12 +199,25 @@
 
     def _load(self, state):
         now = anyio.current_time()
-        if state is None:
-            return True
+        replacement_count = self._group.replacement_count
         loaded, actions = self._group.load(state, now)
+        if self._group.replacement_count != replacement_count:
+            self._forget_registration()
         self._perform(actions)
         return loaded
 
+    def _forget_registration(self):
+        # A successor of this process learns only from the new log that it
+        # has a predecessor.
+        self._is_registered = False
+        telemetry.event(
+            _LOG,
+            logging.WARNING,
+            "log of the leases was replaced; its leases are lost, and none"
+            " is claimed before the outage limit",
+            stream=self._stream,
+        )
+
     def _after_batch(self, follower, sent_at):
         if follower.at_tail:
             now = anyio.current_time()
