--- a/src/citrondeal/dedup/_ledger.py
+++ b/src/citrondeal/dedup/_ledger.py
@@ -8,15 +8,6 @@
 from citrondeal import errors
 
 _SHARED_STATUS_LIMIT = 1000  # dispatchers
-# In ascending order of precedence: what a process reports of itself
-# outweighs what its witness knows.
-_STATUS_PRECEDENCE = (
-    _model.ExecutionStatus.WITNESSED,
-    _model.ExecutionStatus.REFUSED,
-    _model.ExecutionStatus.RUNNING,
-    _model.ExecutionStatus.UNKNOWN,
-    _model.ExecutionStatus.DONE,
-)
 
 
 class Ledger(_store.RecordStore):
@@ -660,7 +651,7 @@
                 record.active is not None
                 and record.state in _records.FORWARDING
             ):
-                _merge_status(
+                _records.merge_status(
                     process_status,
                     record.active.forward_target,
                     _model.ExecutionStatus.WITNESSED,
@@ -721,7 +712,7 @@
             for process, incarnation, status in row["holders"]:
                 record.process_status = dict(record.process_status or {})
                 key = (process, incarnation)
-                _merge_status(
+                _records.merge_status(
                     record.process_status, key, _model.ExecutionStatus(status)
                 )
             for *key, number, attempt in row["claims"]:
@@ -1021,7 +1012,7 @@
         own_key = (self._process, self._incarnation)
         statuses = dict(record.process_status or {})
         if record.active is not None and record.state in _records.FORWARDING:
-            _merge_status(
+            _records.merge_status(
                 statuses,
                 record.active.forward_target,
                 _model.ExecutionStatus.WITNESSED,
@@ -1225,7 +1216,7 @@
     def _remember_receiver(self, record, status):
         """Record the status of the id at the receiver of the forward."""
         record.process_status = dict(record.process_status or {})
-        _merge_status(
+        _records.merge_status(
             record.process_status, record.active.forward_target, status
         )
 
@@ -1243,12 +1234,6 @@
     return max([record.attempt, *(attempt for _, attempt in claims)])
 
 
-def _merge_status(process_status, key, status):
-    """Set the status of a process unless a higher-ranking one is known."""
-    known = process_status.get(key, status)
-    process_status[key] = max(known, status, key=_STATUS_PRECEDENCE.index)
-
-
 def _refuse(request_id, kind, message):
     failure = errors.Failure(errors.Kind[kind], message)
     return _model.Refuse(request_id, failure)
--- a/src/citrondeal/dedup/_records.py
+++ b/src/citrondeal/dedup/_records.py
@@ -2,6 +2,18 @@
 
 import enum
 
+from citrondeal.dedup import _model
+
+# In ascending order of precedence: what a process reports of itself
+# outweighs what its witness knows.
+_STATUS_PRECEDENCE = (
+    _model.ExecutionStatus.WITNESSED,
+    _model.ExecutionStatus.REFUSED,
+    _model.ExecutionStatus.RUNNING,
+    _model.ExecutionStatus.UNKNOWN,
+    _model.ExecutionStatus.DONE,
+)
+
 
 class State(enum.IntEnum):
     """State of an id at this gateway."""
@@ -131,3 +143,9 @@
         self.claims = None
         # (process, incarnation) -> ExecutionStatus
         self.process_status = None
+
+
+def merge_status(process_status, key, status):
+    """Set the status of a process unless a higher-ranking one is known."""
+    known = process_status.get(key, status)
+    process_status[key] = max(known, status, key=_STATUS_PRECEDENCE.index)
