--- a/src/citrondeal/dedup/_ledger.py
+++ b/src/citrondeal/dedup/_ledger.py
@@ -2,15 +2,15 @@
 
 import xxhash
 
+from citrondeal.dedup import _endings
 from citrondeal.dedup import _model
 from citrondeal.dedup import _records
-from citrondeal.dedup import _store
 from citrondeal import errors
 
 _SHARED_STATUS_LIMIT = 1000  # dispatchers
 
 
-class Ledger(_store.RecordStore):
+class Ledger(_endings.Endings):
     """Request ids that one gateway has handled, witnessed or barred.
 
     The ledger does no I/O. Each event method takes the request id and
@@ -73,7 +73,7 @@
         if record is not None and record.state == _records.State.DONE:
             return self._cached_answer(request_id)
         if record is not None and record.state == _records.State.UNKNOWN:
-            return [_unknown_refusal(request_id, "An earlier attempt")]
+            return [_endings.unknown_refusal(request_id, "An earlier attempt")]
         created = _model.created_unix(request_id)
         age_s = None if created is None else now_unix - created
         if age_s is not None and age_s > self._config.window_s:
@@ -81,7 +81,7 @@
                 f"The id is {age_s:.0f} s old; it may be submitted again for"
                 f" {self._config.window_s:.0f} s after its creation."
             )
-            return [_refuse(request_id, "UNKNOWN_OUTCOME", message)]
+            return [_endings.refuse(request_id, "UNKNOWN_OUTCOME", message)]
         # A creation time in the future proves nothing about the age.
         age_known = age_s is not None and age_s > -self._config.skew_s
         latest_creation_at = now - max(0.0, age_s) if age_known else now
@@ -93,7 +93,7 @@
         if self._is_closed:
             kind = "UNAVAILABLE" if first else "UNKNOWN_OUTCOME"
             message = f"Gateway {self._process} is stopping."
-            return [_refuse(request_id, kind, message)]
+            return [_endings.refuse(request_id, kind, message)]
         if first and record is None:
             record = self._new_record(request_id, now)
             record.state = _records.State.QUEUED
@@ -102,7 +102,7 @@
             return [_model.Proceed(request_id)]
         if first and _newest_attempt(record) > 1:
             message = "A newer attempt of the id has taken over."
-            return [_refuse(request_id, "BARRED", message)]
+            return [_endings.refuse(request_id, "BARRED", message)]
         number = active.attempt = max(number, 2)
         if record is None:
             record = self._new_record(request_id, now)
@@ -111,7 +111,7 @@
                 f"Attempt {record.refused} of the id was already refused;"
                 f" this is attempt {number}."
             )
-            return [_refuse(request_id, "BARRED", message)]
+            return [_endings.refuse(request_id, "BARRED", message)]
         record.attempt = max(number, record.attempt)
         record.active = active
         return self._start_claim_round(request_id, record, number, now)
@@ -739,46 +739,6 @@
 
     # Attempts that end or are joined
 
-    def _cached_answer(self, request_id):
-        cached = self._answer_cache.get(request_id)
-        if cached is not None:
-            return [_model.Answer(request_id, cached[0])]
-        message = "The request ran; its answer is no longer cached."
-        return [_refuse(request_id, "ANSWER_LOST", message)]
-
-    def _refuse_not_run(self, request_id, record, failure, now):
-        attempt = record.active.attempt
-        if attempt > record.active.settled_attempt:
-            # An attempt with a number between the settled one and the
-            # latest may still arrive at some gateway and run.
-            self._conclude(request_id, record, _records.State.YIELDED, now)
-            message = (
-                "Another attempt is pending; this gateway refused with:"
-                f" {failure.message}"
-            )
-            return [_refuse(request_id, "IN_PROGRESS", message)]
-        record.refused = max(record.refused, attempt)
-        self._conclude(request_id, record, _records.State.REFUSED, now)
-        return [_model.Refuse(request_id, failure)]
-
-    def _supersede(self, request_id, record, attempt, now):
-        newer = attempt > record.active.attempt
-        self._conclude(request_id, record, _records.State.YIELDED, now)
-        message = "Another attempt of the id has taken over."
-        # If the caller sent no newer attempt, it would take "not run" as a
-        # statement about the id, which may still run elsewhere.
-        kind = "BARRED" if newer else "IN_PROGRESS"
-        return [_refuse(request_id, kind, message)]
-
-    def _yield_to_other(self, request_id, record, now):
-        self._conclude(request_id, record, _records.State.YIELDED, now)
-        message = "The id is handled by another gateway."
-        return [_refuse(request_id, "IN_PROGRESS", message)]
-
-    def _refuse_unknown_outcome(self, request_id, record, message, now):
-        self._conclude(request_id, record, _records.State.YIELDED, now)
-        return [_refuse(request_id, "UNKNOWN_OUTCOME", message)]
-
     def _forward_unresolved(self, request_id, record, now):
         self._remember_receiver(record, _model.ExecutionStatus.WITNESSED)
         receiver = record.active.forward_target[0]
@@ -799,15 +759,6 @@
         failure = errors.Failure(errors.Kind[kind], message)
         return _model.RejectForward(request_id, permit.process, failure)
 
-    def _join(self, request_id, record, attempt):
-        active = record.active
-        active.waiters += 1
-        if attempt <= active.settled_attempt + 1:
-            active.settled_attempt = max(active.settled_attempt, attempt)
-        active.attempt = max(active.attempt, attempt)
-        record.attempt = max(record.attempt, attempt)
-        return [_model.Join(request_id)]
-
     # Witnesses
 
     def _permit(self, record, now):
@@ -1076,7 +1027,7 @@
         if _model.ExecutionStatus.DONE in statuses:
             self._conclude(request_id, record, _records.State.YIELDED, now)
             message = "The request ran; its answer is no longer cached."
-            return [_refuse(request_id, "ANSWER_LOST", message)]
+            return [_endings.refuse(request_id, "ANSWER_LOST", message)]
         if _model.ExecutionStatus.RUNNING in statuses:
             return self._yield_to_other(request_id, record, now)
         reason = self._unknown_outcome_reason(
@@ -1232,12 +1183,3 @@
     """Return the highest attempt that was handled or has claimed here."""
     claims = (record.claims or {}).values()
     return max([record.attempt, *(attempt for _, attempt in claims)])
-
-
-def _refuse(request_id, kind, message):
-    failure = errors.Failure(errors.Kind[kind], message)
-    return _model.Refuse(request_id, failure)
-
-
-def _unknown_refusal(request_id, subject):
-    return _refuse(request_id, "UNKNOWN_OUTCOME", f"{subject} may have run.")
