Bound holders that release after a log was replaced

After the log of a group was replaced, `previous_valid_until` gave the end of the holders that only the earlier log names, for all claims of this process from then on. A new holder that followed on a release was given a time before the end of the validity of the holder that released, and that for ever. `jobs.PoolOwner` takes the value as a bound of every earlier owner of the pool.

The bound is now the time of the release if that is later, and is given no longer than the outage limit after the end of such holders, like the ages in releases.

--- a/src/citrondeal/ownership/_lease_group.py
+++ b/src/citrondeal/ownership/_lease_group.py
@@ -588,11 +588,11 @@
         elif replaced.age_s is not None:
             drift = self._config.drift
             previous_until = self._read_at[resource] - replaced.age_s / drift
-        if self._unknown_holders_until > -math.inf:
-            previous_until = max(
-                self._unknown_holders_until,
-                -math.inf if previous_until is None else previous_until,
-            )
+        unknown_until = self._unknown_holders_bound(resource, replaced, now)
+        if unknown_until is not None:
+            if previous_until is not None:
+                unknown_until = max(unknown_until, previous_until)
+            previous_until = unknown_until
         usable = self._usable_from(now)
         if previous_until is not None:
             usable = max(usable, previous_until)
@@ -607,6 +607,19 @@
         if resource not in self._wanted_since:
             self._releasing[resource] = self._table.leases[resource].epoch
 
+    def _unknown_holders_bound(self, resource, replaced, now):
+        """Return a bound for holders that only an earlier log names.
+
+        It is also one for a holder that released, and None if no earlier log
+        was replaced in a time that still matters.
+        """
+        bound = self._unknown_holders_until
+        if now - bound > self._config.outage_limit_s:
+            return None
+        if replaced is None:
+            return bound
+        return max(bound, self._read_at[resource])
+
     def _usable_from(self, now):
         # The claim may have been sent before this process gave a promise
         # that has not expired yet.
--- a/src/citrondeal/ownership/tests/ownership.feature
+++ b/src/citrondeal/ownership/tests/ownership.feature
@@ -92,3 +92,8 @@
       | late first claim | holders forgotten            |
       | later process    | unknown holders are promised |
       | later process    | claims at once               |
+
+  # Guards against a bound of the previous holder that is before the end of a
+  # holder that released on the new log, and against one that is kept for ever.
+  Scenario: ownership a release after the replacement of a log
+    Then ownership the history "release" of a replaced log passes
--- a/src/citrondeal/ownership/tests/replaced_log.py
+++ b/src/citrondeal/ownership/tests/replaced_log.py
@@ -110,6 +110,36 @@
     run.advance(simulation.RECOVERY_LIMIT_S)
 
 
+def released_after_replacement(group_class=ownership.LeaseGroup):
+    """Release a resource soon, and again long after a replacement.
+
+    The bound of the previous holder covers the holder that released, as
+    long as one that only the earlier log names has to be bounded too.
+    """
+    run = simulation.Simulation(2, group_class)
+    lengthen(run)
+    run.advance(10.0)
+    replace(run)
+    run.advance(simulation.RECOVERY_LIMIT_S)
+    (holder,) = run.holders("r0")
+    (other,) = [p for p in run.alive_processes() if p is not holder]
+    released_at = run.time_s
+    _hand_over(run, holder, other)
+    bound = other.group.previous_valid_until("r0")
+    assert bound is not None and bound >= other.clock(released_at), bound
+    run.advance(2.0 * simulation.CONFIG.outage_limit_s)
+    _hand_over(run, other, holder)
+    assert holder.group.previous_valid_until("r0") is None
+
+
+def _hand_over(run, holder, other):
+    holder.group.set_wanted([], holder.clock(run.time_s))
+    other.group.set_wanted(["r0"], other.clock(run.time_s))
+    run.release(holder, "r0")
+    run.advance(5.0)
+    assert run.holders("r0") == [other]
+
+
 class Machine(machine.Machine):
     """Replaces the log once; no process starts on the new one."""
 
--- a/src/citrondeal/ownership/tests/steps.py
+++ b/src/citrondeal/ownership/tests/steps.py
@@ -338,6 +338,7 @@
     "unlisted process": replaced_log.unlisted_process,
     "late first claim": replaced_log.late_first_claim,
     "later process": replaced_log.later_process,
+    "release": replaced_log.released_after_replacement,
 }
 
 
