--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -15,7 +15,7 @@
 from citrondeal.workflow import _jobs
 from citrondeal.workflow import _model
 
-# A task with this many crashed runs is run apart from others, because some
+# A task with this many crashed runs is started apart from others, because some
 # of the crashes may have been the fault of tasks beside it.
 SUSPECT_CRASHES = 2
 # A task is given up after this many crashed runs.
