Deny a job only by a recent view of the log

After a suspension, clients got 404 (`unknown_job`, "not run") for jobs that other schedulers had accepted meanwhile, until the next read of the log was answered.

Cause: `JobService._unknown_job` asked whether the last read had reached the end of the log, and not when. The replicas kept no time of that read, and the event loop's clock does not count a suspension of the machine.

Ruled out: a read that failed, or that returned a part of the records, was never taken for the end. Known jobs are found without this check.

`Replica.may_deny` counts the age of the view from the request of the last read that reached the end, on the clock that counts a suspension. That clock moves from `cell` to `lifecycle`, so that both programs can use it. The limit is two long polls, the age that the view of an idle log reaches, and 0.5 s: 2.5 s for the jobs. An older view gives `unavailable` with `Retry-After`; known jobs are answered as before.

Before: "an old view of the log denies no job" fails with `unknown_job`, and so does the first step of the new scenario about the age of a view; it fails also if the age counts from the arrival of the answer. After: both pass, and an idle log denied unknown jobs for 5 s without a break. The system scenarios with a zone that is cut off and with a log that is away pass.

A suspension of less than 2.5 s can still end in such a denial.

--- a/src/citrondeal/cell/_clock.py
+++ b/src/citrondeal/cell/_clock.py
@@ -1,8 +1,5 @@
 """Clock for leases and timeouts; it also counts while suspended."""
 
-import time
+from citrondeal import lifecycle
 
-
-def now():
-    """Return the seconds since boot, with the time in suspension."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+now = lifecycle.boot_time_s
--- a/src/citrondeal/runtime/_replica.py
+++ b/src/citrondeal/runtime/_replica.py
@@ -1,6 +1,7 @@
 """Replica of one log stream: reads records and appends snapshots."""
 
 import logging
+import math
 
 import anyio
 
@@ -8,6 +9,10 @@
 from citrondeal.runtime import _streams
 from citrondeal import telemetry
 
+# For the calls and for a busy process. A view is renewed later than that only
+# if the process was suspended or the log answers slowly.
+VIEW_AGE_SLACK_S = 0.5
+
 _LOG = logging.getLogger(__name__)
 
 
@@ -62,12 +67,34 @@
         self._wait_s = wait_s
         self._pause_s = pause_s
         self._follower = replay.Follower(apply, load, snapshot_of=snapshot_of)
+        # Without new records, an answer comes one long poll after its
+        # request, and the next answer another long poll later.
+        self._max_view_age_s = 2 * wait_s + pause_s + VIEW_AGE_SLACK_S
+        self._confirmed_at = -math.inf
 
     @property
     def follower(self):
         """Follower of the stream, for queries."""
         return self._follower
 
+    def may_deny(self, now):
+        """Whether what the state lacks may be answered as unknown.
+
+        The last read must have reached the end of the stream, and its request
+        must be recent: an answer may have waited while this process was
+        suspended, and others may have appended meanwhile.
+
+        Parameters
+        ----------
+        now : float
+            Current `lifecycle.boot_time_s`.
+        """
+        return (
+            self._follower.complete
+            and self._follower.at_tail
+            and now - self._confirmed_at <= self._max_view_age_s
+        )
+
     async def run(self, after_batch, after_failure):
         """Read the stream until cancelled.
 
@@ -81,11 +108,13 @@
             are monotonic seconds.
         """
 
-        def on_batch(batch, sent_at):
+        def on_batch(batch, sent_at, sent_at_boot):
             now = anyio.current_time()
             self._follower.on_batch(
                 batch.first_offset, batch.next_offset, batch.records, now
             )
+            if self._follower.complete and self._follower.at_tail:
+                self._confirmed_at = sent_at_boot
             after_batch(self._follower, sent_at)
             covers = self._follower.snapshot_due(now)
             if covers is not None:
--- a/src/citrondeal/runtime/_streams.py
+++ b/src/citrondeal/runtime/_streams.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from citrondeal import lifecycle
 from citrondeal import telemetry
 
 DEFAULT_LONG_POLL_S = 1.0
@@ -34,8 +35,9 @@
     position : callable
         Returns the next offset to read.
     on_batch : callable
-        ``on_batch(batch, sent_at)`` takes a `logservice.Batch` and the time
-        before the read was sent, in monotonic seconds.
+        ``on_batch(batch, sent_at, sent_at_boot)`` takes a
+        `logservice.Batch` and the time before the read was sent, in
+        monotonic seconds and as `lifecycle.boot_time_s`.
     on_failed : callable
         ``on_failed(now)`` takes the time of a failed read in monotonic
         seconds.
@@ -49,10 +51,11 @@
     failing = False
     while True:
         sent_at = anyio.current_time()
+        sent_at_boot = lifecycle.boot_time_s()
         outcome = await log.read(stream, position(), wait_s)
         if outcome.is_ok():
             failing = False
-            on_batch(outcome.ok_value, sent_at)
+            on_batch(outcome.ok_value, sent_at, sent_at_boot)
             await anyio.sleep(pause_s)
             continue
         on_failed(anyio.current_time())
--- a/src/citrondeal/scheduler/_jobs.py
+++ b/src/citrondeal/scheduler/_jobs.py
@@ -7,6 +7,7 @@
 
 from citrondeal import errors
 from citrondeal import jobs
+from citrondeal import lifecycle
 from citrondeal.runtime import _replica
 
 # Fields of a job that default to the settings of its path.
@@ -169,11 +170,10 @@
         return result.Ok({"jobs": statuses})
 
     def _unknown_job(self, job_id):
-        follower = self._replica.follower
-        if not (follower.complete and follower.at_tail):
+        if not self._replica.may_deny(lifecycle.boot_time_s()):
             message = (
                 f"the jobs of zone {self._zone} have not been read up to the"
-                f" end of the log, so job {job_id} may exist"
+                f" end of the log of late, so job {job_id} may exist"
             )
             failure = errors.Failure(
                 errors.Kind.UNAVAILABLE, message, RETRY_AFTER_S
--- a/src/citrondeal/scheduler/tests/scheduler.feature
+++ b/src/citrondeal/scheduler/tests/scheduler.feature
@@ -12,6 +12,14 @@
   Scenario: scheduler an old view of the log denies no job
     Then a scheduler that was suspended for 3 seconds denies no job
 
+  # Guards against an age that counts from the arrival of an answer, against
+  # known jobs that a scheduler without the log no longer serves, and against
+  # unknown jobs that are never denied while no job is submitted.
+  Scenario: scheduler the age of a view counts from the request of a read
+    Then a scheduler denies no job by an answer that waited while suspended
+    And a scheduler that was suspended still answers for the jobs it knows
+    And a scheduler denies unknown jobs for 5 seconds of an idle log
+
   # Guards against a submission that is refused for good, because its path is in
   # settings that the scheduler has not read yet.
   Scenario Outline: scheduler a path is not denied after <share> of the settings
