Deny names only by settings that were read to their end

A submission to `citrondeal-scheduler` was refused with 404 (`unknown_path`, "not run") before the settings had been read, or after a part of them. After a part, gateways answered `unknown_service` for services of the rest. Both daemons were ready by then, and a scheduler listed its jobs after a part of them.

Cause: `JobService.submit` did not ask whether the settings were read, and `TreeReplica.complete` is true after the first part of the records: it says that nothing is missing below the read position, not that the end was reached. The readiness checks, the edits and the gateway used it as if it did.

Ruled out: the listeners of the settings need no end, they are called after each part as before, so services that are known are served. A daemon that reached the end stays ready when reads fail.

`Replica.loaded` tells whether the end was read; readiness, edits and the list of jobs wait for it. Services and paths are denied only by a recent view, as jobs are: two long polls and 0.5 s, here 4.5 s, below the 5 s after which a change is in force. Else the answer is `unavailable` with `Retry-After`, and for a resubmission `unknown_outcome` as before.

--- a/src/citrondeal/gateway/main.py
+++ b/src/citrondeal/gateway/main.py
@@ -18,6 +18,7 @@
 from citrondeal.gateway import _messages
 from citrondeal.gateway import _request
 from citrondeal.gateway import _tree_settings
+from citrondeal import lifecycle
 from citrondeal import operators
 from citrondeal.operators import api
 from citrondeal import peers
@@ -28,6 +29,7 @@
 REPORT_TICK_S = 0.1  # maximum delay of a load report
 HANDOVER_TIMEOUT_S = 3.0  # for each part of the id records
 RELEASE_TIMEOUT_S = 3.0  # for releases to be read back from the log
+RETRY_AFTER_S = 1.0  # advice to the client
 
 _STARTING_FAULT = ttypes.Fault(
     kind="unavailable", message="the gateway is starting"
@@ -206,21 +208,26 @@
         if request.attempt != 1:
             kind = errors.Kind.UNKNOWN_OUTCOME
         message = "the gateway is starting"
-        return result.Err(errors.Failure(kind, message, 1.0))
+        return result.Err(errors.Failure(kind, message, RETRY_AFTER_S))
 
     def _refuse_unknown_service(self, request):
-        if not self._shared.settings.complete:
-            kind = errors.Kind.UNAVAILABLE
-            message = "the gateway has not read the settings tree yet"
-        else:
+        retry_after_s = None
+        if self._shared.settings.may_deny(lifecycle.boot_time_s()):
             kind = errors.Kind.UNKNOWN_SERVICE
             message = (
                 f"service {request.service!r} is not in the settings tree"
             )
+        else:
+            kind = errors.Kind.UNAVAILABLE
+            message = (
+                "the settings tree has not been read up to the end of the log"
+                f" of late, so service {request.service!r} may exist"
+            )
+            retry_after_s = RETRY_AFTER_S
         if request.attempt != 1:
             # An earlier attempt may have run, unless this is the first one.
             kind = errors.Kind.UNKNOWN_OUTCOME
-        return result.Err(errors.Failure(kind, message))
+        return result.Err(errors.Failure(kind, message, retry_after_s))
 
     def _active_request(self, request, values):
         deadline_ms = request.deadline_ms or values["request.deadline_ms"]
@@ -370,7 +377,7 @@
 
     def _is_ready(self):
         return (
-            self._shared.settings.complete
+            self._shared.settings.loaded
             and self._shared.leases.registered
             and self._shared.directory.updated_at is not None
         )
--- a/src/citrondeal/runtime/_replica.py
+++ b/src/citrondeal/runtime/_replica.py
@@ -77,6 +77,15 @@
         """Follower of the stream, for queries."""
         return self._follower
 
+    @property
+    def loaded(self):
+        """Whether the state is complete and the stream was read to its end.
+
+        Stays true while reads fail, so that known names are served from an
+        old view. False after a gap, until the end is read again.
+        """
+        return self._follower.complete and self._confirmed_at > -math.inf
+
     def may_deny(self, now):
         """Whether what the state lacks may be answered as unknown.
 
@@ -113,8 +122,7 @@
             self._follower.on_batch(
                 batch.first_offset, batch.next_offset, batch.records, now
             )
-            if self._follower.complete and self._follower.at_tail:
-                self._confirmed_at = sent_at_boot
+            self._confirm(sent_at_boot)
             after_batch(self._follower, sent_at)
             covers = self._follower.snapshot_due(now)
             if covers is not None:
@@ -134,6 +142,12 @@
             self._pause_s,
         )
 
+    def _confirm(self, sent_at_boot):
+        if not self._follower.complete:
+            self._confirmed_at = -math.inf
+        elif self._follower.at_tail:
+            self._confirmed_at = sent_at_boot
+
     def _append_snapshot(self, covers):
         record = self._record_of(covers, self._snapshot())
         telemetry.event(
--- a/src/citrondeal/runtime/_tree.py
+++ b/src/citrondeal/runtime/_tree.py
@@ -53,12 +53,25 @@
         return self._tree
 
     @property
-    def complete(self):
-        """Whether the tree includes all records below the read position."""
-        return self._replica.follower.complete
+    def loaded(self):
+        """Whether the tree has been read to the end of its log."""
+        return self._replica.loaded
+
+    def may_deny(self, now):
+        """Whether a path that the tree lacks may be answered as unknown.
+
+        Parameters
+        ----------
+        now : float
+            Current `lifecycle.boot_time_s`.
+        """
+        return self._replica.may_deny(now)
 
     def add_read_listener(self, function):
-        """Call `function()` after each read while the tree is complete."""
+        """Call `function()` after each read that leaves no gap in the tree.
+
+        The read may have returned only a part of the records.
+        """
         self._read_listeners.append(function)
 
     async def run(self):
@@ -110,7 +123,7 @@
     def _after_batch(self, follower, sent_at):
         finished_read, self._next_read = self._next_read, anyio.Event()
         finished_read.set()
-        if self.complete:
+        if follower.complete:
             self._apply_log_level()
             for function in self._read_listeners:
                 function()
--- a/src/citrondeal/scheduler/_edits.py
+++ b/src/citrondeal/scheduler/_edits.py
@@ -44,7 +44,7 @@
             was written, ``unknown_outcome`` if the record may still take
             effect later.
         """
-        if not self._settings.complete:
+        if not self._settings.loaded:
             message = "this server has not read the settings tree yet"
             return _failure(errors.Kind.UNAVAILABLE, message)
         decided = api.decided_before_append(self._settings.tree, edit)
--- a/src/citrondeal/scheduler/_jobs.py
+++ b/src/citrondeal/scheduler/_jobs.py
@@ -73,9 +73,9 @@
         )
 
     @property
-    def complete(self):
-        """Whether the state includes every record that was read."""
-        return self._replica.follower.complete
+    def loaded(self):
+        """Whether the jobs have been read to the end of their log."""
+        return self._replica.loaded
 
     def on_batch(self, function):
         """Call `function()` after each batch of records that is read."""
@@ -108,8 +108,7 @@
         """
         values = self._settings.tree.values(request.path)
         if values is None:
-            message = f"path {request.path!r} is not in the settings tree"
-            return self._refuse_with(errors.Kind.UNKNOWN_PATH, message)
+            return self._refuse(self._unknown_path(request.path))
         job = self._job_with_defaults(request, values)
         zone = request.zone or self._zone
         if zone not in self._zones():
@@ -126,6 +125,16 @@
         self._metrics.count("citrondeal.jobs.submitted", kind=job["kind"])
         return result.Ok({"id": job["id"], "zone": zone, "state": "accepted"})
 
+    def _unknown_path(self, path):
+        if self._settings.may_deny(lifecycle.boot_time_s()):
+            message = f"path {path!r} is not in the settings tree"
+            return errors.Failure(errors.Kind.UNKNOWN_PATH, message)
+        message = (
+            "the settings tree has not been read up to the end of the log of"
+            f" late, so path {path!r} may exist"
+        )
+        return errors.Failure(errors.Kind.UNAVAILABLE, message, RETRY_AFTER_S)
+
     def _job_with_defaults(self, request, values):
         given = dataclasses.asdict(request)
         job = {"id": request.id, "path": request.path}
@@ -161,7 +170,20 @@
         return result.Ok(status)
 
     async def list_jobs(self, query):
-        """Return the open jobs after the id in the query, sorted by id."""
+        """Return the open jobs after the id in the query, sorted by id.
+
+        Fails until the jobs have been read to the end of their log, because
+        a list without a job denies it.
+        """
+        if not self.loaded:
+            message = (
+                f"the jobs of zone {self._zone} have not been read up to the"
+                " end of the log"
+            )
+            failure = errors.Failure(
+                errors.Kind.UNAVAILABLE, message, RETRY_AFTER_S
+            )
+            return result.Err(failure)
         ids = sorted(
             i for i in self._owner.job_table.open_jobs if i > query.after
         )
--- a/src/citrondeal/scheduler/main.py
+++ b/src/citrondeal/scheduler/main.py
@@ -160,7 +160,7 @@
         return {**shared, "jobs": self._owner.dump()}
 
     def _is_ready(self):
-        return self._shared.settings.complete and self._jobs.complete
+        return self._shared.settings.loaded and self._jobs.loaded
 
     def _on_list_read(self):
         now = anyio.current_time()
--- a/src/citrondeal/scheduler/tests/scheduler.feature
+++ b/src/citrondeal/scheduler/tests/scheduler.feature
@@ -29,3 +29,18 @@
       | share  |
       | none   |
       | a part |
+
+  # Guards against a scheduler that gets work, or lists jobs, before it knows
+  # all settings and jobs, and against one that stops when the log is away.
+  Scenario Outline: scheduler not ready after <share> of its log
+    Then a scheduler is not ready after <share> of the settings
+    And a scheduler is not ready after <share> of the jobs
+    And a scheduler lists no jobs after <share> of the jobs
+
+    Examples:
+      | share  |
+      | none   |
+      | a part |
+
+  Scenario: scheduler ready after all of its log, also once the log is away
+    Then a scheduler that has read both to their end is ready and lists jobs
