Deny a zone only by a recent list of VMs

A job for another zone was refused with 404 (`unknown_path`, "not run") while the scheduler had not read the list of VMs, and after a suspension by a list from before it.

Cause: `JobService.submit` looks the zone up in the last list, which is empty before the first read. The readiness of a scheduler does not wait for the list.

Ruled out: an answer of the list is never a part of it. An old list is still good for the zones that it has, and jobs for them are accepted.

The directory keeps when its last answered read was requested, on the clock that counts a suspension. A zone is denied only within 2.5 s of that: the list is read each second. Else the answer is `unavailable` with `Retry-After`.

Before: "a scheduler without a list of VMs denies no zone" and "a scheduler that was suspended denies no zone" fail with `unknown_path`. After: both pass. A zone that is not in a recent list is denied, and jobs for known zones are accepted after a suspension, before and after.

--- a/src/citrondeal/logservice/_vms.py
+++ b/src/citrondeal/logservice/_vms.py
@@ -6,6 +6,7 @@
 import dataclasses
 import json
 import logging
+import math
 from typing import Annotated
 from typing import Literal
 
@@ -18,6 +19,9 @@
 from citrondeal import telemetry
 
 READ_TIMEOUT_S = 2.0
+# Age of a list that may deny a VM. It is read each second; the rest is for
+# slow calls and a busy process.
+MAX_LIST_AGE_S = 2.5
 
 _Count = Annotated[int, msgspec.Meta(ge=0)]
 
@@ -103,6 +107,7 @@
     def __init__(self):
         self._vms = {}
         self._updated_at = None
+        self._requested_at = -math.inf
 
     @property
     def updated_at(self):
@@ -137,6 +142,26 @@
         """Record that the list was still current at `now`."""
         self._updated_at = now
 
+    def mark_requested(self, requested_at):
+        """Record when the last read that was answered was sent.
+
+        Parameters
+        ----------
+        requested_at : float
+            `lifecycle.boot_time_s` before the read.
+        """
+        self._requested_at = requested_at
+
+    def may_deny(self, now):
+        """Whether what the list lacks may be answered as unknown.
+
+        Parameters
+        ----------
+        now : float
+            Current `lifecycle.boot_time_s`.
+        """
+        return now - self._requested_at <= MAX_LIST_AGE_S
+
     def get(self, vm_id):
         """Return the VM with this id, or None."""
         return self._vms.get(vm_id)
--- a/src/citrondeal/runtime/_vms.py
+++ b/src/citrondeal/runtime/_vms.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from citrondeal import lifecycle
 from citrondeal import telemetry
 
 POLL_INTERVAL_S = 1.0  # bounds the delay until a leaving VM is noticed
@@ -27,6 +28,7 @@
     """
     failing = False
     while True:
+        requested_at = lifecycle.boot_time_s()
         outcome = await client.read()
         now = anyio.current_time()
         if outcome.is_err():
@@ -40,6 +42,7 @@
             failing = True
         else:
             failing = False
+            directory.mark_requested(requested_at)
             if outcome.ok_value is None:
                 directory.mark_unchanged(now)
             elif directory.update(outcome.ok_value, now):
--- a/src/citrondeal/scheduler/_jobs.py
+++ b/src/citrondeal/scheduler/_jobs.py
@@ -52,14 +52,28 @@
         Runs the appends.
     metrics : citrondeal.telemetry.Metrics
         Counts submissions and refusals.
+    may_deny_zone : callable, optional
+        ``may_deny_zone(now)`` returns whether a zone that `zones` lacks may
+        be answered as unknown; `now` is a `lifecycle.boot_time_s`.
     """
 
-    def __init__(self, owner, settings, log, zone, zones, task_group, metrics):
+    def __init__(
+        self,
+        owner,
+        settings,
+        log,
+        zone,
+        zones,
+        task_group,
+        metrics,
+        may_deny_zone=lambda now: False,
+    ):
         self._owner = owner
         self._settings = settings
         self._log = log
         self._zone = zone
         self._zones = zones
+        self._may_deny_zone = may_deny_zone
         self._task_group = task_group
         self._metrics = metrics
         self._batch_callbacks = []
@@ -112,8 +126,7 @@
         job = self._job_with_defaults(request, values)
         zone = request.zone or self._zone
         if zone not in self._zones():
-            message = f"no scheduler is known in zone {zone!r}"
-            return self._refuse_with(errors.Kind.UNKNOWN_PATH, message)
+            return self._refuse(self._unknown_zone(zone))
         if zone == self._zone:
             failure = self._owner.refusal(job)
             if failure is not None:
@@ -135,6 +148,16 @@
         )
         return errors.Failure(errors.Kind.UNAVAILABLE, message, RETRY_AFTER_S)
 
+    def _unknown_zone(self, zone):
+        if self._may_deny_zone(lifecycle.boot_time_s()):
+            message = f"no scheduler is known in zone {zone!r}"
+            return errors.Failure(errors.Kind.UNKNOWN_PATH, message)
+        message = (
+            "the list of VMs has not been read of late, so zone"
+            f" {zone!r} may have a scheduler"
+        )
+        return errors.Failure(errors.Kind.UNAVAILABLE, message, RETRY_AFTER_S)
+
     def _job_with_defaults(self, request, values):
         given = dataclasses.asdict(request)
         job = {"id": request.id, "path": request.path}
@@ -145,9 +168,6 @@
             job["run_time_s"] = None
         return job
 
-    def _refuse_with(self, kind, message):
-        return self._refuse(errors.Failure(kind, message))
-
     def _refuse(self, failure):
         self._metrics.count("citrondeal.jobs.refused", kind=failure.kind.value)
         return result.Err(failure)
--- a/src/citrondeal/scheduler/main.py
+++ b/src/citrondeal/scheduler/main.py
@@ -62,6 +62,7 @@
             self._zones,
             task_group,
             self._shared.metrics,
+            may_deny_zone=self._shared.directory.may_deny,
         )
         self._worker_client = workers.Client.from_config(config)
         self._exchange = _exchange.WorkerExchanges(
--- a/src/citrondeal/scheduler/tests/scheduler.feature
+++ b/src/citrondeal/scheduler/tests/scheduler.feature
@@ -44,3 +44,13 @@
 
   Scenario: scheduler ready after all of its log, also once the log is away
     Then a scheduler that has read both to their end is ready and lists jobs
+
+  # Guards against a job that is refused for good, because its zone is not in
+  # a list of VMs that was not read, or not of late.
+  Scenario: scheduler a zone is not denied without a list of VMs
+    Then a scheduler without a list of VMs denies no zone
+
+  Scenario: scheduler a zone is denied only by a recent list of VMs
+    Then a scheduler with a list of VMs denies a zone that is not in it
+    And a scheduler that was suspended accepts jobs for the zones it knows
+    And a scheduler that was suspended denies no zone
