--- a/src/citrondeal/scheduler/_jobs.py
+++ b/src/citrondeal/scheduler/_jobs.py
@@ -7,6 +7,7 @@
 
 from citrondeal import errors
 from citrondeal import jobs
+from citrondeal import lifecycle
 from citrondeal.runtime import _replica
 
 # Fields of a job that default to the settings of its path.
@@ -51,14 +52,28 @@
         Runs the appends.
     metrics : citrondeal.telemetry.Metrics
         Counts submissions and refusals.
+    may_deny_zone : callable, optional
+        ``may_deny_zone(now)`` returns whether a zone that `zones` lacks may
+        be answered as unknown; `now` is a `lifecycle.boot_time_s`.
     """
 
-    def __init__(self, owner, settings, log, zone, zones, task_group, metrics):
+    def __init__(
+        self,
+        owner,
+        settings,
+        log,
+        zone,
+        zones,
+        task_group,
+        metrics,
+        may_deny_zone=lambda now: False,
+    ):
         self._owner = owner
         self._settings = settings
         self._log = log
         self._zone = zone
         self._zones = zones
+        self._may_deny_zone = may_deny_zone
         self._task_group = task_group
         self._metrics = metrics
         self._batch_callbacks = []
@@ -72,9 +87,9 @@
         )
 
     @property
-    def complete(self):
-        """Whether the state includes every record that was read."""
-        return self._replica.follower.complete
+    def loaded(self):
+        """Whether the jobs have been read to the end of their log."""
+        return self._replica.loaded
 
     def on_batch(self, function):
         """Call `function()` after each batch of records that is read."""
@@ -107,13 +122,11 @@
         """
         values = self._settings.tree.values(request.path)
         if values is None:
-            message = f"path {request.path!r} is not in the settings tree"
-            return self._refuse_with(errors.Kind.UNKNOWN_PATH, message)
+            return self._refuse(self._unknown_path(request.path))
         job = self._job_with_defaults(request, values)
         zone = request.zone or self._zone
         if zone not in self._zones():
-            message = f"no scheduler is known in zone {zone!r}"
-            return self._refuse_with(errors.Kind.UNKNOWN_PATH, message)
+            return self._refuse(self._unknown_zone(zone))
         if zone == self._zone:
             failure = self._owner.refusal(job)
             if failure is not None:
@@ -125,6 +138,26 @@
         self._metrics.count("citrondeal.jobs.submitted", kind=job["kind"])
         return result.Ok({"id": job["id"], "zone": zone, "state": "accepted"})
 
+    def _unknown_path(self, path):
+        if self._settings.may_deny(lifecycle.boot_time_s()):
+            message = f"path {path!r} is not in the settings tree"
+            return errors.Failure(errors.Kind.UNKNOWN_PATH, message)
+        message = (
+            "the settings tree has not been read up to the end of the log of"
+            f" late, so path {path!r} may exist"
+        )
+        return errors.Failure(errors.Kind.UNAVAILABLE, message, RETRY_AFTER_S)
+
+    def _unknown_zone(self, zone):
+        if self._may_deny_zone(lifecycle.boot_time_s()):
+            message = f"no scheduler is known in zone {zone!r}"
+            return errors.Failure(errors.Kind.UNKNOWN_PATH, message)
+        message = (
+            "the list of VMs has not been read of late, so zone"
+            f" {zone!r} may have a scheduler"
+        )
+        return errors.Failure(errors.Kind.UNAVAILABLE, message, RETRY_AFTER_S)
+
     def _job_with_defaults(self, request, values):
         given = dataclasses.asdict(request)
         job = {"id": request.id, "path": request.path}
@@ -135,9 +168,6 @@
             job["run_time_s"] = None
         return job
 
-    def _refuse_with(self, kind, message):
-        return self._refuse(errors.Failure(kind, message))
-
     def _refuse(self, failure):
         self._metrics.count("citrondeal.jobs.refused", kind=failure.kind.value)
         return result.Err(failure)
@@ -160,7 +190,20 @@
         return result.Ok(status)
 
     async def list_jobs(self, query):
-        """Return the open jobs after the id in the query, sorted by id."""
+        """Return the open jobs after the id in the query, sorted by id.
+
+        Fails until the jobs have been read to the end of their log, because
+        a list without a job denies it.
+        """
+        if not self.loaded:
+            message = (
+                f"the jobs of zone {self._zone} have not been read up to the"
+                " end of the log"
+            )
+            failure = errors.Failure(
+                errors.Kind.UNAVAILABLE, message, RETRY_AFTER_S
+            )
+            return result.Err(failure)
         ids = sorted(
             i for i in self._owner.job_table.open_jobs if i > query.after
         )
@@ -169,11 +212,10 @@
         return result.Ok({"jobs": statuses})
 
     def _unknown_job(self, job_id):
-        follower = self._replica.follower
-        if not (follower.complete and follower.at_tail):
+        if not self._replica.may_deny(lifecycle.boot_time_s()):
             message = (
                 f"the jobs of zone {self._zone} have not been read up to the"
-                f" end of the log, so job {job_id} may exist"
+                f" end of the log of late, so job {job_id} may exist"
             )
             failure = errors.Failure(
                 errors.Kind.UNAVAILABLE, message, RETRY_AFTER_S
--- a/src/citrondeal/scheduler/main.py
+++ b/src/citrondeal/scheduler/main.py
@@ -62,6 +62,7 @@
             self._zones,
             task_group,
             self._shared.metrics,
+            may_deny_zone=self._shared.directory.may_deny,
         )
         self._worker_client = workers.Client.from_config(config)
         self._exchange = _exchange.WorkerExchanges(
@@ -164,7 +165,7 @@
         return {**shared, "jobs": self._owner.dump()}
 
     def _is_ready(self):
-        return self._shared.settings.complete and self._jobs.complete
+        return self._shared.settings.loaded and self._jobs.loaded
 
     def _on_list_read(self):
         now = anyio.current_time()
