Share the stand-ins that owners in tests are given

Four step files of the cell had the same stand-ins for metrics, settings and the confirmation. They stay as they were, in a module of their own.

--- /dev/null
+++ b/src/citrondeal/cell/tests/doubles.py
@@ -0,0 +1,37 @@
+"""Stand-ins for what an owner of the cell is given, shared by the steps."""
+
+import anyio
+
+
+class Settings:
+    """The settings that an owner reads."""
+
+    max_lease_s = 10.0
+    job_status_ttl_s = 120.0
+    contact_s = 4.0
+
+
+class Metrics:
+    """Metrics that are not recorded."""
+
+    def count(self, *args, **kwargs):
+        """Count nothing."""
+
+    def record(self, *args, **kwargs):
+        """Record nothing."""
+
+
+class Confirmation:
+    """A confirmation of the ownership that always holds."""
+
+    def holds(self, now):
+        """Return that starts and renewals are allowed."""
+        return True
+
+    def may_answer(self, now):
+        """Return that passing states may be named."""
+        return True
+
+    async def run(self):
+        """Wait until cancelled, since no newer owner exists."""
+        await anyio.sleep_forever()
--- a/src/citrondeal/cell/tests/histories.py
+++ b/src/citrondeal/cell/tests/histories.py
@@ -13,6 +13,7 @@
 from citrondeal.cell import _owner
 from citrondeal.cell import _records
 from citrondeal.cell import _writer
+from citrondeal.cell.tests import doubles
 from citrondeal.cell.tests import memory_store
 from citrondeal import errors
 from citrondeal.peers.gen.peers import ttypes
@@ -103,31 +104,6 @@
         return result.Ok((end, first + second))
 
 
-class _Confirmation:
-    def holds(self, now):
-        return True
-
-    def may_answer(self, now):
-        return True
-
-    async def run(self):
-        await anyio.sleep_forever()
-
-
-class _Settings:
-    max_lease_s = 10.0
-    job_status_ttl_s = 120.0
-    contact_s = 4.0
-
-
-class _Metrics:
-    def count(self, *args, **kwargs):
-        pass
-
-    def record(self, *args, **kwargs):
-        pass
-
-
 class History:
     """One history of some seconds.
 
@@ -181,7 +157,10 @@
         self._store = FaultyStore(self._rng, task_group)
         for _ in range(2):
             appender = _job_topics.JobAppender(
-                self._append, self._append, self._store_age_s, _Metrics()
+                self._append,
+                self._append,
+                self._store_age_s,
+                doubles.Metrics(),
             )
             self._appenders.append(appender)
             task_group.start_soon(appender.run)
@@ -245,9 +224,9 @@
             self._store,
             None,
             self.counts["owners"],
-            _Confirmation(),
-            _Settings(),
-            _Metrics(),
+            doubles.Confirmation(),
+            doubles.Settings(),
+            doubles.Metrics(),
         )
         scope = anyio.CancelScope()
         self._owners.append((owner, scope))
--- a/src/citrondeal/cell/tests/steps_committer.py
+++ b/src/citrondeal/cell/tests/steps_committer.py
@@ -10,6 +10,7 @@
 from citrondeal.cell import _committer
 from citrondeal.cell import _job_topics
 from citrondeal.cell import _records
+from citrondeal.cell.tests import doubles
 from citrondeal import errors
 from citrondeal import platform
 
@@ -21,14 +22,6 @@
 STORE_CALL_BYTES = 2_097_152
 
 
-class _Metrics:
-    def count(self, *args, **kwargs):
-        pass
-
-    def record(self, *args, **kwargs):
-        pass
-
-
 class _Store:
     """Fails appends with `kind`; succeeds after `failures` calls."""
 
@@ -54,7 +47,7 @@
             store.append,
             relay.append,
             _committer.StoreOutage(lambda: store.served_age_s),
-            _Metrics(),
+            doubles.Metrics(),
         )
         answers = []
         async with anyio.create_task_group() as task_group:
@@ -130,7 +123,7 @@
             store.append,
             relay.append,
             lambda: store.served_age_s,
-            _Metrics(),
+            doubles.Metrics(),
         )
         kinds = []
         async with anyio.create_task_group() as task_group:
@@ -182,7 +175,7 @@
             store.append,
             store.append,
             _committer.StoreOutage(lambda: 0.0),
-            _Metrics(),
+            doubles.Metrics(),
         )
         async with anyio.create_task_group() as task_group:
             task_group.start_soon(committer.run)
--- a/src/citrondeal/cell/tests/steps_deletions.py
+++ b/src/citrondeal/cell/tests/steps_deletions.py
@@ -9,6 +9,7 @@
 
 from citrondeal.cell import _owner
 from citrondeal.cell import _records
+from citrondeal.cell.tests import doubles
 from citrondeal.cell.tests import memory_store
 from citrondeal.cell.tests import processes
 from citrondeal import platform
@@ -27,25 +28,6 @@
         return platform.read_settings(member.settings)
 
 
-class _Metrics:
-    def count(self, *args, **kwargs):
-        pass
-
-    def record(self, *args, **kwargs):
-        pass
-
-
-class _Confirmation:
-    def holds(self, now):
-        return True
-
-    def may_answer(self, now):
-        return True
-
-    async def run(self):
-        await anyio.sleep_forever()
-
-
 class _Hold:
     """Holds the first append that `matches` until it is released."""
 
@@ -83,7 +65,12 @@
 
 def _create_owner(store, epoch):
     return _owner.Owner(
-        store, None, epoch, _Confirmation(), _read_settings(), _Metrics()
+        store,
+        None,
+        epoch,
+        doubles.Confirmation(),
+        _read_settings(),
+        doubles.Metrics(),
     )
 
 
--- a/src/citrondeal/cell/tests/steps_recovery.py
+++ b/src/citrondeal/cell/tests/steps_recovery.py
@@ -7,6 +7,7 @@
 from citrondeal.cell import _desk
 from citrondeal.cell import _owner
 from citrondeal.cell import _records
+from citrondeal.cell.tests import doubles
 from citrondeal.peers.gen.peers import ttypes
 from citrondeal import platform
 from citrondeal import workflow
@@ -16,31 +17,6 @@
 MAX_TURNS = 20_000  # of the event loop, until the recovery must be complete
 
 
-class _Settings:
-    max_lease_s = 10.0
-    job_status_ttl_s = 120.0
-    contact_s = 4.0
-
-
-class _Metrics:
-    def count(self, *args, **kwargs):
-        pass
-
-    def record(self, *args, **kwargs):
-        pass
-
-
-class _Confirmation:
-    def holds(self, now):
-        return True
-
-    def may_answer(self, now):
-        return True
-
-    async def run(self):
-        await anyio.sleep_forever()
-
-
 class _Members:
     """A member that is the owner of the cell."""
 
@@ -76,7 +52,12 @@
 async def _query_in_each_turn():
     """Return the states that an owner names from its start on."""
     owner = _owner.Owner(
-        _Store(), None, 1, _Confirmation(), _Settings(), _Metrics()
+        _Store(),
+        None,
+        1,
+        doubles.Confirmation(),
+        doubles.Settings(),
+        doubles.Metrics(),
     )
     requests = _desk.ClientRequests(
         None, None, _Members(), lambda: owner, lambda: None
