--- a/src/citrondeal/workflow/tests/isolation.feature
+++ b/src/citrondeal/workflow/tests/isolation.feature
@@ -85,3 +85,23 @@
     Given a workflow cell with tickets whose store answers after 3000 ms
     When no workflow worker is allowed any more while a start is recorded
     Then the recorded workflow start is cancelled and nothing stays reserved
+
+  # Guards against jobs that have nothing running for over 3 s although there is
+  # room: suspects that find no place are tried again and again before others,
+  # whose wait for an empty worker begins only at their first attempt.
+  Scenario: workflow isolation many suspects start soon after a takeover and an outage
+    Given a workflow cell of 60 workers
+    When 220 workflow jobs have two outages, a new owner and an outage
+    Then each workflow job has waited for at most 3 s after the last outage
+
+  # Guards against a worker that is kept for a suspect which gets no ticket for
+  # as long as the ticket service is away, although nothing runs there.
+  Scenario Outline: workflow isolation a suspect without a ticket keeps no worker free, <moment>
+    Given a workflow cell with tickets whose store answers after 2200 ms
+    When the ticket service fails <moment> the workflow suspect is decided
+    Then another workflow job starts within 3 s on the worker of the suspect
+
+    Examples:
+      | moment |
+      | before |
+      | after  |
