Show a wide job that three power failures fail

Callers see a job of 1200 tasks without fault that is failed after three power failures; docs/platform.md promises that three in a row fail no job.

Cause: after the first failure at most 1,000 starts of the job are recorded. The first one without a record denies every later excuse to all tasks of the job.

The scenario fails; this changes no product code.

--- a/src/citrondeal/workflow/tests/steps_isolation_waits.py
+++ b/src/citrondeal/workflow/tests/steps_isolation_waits.py
@@ -120,3 +120,22 @@
         cell.tick()
     waited_s = round(cell.now - asked_at, 1)
     assert waited_s <= MAX_WAIT_S, f"it waited for {waited_s} s"
+
+
+@when("three power failures hit a workflow job of {tasks:d} long tasks")
+def _(context, tasks):
+    cell = context.cell
+    cell.submit("wide", tasks=tasks, run_s=LONG_S, cores=1)
+    for _ in range(3):
+        limit = cell.now + 30.0
+        while sum(len(w.runs) for w in cell.workers.values()) < tasks:
+            assert cell.now < limit, "not all tasks run"
+            cell.tick()
+        _fail_power(cell)
+    cell.run(SETTLE_S)
+
+
+@then("the wide workflow job is not failed")
+def _(context):
+    state = context.cell.state("wide")
+    assert state is workflow.JobState.RUNNING, state
--- a/src/citrondeal/workflow/tests/wide_jobs.feature
+++ b/src/citrondeal/workflow/tests/wide_jobs.feature
@@ -11,3 +11,11 @@
   Scenario: workflow wide jobs all tasks go on after a power failure
     When a power failure hits a workflow job of 1200 running tasks
     Then all 1200 workflow tasks run 5 seconds after its end
+
+  # Guards against a job without fault that fails after three power failures
+  # because the starts of all its tasks do not fit in its record, so that no
+  # crash of it is excused.
+  Scenario: workflow wide jobs three power failures fail no job of 1200 tasks
+    Given a workflow cell of 200 workers
+    When three power failures hit a workflow job of 1200 long tasks
+    Then the wide workflow job is not failed
