Open workers that wait for a suspect without a ticket

There were two causes. A worker was held for a suspect again after each 2 s, although the suspect does not wait for it any more. And a recorded start that waits for a new ticket is never confirmed, so its worker stayed closed.

A worker is now held only as long as its suspect waits, and closed for 2 s from the decision as well. After a confirmation the 2 s count anew.

Evidence: both scenarios fail without the change and pass with it; the other scenarios of the isolation pass.

--- a/src/citrondeal/workflow/_isolation.py
+++ b/src/citrondeal/workflow/_isolation.py
@@ -15,9 +15,10 @@
 # At most this share of the workers of a service runs nothing but suspects, so
 # that many suspects, as after power failures, leave room for other tasks.
 MAX_ISOLATED_SHARE = 0.25
-# A worker runs nothing but a suspect for this long from the confirmed start. A
-# task that crashes its worker does so soon, and no other job may have nothing
-# running for 3 s while there is room for it.
+# A worker runs nothing but a suspect for this long from its start: from when it
+# is decided, and again from when it is confirmed. A task that crashes its worker
+# does so soon, and no other job may have nothing running for 3 s while there is
+# room for it.
 MAX_ISOLATED_S = 2.0
 # Each task that has crashed workers is placed by itself, which takes an owner
 # about a millisecond. After a power failure there may be hundreds of them.
@@ -121,12 +122,11 @@
         chosen = _placement.choose(step, tasks, empty, is_preferred, now)
         if len(chosen) == len(tasks) and self._may_close(task, _ids(chosen)):
             self._isolated = task
-            self._hold(task, chosen)
+            self._hold(task, chosen, now)
             return chosen
         if len(chosen) < len(tasks):
-            self._hold(
-                task, _placement.choose_to_reserve(step, tasks, workers)
-            )
+            to_free = _placement.choose_to_reserve(step, tasks, workers)
+            self._hold(task, to_free, now)
         if self.waits(task, now):
             return []
         return self._choose_apart(step, tasks, workers, is_preferred, now)
@@ -170,10 +170,12 @@
         if not isolated <= self._closed and self._may_close(task, isolated):
             self._closed |= isolated
 
-    def _hold(self, task, chosen):
-        """Keep workers for a suspect, one suspect at a time."""
+    def _hold(self, task, chosen, now):
+        """Keep workers for a suspect, one at a time, as long as it waits."""
+        if self._held_for is not None or not self.waits(task, now):
+            return
         needed = _ids(chosen)
-        if self._held_for is None and self._leaves_room(task, needed):
+        if self._leaves_room(task, needed):
             self._held_for, self._held = task, needed
 
     def _may_close(self, task, needed):
@@ -295,8 +297,9 @@
     """Return whether a run has lasted too long to keep its worker closed."""
     if run.state is _jobs.RunState.STOPPING:
         return True
-    since = run.confirmed_at
-    return since is not None and now - since >= MAX_ISOLATED_S
+    # A recorded start may wait long for the store or a ticket before it is sent.
+    since = run.ordered_at if run.confirmed_at is None else run.confirmed_at
+    return now - since >= MAX_ISOLATED_S
 
 
 def _can_replace(worker, other):
