--- a/src/citrondeal/workflow/_isolation.py
+++ b/src/citrondeal/workflow/_isolation.py
@@ -15,10 +15,10 @@
 # At most this share of the workers of a service runs nothing but suspects, so
 # that many suspects, as after power failures, leave room for other tasks.
 MAX_ISOLATED_SHARE = 0.25
-# A worker runs nothing but a suspect for this long from its start: from when it
-# is decided, and again from when it is confirmed. A task that crashes its worker
-# does so soon, and no other job may have nothing running for 3 s while there is
-# room for it.
+# A worker runs nothing but a suspect for this long from its start: from when
+# it is decided, and again from when it is confirmed. A task that crashes its
+# worker does so soon, and no other job may have nothing running for 3 s while
+# there is room for it.
 MAX_ISOLATED_S = 2.0
 # Each task that has crashed workers is placed by itself, which takes an owner
 # about a millisecond. After a power failure there may be hundreds of them.
@@ -297,7 +297,7 @@
     """Return whether a run has lasted too long to keep its worker closed."""
     if run.state is _jobs.RunState.STOPPING:
         return True
-    # A recorded start may wait long for the store or a ticket before it is sent.
+    # A recorded start may wait long for the store or a ticket.
     since = run.ordered_at if run.confirmed_at is None else run.confirmed_at
     return now - since >= MAX_ISOLATED_S
 
