Excuse crashes of a wide job as long as all of them are seen

Cause: since the starts of wide jobs may go on without a record, one of these took the excuse from all tasks of its job. Its crash is only unseen if its owner ends before it sees it.

That starts were not recorded is now stored by itself.

--- a/src/citrondeal/workflow/_jobs.py
+++ b/src/citrondeal/workflow/_jobs.py
@@ -205,6 +205,8 @@
     ----------
     record_bytes : int
         Largest size that its stored progress can have.
+    has_unrecorded : bool
+        See `Progress`.
     has_unseen : bool
         Whether any task may have had a crash that no owner has seen.
     """
@@ -220,6 +222,7 @@
         self.ended_at = now
         self.submission_dropped = False
         self.has_unseen = False
+        self.has_unrecorded = False
         self.record_bytes = _record_size.empty_progress(submission.steps)
         remaining = _longest_chains_s(submission.steps)
         self.steps = [
@@ -319,6 +322,7 @@
             {k: sorted(t.excused) for k, t in tasks.items() if t.excused},
             {k: _open_starts(t) for k, t in tasks.items() if t.open_starts},
             self.has_unseen,
+            self.has_unrecorded,
         )
 
     def restore(self, progress):
@@ -326,6 +330,7 @@
         self.state = progress.state
         self.stored_state = progress.state
         self.has_unseen = progress.has_unseen
+        self.has_unrecorded = progress.has_unrecorded
         for step, bits in zip(self.steps, progress.done):
             value = int.from_bytes(bits, "little")
             for task in step.tasks:
--- a/src/citrondeal/workflow/_model.py
+++ b/src/citrondeal/workflow/_model.py
@@ -271,6 +271,9 @@
         By the same keys.
     has_unseen : bool
         Whether any task may have had a crash that was not seen.
+    has_unrecorded : bool
+        Whether starts of tasks with crashes were not recorded, because they
+        did not fit. Their crashes are not seen if their owner ends before.
     """
 
     state: JobState
@@ -284,6 +287,7 @@
         default_factory=dict
     )
     has_unseen: bool = False
+    has_unrecorded: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/citrondeal/workflow/_open_starts.py
+++ b/src/citrondeal/workflow/_open_starts.py
@@ -65,9 +65,9 @@
     def make_room(self, job, count):
         """Drop starts of ended runs, the oldest first, until `count` fit.
 
-        Their workers may have been lost for good and never tell the end.  The
-        job has no excuse for a crash any more if there is no room, because
-        the crash of a start without a record may stay unseen.
+        Their workers may have been lost for good and never tell the end.  If
+        there is no room, the next owner has to know that starts of the job
+        are not recorded.
 
         Returns
         -------
@@ -77,8 +77,8 @@
         """
         if self.has_room(job, count) or self._drop_until_room(job, count):
             return True
-        if not job.has_unseen:
-            job.has_unseen = True
+        if not job.has_unrecorded:
+            job.has_unrecorded = True
             self._mark_changed(job)
         return False
 
