--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -200,7 +200,8 @@
             task = job.task_of_key(key)
             job.restore_runs(task.crashes, task, numbers)
             self.counted[task.id] = task
-            self._recorded.add(task.id)
+            if not job.has_unrecorded:
+                self._recorded.add(task.id)
         for key, numbers in progress.excused_crashes.items():
             task = job.task_of_key(key)
             job.restore_runs(task.excused, task, numbers)
