Take no start that was not sent for another cause of a crash

Whether a task ran alone on a worker that crashed was judged with the starts that wait for their record, whose orders have not been sent. The count leaves them out, and this does now as well. Ruled out as visible in a scenario of its own: the excuse is given once at most.

--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -109,16 +109,14 @@
             successor.unseen_ms = born_ms
             self._state.changed_workers[successor.id] = successor
         runs = {}
+        alone = not worker.unrecognized_runs
         for run in worker.runs.values():
             task = run.task.step.accounting_task(run.task)
             if not self._state.withheld.holds(task, run.number):
                 runs[task.id] = (task, run.last_known_number)
+                alone = alone and not run.is_uncertain
         crash = _WorkerCrash(
-            worker.id,
-            worker.reported_at,
-            len(runs) == 1
-            and not worker.unrecognized_runs
-            and not any(run.is_uncertain for run in worker.runs.values()),
+            worker.id, worker.reported_at, alone and len(runs) == 1
         )
         self._recent.append(crash)
         for task, number in runs.values():
