Excuse no crash while another start is on a silent worker

Cause: a start that is live is no crash. It was taken for live also if its worker did not answer any more, and so the third crash was excused while the next one had happened already.

Evidence: the scenario "a budget holds with workers away for 15 s" fails without the change (two of its four rows) and passes with it.

--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -248,7 +248,7 @@
         if self._may_have_unseen(task):
             # The next owner has to know it as well.
             job.add_unseen(task)
-        excused = self._is_excused(task, crash)
+        excused = self._is_excused(task, number, crash)
         numbers = task.excused if excused else task.crashes
         self._state.count_run(numbers, task, number)
         if not excused and self._in_outage(crash):
@@ -302,7 +302,7 @@
         )
         self._state.end_job(task.step.job, _model.JobState.FAILED, now)
 
-    def _is_excused(self, task, crash):
+    def _is_excused(self, task, number, crash):
         """Return whether a crash may well have had another cause.
 
         Any other task that ran on the worker may have been the cause; the
@@ -316,10 +316,23 @@
             return False
         if task.step.job.has_unseen:
             return False
-        if len(task.excused) >= MAX_EXCUSED or _has_unknown_end(task):
+        if len(task.excused) >= MAX_EXCUSED:
+            return False
+        if self._has_unknown_end(task, number):
             return False
         return not crash.alone or self._in_outage(crash)
 
+    def _has_unknown_end(self, task, number):
+        """Return whether another start of a task may be a crash as well.
+
+        A live run is none, unless its worker does not answer.
+        """
+        known = {number}
+        run = task.run
+        if run is not None and self._state.workers[run.worker].reachable:
+            known.add(run.number)
+        return bool(set(task.open_starts) - known)
+
     def _may_have_unseen(self, task):
         """Return whether a crash of a task may have been seen by no owner.
 
@@ -366,11 +379,6 @@
     return task.crashes | task.excused <= task.stored_crashes
 
 
-def _has_unknown_end(task):
-    current = {task.run.number} if task.run is not None else set()
-    return bool(set(task.open_starts) - current)
-
-
 def _is_near(time_s, other_s):
     return time_s is not None and abs(time_s - other_s) <= OUTAGE_WINDOW_S
 
--- a/src/citrondeal/workflow/tests/crashes.feature
+++ b/src/citrondeal/workflow/tests/crashes.feature
@@ -112,6 +112,19 @@
       | after the second         | 8    | 8     |
       | after the third          | 8    | 8     |
 
+  # Guards against an excuse while a start on a silent worker is a crash as well:
+  # the task would start three more times after three crashes.
+  Scenario Outline: workflow crashes a budget holds with workers away for <away> s and a new owner after start <start>
+    When a workflow task crashes workers for <away> seconds each, with a new owner after start <start>
+    Then the workflow task is given up after at most 5 starts
+
+    Examples:
+      | away | start |
+      | 2    | 1     |
+      | 12   | 2     |
+      | 15   | 1     |
+      | 15   | 2     |
+
   # Guards against a crash that is not seen because the lease had lapsed, or
   # the worker was not listed any more, before it was back.
   Scenario Outline: workflow crashes a worker that is back after its lease is seen
