List the workers of a service once in a planning pass

Cause: the limit is checked for each suspect that runs, and each check listed all workers of its service twice. They are now listed once in a pass.

--- a/src/citrondeal/workflow/_isolation.py
+++ b/src/citrondeal/workflow/_isolation.py
@@ -45,11 +45,13 @@
         self._isolated = None  # task whose chosen workers run nothing else
         self._attempts_left = 0
         self._retry_at = {}  # by task id
+        self._usable = {}  # workers by service, listed once in a pass
 
     def begin_pass(self, now):
         """Prepare for a planning pass."""
         self._steps, self._closed, self._worker_tasks = set(), set(), {}
         self._attempts_left = MAX_ATTEMPTS_PER_PASS
+        self._usable = {}
         self._retry_at = {i: t for i, t in self._retry_at.items() if t > now}
         task = self._held_for
         if task and not self.waits(task, now):
@@ -203,12 +205,12 @@
         )
 
     def _service_workers(self, task):
-        service = task.step.job.policy.service
-        return [
-            worker
-            for worker in self._state.workers.values()
-            if worker.usable and worker.info.service == service
-        ]
+        if not self._usable:
+            for worker in self._state.workers.values():
+                if worker.usable:
+                    service = worker.info.service
+                    self._usable.setdefault(service, []).append(worker)
+        return self._usable.get(task.step.job.policy.service, [])
 
     def _choose_apart(self, step, tasks, workers, is_preferred, now):
         """Choose workers without other tasks that have crashed workers.
