Let suspects wait from their crash on, not from their first attempt

Cause: a suspect waits up to 2 s for a worker that runs nothing else. The wait began at its first attempt, and with many suspects only 32 are tried in a pass, those that have failed again before the others.

The wait now begins with the first pass after the crash. Ruled out: an order by the time of the last attempt, since the attempts suffice once nobody has to wait.

Evidence: the scenario "many suspects start soon after a takeover and an outage" fails without the change and passes with it; all 123 scenarios of the workflow pass.

--- a/src/citrondeal/workflow/_isolation.py
+++ b/src/citrondeal/workflow/_isolation.py
@@ -59,6 +59,7 @@
         for task in self._state.crashes.counted.values():
             self._steps.add(task.step.id)
             self._note_runs(task, now)
+            self._begin_wait(task, now)
 
     def concerns(self, step):
         """Return whether a task of a step has crashed workers."""
@@ -118,8 +119,6 @@
         self._isolated = None
         if not _crashes.is_suspect(task):
             return self._choose_apart(step, tasks, workers, is_preferred, now)
-        if task.isolation_wanted_at is None:
-            task.isolation_wanted_at = now
         empty = [w for w in workers if not w.runs]
         chosen = _placement.choose(step, tasks, empty, is_preferred, now)
         if len(chosen) == len(tasks) and self._may_close(task, _ids(chosen)):
@@ -158,6 +157,15 @@
         if run.isolated:
             self._closed.add(run.worker)
 
+    def _begin_wait(self, task, now):
+        """Let a suspect wait from its crash on, not from its first attempt.
+
+        With many suspects, the last ones are tried some time later.
+        """
+        begins = task.isolation_wanted_at is None and not _runs(task)
+        if begins and _crashes.is_suspect(task):
+            task.isolation_wanted_at = now
+
     def _note_runs(self, task, now):
         """Note the runs of a task, and close their workers again.
 
