--- a/src/citrondeal/cell/_confirmation.py
+++ b/src/citrondeal/cell/_confirmation.py
@@ -11,7 +11,7 @@
 from citrondeal import telemetry
 
 CHECK_PERIOD_S = 0.3
-# A suspension shows as a longer time between two turns.
+# A longer gap between two checks shows a suspension.
 PAUSE_CHECK_PERIOD_S = 0.1
 ASK_TIMEOUT_S = 0.5
 # Members asked in each zone; one of them may be cut off from the others.
@@ -53,7 +53,7 @@
         return held
 
     def may_answer(self, now):
-        """Return whether the owner may name states that may change."""
+        """Return whether the owner may report states of unfinished jobs."""
         # The first event after a suspension may be a query.
         self._on_running(now)
         self._state.on_store_read(self._members.store_confirmed_at)
@@ -72,8 +72,8 @@
         telemetry.event(
             _LOG,
             logging.WARNING,
-            "owner may have been suspended, passing states wait for a"
-            " confirmation",
+            "owner may have been suspended; answers about unfinished jobs"
+            " wait for a confirmation",
             epoch=self._epoch,
         )
 
--- a/src/citrondeal/cell/_follower.py
+++ b/src/citrondeal/cell/_follower.py
@@ -47,7 +47,7 @@
         self._failing = False
         self._failing_since = None
         self._read_scope = None
-        self._hurried = False
+        self._skip_wait = False
 
     @property
     def end(self):
@@ -145,8 +145,8 @@
         """Read the next records once, or load again if they were deleted."""
         # A long poll takes longer to find out that the store is still
         # unreachable, and would notice its return later.
-        wait_s = 0.0 if self._failing or self._hurried else self._wait_s
-        self._hurried = False
+        wait_s = 0.0 if self._failing or self._skip_wait else self._wait_s
+        self._skip_wait = False
         sent_at = _clock.now()
         outcome = await self._read(wait_s)
         if outcome is None:
@@ -171,7 +171,7 @@
 
     def read_now(self):
         """Read without waiting for records; end a read that is under way."""
-        self._hurried = True
+        self._skip_wait = True
         if self._read_scope is not None:
             self._read_scope.cancel()
 
--- a/src/citrondeal/cell/tests/doubles.py
+++ b/src/citrondeal/cell/tests/doubles.py
@@ -29,7 +29,7 @@
         return True
 
     def may_answer(self, now):
-        """Return that passing states may be named."""
+        """Return that states of unfinished jobs may be reported."""
         return True
 
     async def run(self):
--- a/src/citrondeal/election/_confirmation.py
+++ b/src/citrondeal/election/_confirmation.py
@@ -64,7 +64,7 @@
         self._zone_confirmed_at[zone] = max(known, sent_at)
 
     def on_members_asked(self, zones, sent_at):
-        """Record that all members asked from `sent_at` on have had their time.
+        """Record that a round of questions, begun at `sent_at`, is over.
 
         Parameters
         ----------
@@ -113,7 +113,7 @@
         )
 
     def may_answer(self, zones, now):
-        """Return whether the owner may name states that the next one changes.
+        """Return whether the owner may report states of unfinished jobs.
 
         A confirmation from before a suspension does not count, because the
         next owner may have shown a later state meanwhile. Starts and renewals
--- a/src/citrondeal/jobs/_crashes.py
+++ b/src/citrondeal/jobs/_crashes.py
@@ -3,7 +3,7 @@
 Only another ``boot_id`` of a worker that was not leaving shows a crash.  A
 silent, slow, cut-off or leaving worker shows none.  The count of a task is a
 part of the job table, so that it is the same for every owner; `Crashes` finds
-the crashes and holds their tasks back until the log has them.
+the crashes and holds their tasks back until they are recorded.
 """
 
 import collections
--- a/src/citrondeal/runtime/_leases.py
+++ b/src/citrondeal/runtime/_leases.py
@@ -213,8 +213,8 @@
         telemetry.event(
             _LOG,
             logging.WARNING,
-            "log of the leases was replaced; its leases are lost, and none"
-            " is claimed before the outage limit",
+            "log of the leases was replaced; all own leases are given up and"
+            " none is claimed for the outage limit",
             stream=self._stream,
         )
 
--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -29,7 +29,8 @@
 # This many other workers that fell silent at the same time show a cause
 # outside of a task, such as a power failure.
 OUTAGE_WORKERS = 3
-# The clocks of a worker and of the process that accepted a job differ by less.
+# Assumed bound of the difference between the clocks of a worker and of the
+# process that accepted a job.
 CLOCK_SKEW_MS = 1_000
 # Newest crashes of workers that are searched for an outage.
 MAX_RECENT = 100
@@ -75,13 +76,14 @@
         self.counted = {}
         self.worker_crashes = 0
         self.tasks_given_up = 0
-        # Whether runs that an earlier owner started may have crashed unseen.
+        # Whether a worker crashed after this takeover and before its first
+        # report, so that runs of the previous owner may have crashed unseen.
         self._has_unseen = False
         # Unix time of the newest crash that no earlier owner saw.
         self._unseen_ms = 0
         # Tasks with a crash that was stored before this ownership.  Their
         # later starts were recorded, so none of those crashes is unseen.
-        self._recorded = set()
+        self._tasks_with_records = set()
         self._given_up = collections.deque(maxlen=MAX_SHOWN)
         self._recent = collections.deque(maxlen=MAX_RECENT)
 
@@ -114,7 +116,7 @@
             task = run.task.step.accounting_task(run.task)
             if not self._state.withheld.holds(task, run.number):
                 runs[task.id] = (task, run.last_known_number)
-                alone = alone and not run.is_uncertain
+                alone = alone and not run.arrival_unknown
         crash = _WorkerCrash(
             worker.id, worker.reported_at, alone and len(runs) == 1
         )
@@ -182,7 +184,7 @@
                 self._state.open_starts.drop_all(task)
             if task.crashes:
                 self.counted.pop(task.id, None)
-                self._recorded.discard(task.id)
+                self._tasks_with_records.discard(task.id)
 
     def restore(self, job, progress):
         """Restore the stored crashes and open starts of a job.
@@ -199,7 +201,7 @@
             job.restore_runs(task.crashes, task, numbers)
             self.counted[task.id] = task
             if not job.has_unrecorded:
-                self._recorded.add(task.id)
+                self._tasks_with_records.add(task.id)
         for key, numbers in progress.excused_crashes.items():
             task = job.task_of_key(key)
             job.restore_runs(task.excused, task, numbers)
@@ -246,7 +248,7 @@
         if job.ended or task.done or number in task.crashes | task.excused:
             return
         if self._may_have_unseen(task):
-            # The next owner has to know it as well.
+            # Stored, so that later owners excuse no crash of the task either.
             job.add_unseen(task)
         excused = self._is_excused(task, number, crash)
         numbers = task.excused if excused else task.crashes
@@ -271,7 +273,7 @@
         self._state.end_full_jobs(now)
 
     def _record_live_runs(self, task):
-        """Record the runs that go on, as if they were started from now on.
+        """Record the runs of the task that are still going on.
 
         A run after a lapsed lease may have started before the first crash of
         the task was counted, and so without a record.
@@ -338,10 +340,10 @@
 
         This can be a start by an earlier owner on a worker that crashed before
         it reported to the next one, unless the starts of the task were
-        recorded.  A job that was submitted later had none.
+        recorded.  A job submitted after the crash cannot have had one.
         """
         job = task.step.job
-        if not job.recovered or task.id in self._recorded:
+        if not job.recovered or task.id in self._tasks_with_records:
             return False
         if self._has_unseen or not self._unseen_ms:
             return self._has_unseen
--- a/src/citrondeal/workflow/_isolation.py
+++ b/src/citrondeal/workflow/_isolation.py
@@ -38,7 +38,7 @@
     def __init__(self, state):
         self._state = state
         self._steps = set()  # with a task that has crashed workers
-        self._closed = set()  # workers that run an isolated task
+        self._closed = set()  # workers that get no other task in this pass
         self._worker_tasks = {}  # tasks with crashes by worker id
         self._held = set()  # workers that are to become free
         self._held_for = None  # suspect that waits for them
@@ -58,7 +58,9 @@
             self._held_for, self._held = None, set()
         for task in self._state.crashes.counted.values():
             self._steps.add(task.step.id)
-            self._note_runs(task, now)
+            for run in _runs(task):
+                self._worker_tasks.setdefault(run.worker, []).append(task)
+            self._close_again(task, now)
             self._begin_wait(task, now)
 
     def concerns(self, step):
@@ -166,17 +168,17 @@
         if begins and _crashes.is_suspect(task):
             task.isolation_wanted_at = now
 
-    def _note_runs(self, task, now):
-        """Note the runs of a task, and close their workers again.
+    def _close_again(self, task, now):
+        """Close the workers of a task's recent runs for this pass.
 
         The runs of suspects that this owner took over have closed none so far,
         and together they may need too many.
         """
-        isolated = set()
-        for run in _runs(task):
-            self._worker_tasks.setdefault(run.worker, []).append(task)
-            if run.isolated and not _has_lasted(run, now):
-                isolated.add(run.worker)
+        isolated = {
+            run.worker
+            for run in _runs(task)
+            if run.isolated and not _has_lasted(run, now)
+        }
         if not isolated <= self._closed and self._may_close(task, isolated):
             self._closed |= isolated
 
@@ -189,6 +191,7 @@
             self._held_for, self._held = task, needed
 
     def _may_close(self, task, needed):
+        """Return whether workers may run nothing but a suspect."""
         count = len(self._service_workers(task))
         limit = max(len(needed), MAX_ISOLATED_SHARE * count)
         if len(self._closed | needed) > limit:
--- a/src/citrondeal/workflow/_jobs.py
+++ b/src/citrondeal/workflow/_jobs.py
@@ -70,7 +70,7 @@
     unanswered: bool = False
 
     @property
-    def is_uncertain(self):
+    def arrival_unknown(self):
         """Whether it is not known that its start arrived at the worker."""
         return self.unanswered or self.state is RunState.STARTING
 
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -296,13 +296,13 @@
             if ticket is not None:
                 starts.append(self._start(task, worker, ticket, number, now))
         task = step.accounting_task(chosen[0][0])
-        if self._is_recorded(task, starts):
+        if self._make_room_for_record(task, starts):
             self._state.withheld.hold(task, starts)
         else:
             actions.extend(starts)
 
-    def _is_recorded(self, task, starts):
-        """Return whether starts are recorded before their orders are sent.
+    def _make_room_for_record(self, task, starts):
+        """Return whether starts can be recorded before their orders are sent.
 
         Tasks of a wide job whose starts do not fit in its record are not to
         wait until others end.
