--- a/bench/requests.py
+++ b/bench/requests.py
@@ -44,8 +44,8 @@
 WARM_S = 2.0
 # Waits below one round trip between zones count as this in ratios.
 FLOOR_MS = 3.0
-# Time after the last arrival in which queued requests are still served; in
-# floods the rest of the queue of the flooding class is not measured.
+# Time after the last arrival in which queued requests are still served. After
+# a flood, what then waits in the flooding class is left out of the figures.
 DRAIN_S = 12.0
 FLOOD_DRAIN_S = 2.0
 
