--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,78 @@
+"""A runner loses power for a moment and is back under the id that it had."""
+
+import asyncio
+import json
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+
+from common import case as cases  # noqa: E402
+from common import checks  # noqa: E402
+
+ZONES = ("zone-a", "zone-a", "zone-b")
+RUNNERS = 8
+RACK_SIZE = 4
+ROUNDS = 6
+ROUND_S = 9.0
+DARK_S = 0.6  # the site file names up to 4.5
+TASKS = 4
+WORK_MS = 3000
+# Each round also hands in this many jobs while the runner is away and after.
+JOBS = 12
+JOB_PERIOD_S = 0.1
+
+
+def _body(tasks, cpu, work_ms):
+    step = {
+        "count": tasks,
+        "cpu": cpu,
+        "mem-mb": 1000,
+        "estimate-ms": work_ms,
+    }
+    return {"spec": json.dumps({"work_ms": work_ms}), "steps": [step]}
+
+
+async def _play(case):
+    case.configure()
+    for i in range(RUNNERS):
+        await case.fleet.add(f"i-{i}", f"r{i // RACK_SIZE}")
+    await case.start_cell(ZONES)
+    await asyncio.sleep(2.0)
+    jobs = []
+    for number in range(1, ROUNDS + 1):
+        jobs += await _play_round(case, number)
+    for job in jobs:
+        await case.wait_state(job, "completed", 20.0)
+    return checks.overlapping_runs(case.events) + checks.started_after_done(
+        case.events
+    )
+
+
+async def _play_round(case, number):
+    """Let a busy runner lose power while jobs are handed in."""
+    ends_at = case.now() + ROUND_S
+    first = f"{number:08x}{0:08x}"
+    body = _body(1, 4000, int(ROUND_S * 1000))
+    assert await case.submit(first, body), "a job was not accepted"
+    await asyncio.sleep(1.5)
+    if case.trouble:
+        start = [e for e in case.of("start") if e["task"].startswith(first)]
+        runners = {r.name: r for r in case.fleet.runners}
+        runner = runners[start[-1]["runner"]]
+        runner.crash(power=False)
+        await asyncio.sleep(DARK_S)
+        await runner.start()
+    jobs = [first]
+    for i in range(1, JOBS + 1):
+        job = f"{number:08x}{i:08x}"
+        body = _body(TASKS, 500, WORK_MS)
+        assert await case.submit(job, body), "a job was not accepted"
+        jobs.append(job)
+        await asyncio.sleep(JOB_PERIOD_S)
+    await asyncio.sleep(max(0.0, ends_at - case.now()))
+    return jobs
+
+
+if __name__ == "__main__":
+    cases.run(__file__, _play)
