Review: an owner that starts over 100,000 runs breaks the next one

Case 4 of the review: the next owner numbers its runs below those of the earlier one, and a runner rejects them as old (LOST).

--- a/review/common/case.py
+++ b/review/common/case.py
@@ -87,7 +87,8 @@
 
     async def request(self, method, job, value=None, member=None):
         """Send a client's request about a job, and record it."""
-        member = member or self.cell.members[0]
+        if member is None:
+            member = next(m for m in self.cell.members if m.process)
         path = QUEUE_PREFIX + job
         self.log("sent", method=method, job=job, to=member.name, body=value)
         headers = [("Host", QUEUE_HOST), ("X-Deadline-Ms", "3000")]
--- a/review/common/runners.py
+++ b/review/common/runners.py
@@ -1,6 +1,7 @@
 """Stand-in for the runners, which start tasks on orders of the cell."""
 
 import asyncio
+import collections
 import json
 import time
 
@@ -20,10 +21,14 @@
 class Run:
     """One run of a task."""
 
-    def __init__(self, task, number, work_s):
+    def __init__(self, task, number, spec, earlier_runs):
         self.task = task
         self.number = number
-        self.work_s = work_s
+        self.how = "done"
+        self.work_s = spec["work_ms"] / 1000
+        if earlier_runs < spec.get("failing_runs", 0):
+            self.how = "failed"
+            self.work_s = spec["fails_after_ms"] / 1000
         self.started_at = time.monotonic()
         self.timer = None
         self.works = False
@@ -44,13 +49,15 @@
     fleet : Fleet
     name : str
         Id of the runner.
-    rack : str
+    rack, kind : str
+        Its labels.
     """
 
-    def __init__(self, fleet, name, rack):
+    def __init__(self, fleet, name, rack, kind):
         self.fleet = fleet
         self.name = name
         self.rack = rack
+        self.kind = kind
         self.server = http.Server(self._handle)
         self.alive = False
         self.life = 0
@@ -121,7 +128,7 @@
                 "cold-left-ms": 0,
                 "seq": self._sequence,
                 "capacity": self.fleet.capacity,
-                "labels": ["a", self.rack],
+                "labels": [self.kind, self.rack],
                 "clock-ms": self._clock_ms(),
                 "born": self.born_ms,
             }
@@ -173,13 +180,14 @@
         if known is not None and known.number == number:
             return self._answer()
         if known is not None or self._closed_runs.get(task, 0) >= number:
+            self.fleet.log(
+                "rejected as old", task=task, run=number, runner=self.name
+            )
             return self._answer(409, reason="old")
-        work_s = json.loads(order["spec"])["work_ms"] / 1000
-        run = Run(task, number, work_s)
+        spec = json.loads(order["spec"])
+        run = Run(task, number, spec, self.fleet.count_run(task, number))
         self.running[task] = run
-        self.fleet.log(
-            "start", task=task, run=number, runner=self.name, life=self.life
-        )
+        self._log_run("start", run)
         self.fleet.on_start(self, run)
         return self._answer()
 
@@ -190,7 +198,7 @@
         if run.timer is not None:
             run.timer.cancel()
         run.timer = asyncio.get_running_loop().call_later(
-            run.work_s, self.fleet.on_done, self, run
+            run.work_s, self.fleet.on_worked, self, run
         )
 
     def _stop_run(self, order):
@@ -215,24 +223,29 @@
         self._end_count += 1
         self._ended.append([self._end_count, run.task, run.number, how, ""])
         self._ended_event.set()
+        self._log_run("end", run, n=self._end_count, how=how)
+        if how != "done":
+            self.fleet.on_broken(run)
+
+    def _log_run(self, event, run, **fields):
+        if run.task.partition(".")[0] in self.fleet.bulk_jobs:
+            return
         self.fleet.log(
-            "end",
-            n=self._end_count,
+            event,
             task=run.task,
             run=run.number,
-            how=how,
             runner=self.name,
             life=self.life,
+            **fields,
         )
-        if how != "done":
-            self.fleet.on_broken(run)
 
     async def _hold(self, order):
         life = self.life
         seen = order.get("seen-upto", 0)
         if self._ended and self._ended[0][0] <= seen:
             self._ended = [end for end in self._ended if end[0] > seen]
-            self.fleet.log("noted", runner=self.name, life=life, upto=seen)
+            if not self.fleet.bulk_jobs:
+                self.fleet.log("noted", runner=self.name, life=life, upto=seen)
         if "until-ms" in order:
             self._extend_lease(order["until-ms"])
         if not self._ended and order.get("wait-ms"):
@@ -274,16 +287,30 @@
         self.log = log
         self.capacity = capacity
         self.gangs = {}  # number of members by ID.K.STEP
+        # Jobs whose runs are only counted, not recorded one by one.
+        self.bulk_jobs = set()
+        self.highest_run = 0
+        self.start_count = 0
         self.runners = []
+        self._run_counts = collections.Counter()  # by task
         self._present = {}  # members of a gang's run that are present
 
-    async def add(self, name, rack):
+    async def add(self, name, rack, kind="a"):
         """Add and start a runner."""
-        runner = Runner(self, name, rack)
+        runner = Runner(self, name, rack, kind)
         self.runners.append(runner)
         await runner.start()
         return runner
 
+    def count_run(self, task, number):
+        """Count a start and return how many the task has had before."""
+        self.start_count += 1
+        self.highest_run = max(self.highest_run, number)
+        if task.partition(".")[0] in self.bulk_jobs:
+            return 0
+        self._run_counts[task] += 1
+        return self._run_counts[task] - 1
+
     def on_start(self, runner, run):
         """Let a run work, or wait for the other members of its gang."""
         step = run.task.rpartition(".")[0]
@@ -299,8 +326,11 @@
         for member_runner, member in present:
             member_runner.work(member)
 
-    def on_done(self, runner, run):
-        """End a run as done, with all members of its gang."""
+    def on_worked(self, runner, run):
+        """End a run, with all members of its gang if it is done."""
+        if run.how != "done":
+            runner.end(run, run.how)
+            return
         step = run.task.rpartition(".")[0]
         members = self._present.pop((step, run.number), [(runner, run)])
         for member_runner, member in members:
