--- a/review/2/case.py
+++ b/review/2/case.py
@@ -13,14 +13,15 @@
 ZONES = ("zone-a", "zone-a", "zone-b")
 RUNNERS = 8
 RACK_SIZE = 4
-ROUNDS = 6
-ROUND_S = 9.0
+ROUNDS = 5
+BUSY_S = 12.0  # each round begins with a task that takes so long
+QUIET_S = 1.0  # from its start to the loss of power
 DARK_S = 0.6  # the site file names up to 4.5
 TASKS = 4
 WORK_MS = 3000
-# Each round also hands in this many jobs while the runner is away and after.
-JOBS = 12
-JOB_PERIOD_S = 0.1
+# Jobs are handed in all the while, before the loss of power and after it.
+FLOW_S = 6.0
+JOB_PERIOD_S = 0.15
 
 
 def _body(tasks, cpu, work_ms):
@@ -51,27 +52,39 @@
 
 async def _play_round(case, number):
     """Let a busy runner lose power while jobs are handed in."""
-    ends_at = case.now() + ROUND_S
+    ends_at = case.now() + BUSY_S
     first = f"{number:08x}{0:08x}"
-    body = _body(1, 4000, int(ROUND_S * 1000))
+    body = _body(1, 4000, int(BUSY_S * 1000))
     assert await case.submit(first, body), "a job was not accepted"
-    await asyncio.sleep(1.5)
-    if case.trouble:
-        start = [e for e in case.of("start") if e["task"].startswith(first)]
-        runners = {r.name: r for r in case.fleet.runners}
-        runner = runners[start[-1]["runner"]]
-        runner.crash(power=False)
-        await asyncio.sleep(DARK_S)
-        await runner.start()
     jobs = [first]
-    for i in range(1, JOBS + 1):
-        job = f"{number:08x}{i:08x}"
+    async with asyncio.TaskGroup() as group:
+        group.create_task(_send_jobs(case, number, jobs))
+        await asyncio.sleep(QUIET_S)
+        if case.trouble:
+            await _cycle_power(case, first)
+    await asyncio.sleep(max(0.0, ends_at - case.now()))
+    return jobs
+
+
+async def _send_jobs(case, number, jobs):
+    """Hand in small jobs, one after the other."""
+    ends_at = case.now() + FLOW_S
+    while case.now() < ends_at:
+        job = f"{number:08x}{len(jobs):08x}"
         body = _body(TASKS, 500, WORK_MS)
         assert await case.submit(job, body), "a job was not accepted"
         jobs.append(job)
         await asyncio.sleep(JOB_PERIOD_S)
-    await asyncio.sleep(max(0.0, ends_at - case.now()))
-    return jobs
+
+
+async def _cycle_power(case, job):
+    """Let the runner of a job lose power, and start again after a while."""
+    start = [e for e in case.of("start") if e["task"].startswith(job)]
+    runners = {r.name: r for r in case.fleet.runners}
+    runner = runners[start[-1]["runner"]]
+    runner.crash(power=False)
+    await asyncio.sleep(DARK_S)
+    await runner.start()
 
 
 if __name__ == "__main__":
--- a/review/common/case.py
+++ b/review/common/case.py
@@ -75,16 +75,25 @@
         self.store.put("keyed.op", "config", config)
         self.log("configured", config=config)
 
-    async def start_cell(self, zones):
+    async def start_cell(self, zones, ticket_service=None):
         """Start the store and the members of the cell."""
         server = http.Server(self.store.handle)
         await server.start()
         self._servers.append(server)
-        self.cell = cells.Cell(self._scratch, server.port, zones)
+        advice = [""] * len(zones)
+        if ticket_service is not None:
+            advice = [await self._serve(ticket_service) for _ in zones]
+        self.cell = cells.Cell(self._scratch, server.port, zones, advice)
         await self.cell.start()
         owner = await self.cell.owner()
         self.log("cell started", owner=owner.name)
 
+    async def _serve(self, ticket_service):
+        server = ticket_service.server()
+        await server.start()
+        self._servers.append(server)
+        return f"127.0.0.1:{server.port}"
+
     async def request(self, method, job, value=None, member=None):
         """Send a client's request about a job, and record it."""
         if member is None:
--- a/review/common/cell.py
+++ b/review/common/cell.py
@@ -32,6 +32,7 @@
 bootstrap = true
 heartbeat-ms = 1500
 orders = "rpc"
+advice = "{advice}"
 [zones]
 zone-a = "region-1"
 zone-b = "region-1"
@@ -66,7 +67,7 @@
 class Member:
     """One process of the cell on a loopback address of its own."""
 
-    def __init__(self, folder, name, ip, zone, store_port):
+    def __init__(self, folder, name, ip, zone, store_port, advice):
         self.name = name
         self.ip = ip
         self.front = f"{ip}:{FRONT_PORT}"
@@ -83,6 +84,7 @@
                 front=FRONT_PORT,
                 ready=READY_PORT,
                 store=store_port,
+                advice=advice,
             )
         )
         self.process = None
@@ -132,12 +134,21 @@
     store_port : int
     zones : sequence of str
         Zone of each member.
+    advice : sequence of str
+        Address of the ticket service for each member.
     """
 
-    def __init__(self, folder, store_port, zones):
+    def __init__(self, folder, store_port, zones, advice):
         prefix = _free_prefix(len(zones))
         self.members = [
-            Member(folder, f"edge-{i}", f"{prefix}.{i}", zone, store_port)
+            Member(
+                folder,
+                f"edge-{i}",
+                f"{prefix}.{i}",
+                zone,
+                store_port,
+                advice[i - 1],
+            )
             for i, zone in enumerate(zones, 1)
         ]
 
--- a/review/common/runners.py
+++ b/review/common/runners.py
@@ -6,6 +6,7 @@
 import time
 
 from common import http
+from common import tickets
 
 HEARTBEAT_S = 1.5
 # An entry is removed after three heartbeat intervals of silence.
@@ -184,6 +185,11 @@
                 "rejected as old", task=task, run=number, runner=self.name
             )
             return self._answer(409, reason="old")
+        ticket = order.get("ticket", "")
+        if self.fleet.ticketed and not tickets.is_valid(
+            ticket, task, self.life
+        ):
+            return self._answer(409, reason="ticket")
         spec = json.loads(order["spec"])
         run = Run(task, number, spec, self.fleet.count_run(task, number))
         self.running[task] = run
@@ -287,6 +293,7 @@
         self.log = log
         self.capacity = capacity
         self.gangs = {}  # number of members by ID.K.STEP
+        self.ticketed = False
         # Jobs whose runs are only counted, not recorded one by one.
         self.bulk_jobs = set()
         self.highest_run = 0
