--- a/review/common/case.py
+++ b/review/common/case.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -172,7 +173,7 @@
         case = Case(folder, pathlib.Path(scratch))
         try:
             status = asyncio.run(_play(case, play))
-        except Exception as exc:
+        except (Exception, asyncio.CancelledError, KeyboardInterrupt) as exc:
             case.log("case could not run", reason=repr(exc))
             traceback.print_exc()
         finally:
@@ -181,6 +182,9 @@
 
 
 async def _play(case, play):
+    # The members must not outlive a run that is given up.
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
     try:
         async with asyncio.timeout(LIMIT_S):
             found = await play(case)
