--- a/review/common/cell.py
+++ b/review/common/cell.py
@@ -113,6 +113,12 @@
             self.process.wait()
             self.process = None
 
+    def check(self):
+        """Raise an error if the process has ended by itself."""
+        if self.process.poll() is not None:
+            tail = self.log.read_text()[-2000:]
+            raise RuntimeError(f"{self.name} has ended: {tail}")
+
     async def is_ready(self):
         """Return whether the process takes requests."""
         answer = await http.call(self.ready, "GET", "/v1/readiness")
@@ -159,6 +165,7 @@
         async with asyncio.timeout(START_TIMEOUT_S):
             for member in self.members:
                 while not await member.is_ready():
+                    member.check()
                     await asyncio.sleep(0.1)
             while await self.owner() is None:
                 await asyncio.sleep(0.1)
