--- a/review/common/case.py
+++ b/review/1/standins/case.py
@@ -10,10 +10,10 @@
 import time
 import traceback
 
-from common import cell as cells
-from common import http
-from common import runners
-from common import store as stores
+from standins import cell as cells
+from standins import http
+from standins import runners
+from standins import store as stores
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 LIMIT_S = 115.0
--- a/review/common/cell.py
+++ b/review/1/standins/cell.py
@@ -8,9 +8,9 @@
 import subprocess
 import tomllib
 
-from common import http
+from standins import http
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[3]
 FRONT_PORT = 18161
 READY_PORT = 18167
 FIRST_PORT = 17720
--- a/review/common/runners.py
+++ b/review/1/standins/runners.py
@@ -5,8 +5,8 @@
 import json
 import time
 
-from common import http
-from common import tickets
+from standins import http
+from standins import tickets
 
 HEARTBEAT_S = 1.5
 # An entry is removed after three heartbeat intervals of silence.
@@ -279,7 +279,7 @@
 
     Parameters
     ----------
-    store : common.store.Store
+    store : standins.store.Store
     log : callable
         ``log(event, **fields)`` records what a runner has seen.
     capacity : dict
--- a/review/common/tickets.py
+++ b/review/1/standins/tickets.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 
-from common import http
+from standins import http
 
 MAX_WORKERS = 100  # that one call may name
 MAX_WAITING = 32
@@ -14,7 +14,7 @@
 
     Parameters
     ----------
-    fleet : common.runners.Fleet
+    fleet : standins.runners.Fleet
     log : callable
         ``log(event, **fields)``.
     decide_ms, each_ms, valid_ms : float
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -5,10 +5,10 @@
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1]))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "1"))
 
-from common import case as cases  # noqa: E402
-from common import checks  # noqa: E402
+from standins import case as cases  # noqa: E402
+from standins import checks  # noqa: E402
 
 ZONES = ("zone-a", "zone-a", "zone-b")
 RUNNERS = 8
