Take an entry for a claim until a report of its worker confirms it

Callers would see jobs accepted and never run, and tasks that run twice: one entry of another writer with a later `born`, under the id of a live worker, counted as a restart. Its runs were released and started elsewhere while they went on, and all true entries and reports counted as old from then on, also for each next owner. An entry with a clock far ahead hid all later ones.

Cause: what any writer may set was taken as proof of an incarnation. Now an entry of another incarnation is a claim, for which a renewal is sent at once; a report confirms or refutes it. Until then nothing starts on the worker, no run is released, no crash counts and no end is acknowledged. Entries whose clock is ahead of what reports show are refuted too. What an earlier owner has stored of a worker is treated in the same way until the worker reports.

Ruled out: refusing a `born` in the future (clocks of VMs jump); believing the entry of a silent worker (it may only be cut off).

Tests changed: the clock in "a restarted worker is used although its clock begins anew" is that of the worker's reports, as on the platform, and the test of a hanging renewal passes the present time instead of 0; both check what they did. The histories draw late answers; renewals moved to a module of their own.

--- a/src/citrondeal/cell/_leases.py
+++ b/src/citrondeal/cell/_leases.py
@@ -1,6 +1,7 @@
 """Renews the leases on one worker and reads its reports."""
 
 import logging
+import math
 
 import anyio
 
@@ -45,7 +46,8 @@
         self._worker_clock_offset_s = None
         self._stored = anyio.Event()
         self._renewal_scope = None
-        self._renewed_born_ms = 0
+        self._renewal_sent_at = -math.inf
+        self._tries_claim = False
         self._client = platform.RunnerClient(worker.id, worker.info.address)
 
     @property
@@ -75,14 +77,17 @@
         self._stored.set()
 
     def on_entry(self):
-        """Renew anew if a later incarnation of the worker is known.
+        """Renew anew if an entry claims another incarnation of the worker.
 
         An earlier one that has lost power never answers, and only a report
-        of the later one tells which tasks it has.
+        of the present one tells which it is and which tasks it has.
         """
+        claim = self._worker.claim
         if (
             self._renewal_scope is not None
-            and self._worker.info.born_ms > self._renewed_born_ms
+            and claim is not None
+            and claim.born_ms != self._worker.info.born_ms
+            and self._worker.claimed_at > self._renewal_sent_at
         ):
             self._renewal_scope.cancel()
 
@@ -95,11 +100,7 @@
             Stores the ends of runs that the worker reports.
         """
         while self._scheduler.workers.get(self.worker_id) is self._worker:
-            if self._client.address != self._worker.info.address:
-                await self._client.aclose()
-                self._client = platform.RunnerClient(
-                    self.worker_id, self._worker.info.address
-                )
+            await self._select_address()
             renewed = False
             with telemetry.contain(_LOG, "renewal", worker=self.worker_id):
                 renewed = await self._renew()
@@ -110,6 +111,15 @@
                 await self._wait_stored()
         await self._client.aclose()
 
+    async def _select_address(self):
+        """Connect to the worker where its entry, or its claim, says it is."""
+        info, claim = self._worker.info, self._worker.claim
+        if claim is not None and self._tries_claim:
+            info = claim
+        if self._client.address != info.address:
+            await self._client.aclose()
+            self._client = platform.RunnerClient(self.worker_id, info.address)
+
     async def _wait_stored(self):
         self._stored = anyio.Event()
         with anyio.move_on_after(END_STORED_WAIT_S):
@@ -129,18 +139,19 @@
         # Ends that are not acknowledged yet would make the worker answer a
         # held renewal at once, so it is not asked to wait.
         pending = worker.last_end_number > worker.acknowledged
+        at_once = pending or not worker.reachable or worker.claim is not None
         wait_s = REPORT_WAIT_S if worker.may_renew else RETRY_DELAY_S
         renewal = platform.LeaseRenewal(
             self._scheduler.epoch,
             worker.acknowledgement,
             until_s,
-            0.0 if pending or not worker.reachable else wait_s,
+            0.0 if at_once else wait_s,
         )
-        self._renewed_born_ms = worker.info.born_ms
+        self._renewal_sent_at = sent_at
         with anyio.CancelScope() as self._renewal_scope:
             outcome = await self._client.renew_leases(renewal)
         if self._renewal_scope.cancel_called:
-            return False
+            return True  # the claim is to be settled without a pause
         now = _clock.now()
         if outcome.is_err():
             self._on_failure(outcome.err_value, now)
@@ -152,6 +163,8 @@
         return True
 
     def _on_failure(self, failure, now):
+        # The claimed incarnation may have another address.
+        self._tries_claim = not self._tries_claim
         if failure.kind is errors.Kind.BARRED:
             telemetry.event(
                 _LOG,
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -134,6 +134,16 @@
     Then the cell completes all jobs within 15 seconds
     And all cell members still run
 
+  # Guards against an entry with a later incarnation, or with a clock far
+  # ahead, that takes a live worker out of use for ever.
+  Scenario: cell entries of another writer take no worker out of use
+    Given a cell of 3 members
+    When another writer leaves entries under the ids of all cell workers
+    And cell clients submit 6 jobs at all members
+    Then the cell completes all jobs within 15 seconds
+    And the cell ran no task twice, after its end or beyond its worker's capacity
+    And all cell members still run
+
   # Guards against a process that starts with incomplete settings.
   Scenario: cell settings are checked
     Then the cell program exits with status 2 and names the missing setting
@@ -181,6 +191,7 @@
     Then cell renewals to a worker that does not answer do not extend its leases
     And cell a start sent twice is unknown unless it is done or fenced
     And cell a renewal to an earlier incarnation ends when the next is known
+    And cell a claimed incarnation is looked for at its own address too
 
   # Guards against starts that are sent after the owner has learned that their
   # worker has shrunk.
--- a/src/citrondeal/cell/tests/processes.py
+++ b/src/citrondeal/cell/tests/processes.py
@@ -188,9 +188,14 @@
         response = httpcore.request("POST", url + topic, content=body)
         assert response.status == 200, response.status
 
+    @property
+    def worker_ids(self):
+        """Ids of all workers of the stand-in."""
+        return [f"i-{i}" for i in range(self._runners)]
+
     def set_capacities(self, **resources):
         """Set resources of the capacity of all workers of the stand-in."""
-        changes = {f"i-{i}": resources for i in range(self._runners)}
+        changes = dict.fromkeys(self.worker_ids, resources)
         self.request("POST", f"{self.control}/capacity", changes)
 
     def set_faults(self, **switches):
--- a/src/citrondeal/cell/tests/steps_leases.py
+++ b/src/citrondeal/cell/tests/steps_leases.py
@@ -6,6 +6,7 @@
 import anyio
 from behave import then
 
+from citrondeal.cell import _clock
 from citrondeal.cell import _leases
 from citrondeal.cell import _orders
 from citrondeal import platform
@@ -121,7 +122,7 @@
         async def learn():
             await anyio.sleep(0.1)
             later = dataclasses.replace(info, born_ms=2)
-            scheduler.on_worker(later, 0.0)
+            scheduler.on_worker(later, _clock.now())
             lease.on_entry()
 
         async def renew():
@@ -132,3 +133,27 @@
                     await lease._renew()
 
         anyio.run(renew)
+
+
+@then("cell a claimed incarnation is looked for at its own address too")
+def _(context):
+    scheduler = workflow.Scheduler(workflow.Config(LEASE_S), 1)
+    info = workflow.WorkerInfo(
+        "w", _closed_address(), "service", "zone", born_ms=1
+    )
+    scheduler.on_worker(info, 0.0)
+    claim = dataclasses.replace(info, born_ms=2, address=_closed_address())
+    scheduler.on_worker(claim, 0.0)
+    lease = _leases.LeaseRenewer(
+        scheduler.workers["w"], scheduler, LEASE_S, int, bool
+    )
+    tried = []
+
+    async def renew():
+        for _ in range(4):
+            await lease._select_address()
+            tried.append(lease.client.address)
+            await lease._renew()
+
+    anyio.run(renew)
+    assert tried == [info.address, claim.address] * 2, tried
--- a/src/citrondeal/cell/tests/steps_malformed.py
+++ b/src/citrondeal/cell/tests/steps_malformed.py
@@ -14,6 +14,7 @@
 
 CALL_TIMEOUT_S = 2.0
 DEPTH = 100_000
+LAST_INCARNATION = 2**53 - 1
 
 
 def _bad_submission():
@@ -65,6 +66,17 @@
         context.cell.append(platform.WORKERS_TOPIC, name, value)
 
 
+@when("another writer leaves entries under the ids of all cell workers")
+def _(context):
+    odd = (
+        _bad_worker(born=LAST_INCARNATION),
+        _bad_worker(born=LAST_INCARNATION - 1, address="nobody.example:1"),
+    )
+    for worker in context.cell.worker_ids:
+        for value in odd:
+            context.cell.append(platform.WORKERS_TOPIC, worker, value)
+
+
 @when("malformed messages are sent to all cell members")
 def _(context):
     frames = (
--- /dev/null
+++ b/src/citrondeal/workflow/_incarnations.py
@@ -0,0 +1,194 @@
+"""Which incarnation of a worker is the present one.
+
+An entry in the list of workers proves no incarnation, since any writer of the
+list may have left it.  Only a report of the worker does.  An entry of another
+incarnation, or of a worker that has not reported yet, is therefore kept as a
+claim until the worker answers a renewal.
+"""
+
+import dataclasses
+import logging
+
+from citrondeal.workflow import _events
+from citrondeal.workflow import _workers
+
+# By how much the clock of an entry may be ahead of what reports show.
+CLOCK_MARGIN_S = 1.0
+
+
+class Incarnations:
+    """Decides which entries of the list of workers are believed.
+
+    Parameters
+    ----------
+    state : State
+
+    Attributes
+    ----------
+    refuted_entries : int
+        Entries that a report of their worker has shown to be wrong.
+    """
+
+    def __init__(self, state):
+        self._state = state
+        self.refuted_entries = 0
+
+    def on_entry(self, info, now):
+        """Add or update a worker from its entry in the list of workers.
+
+        Parameters
+        ----------
+        info : WorkerInfo
+        now : float
+        """
+        worker = self._state.workers.get(info.worker)
+        if worker is None:
+            worker = self._state.add_worker(info, now)
+            self._accept(worker, info, now)
+        elif info.born_ms != worker.info.born_ms or (
+            info.born_ms and not worker.has_reported
+        ):
+            self._claim(worker, info, now)
+        elif _is_older(info, worker.info):
+            return
+        elif worker.clock is not None and _is_ahead(info, *worker.clock, now):
+            self._refute(worker, info)
+        else:
+            self._accept(worker, info, now)
+
+    def on_report(self, worker, report, sent_at, now):
+        """Settle by a report which incarnation of a worker runs.
+
+        Parameters
+        ----------
+        worker : WorkerState
+        report : Report
+        sent_at : float
+            When the renewal that it answers was sent.
+        now : float
+
+        Returns
+        -------
+        bool
+            False if the report is a late one of an earlier incarnation.
+        """
+        born_ms = report.born_ms or _assumed_born_ms(worker, sent_at)
+        if born_ms < worker.info.born_ms:
+            if worker.has_reported:
+                return False
+            self._correct(worker, born_ms)
+        elif born_ms > worker.info.born_ms:
+            self._state.on_worker_restart(worker, born_ms, now)
+        worker.has_reported = True
+        if _is_ahead(worker.info, report.clock_s, sent_at, now):
+            self._refute(worker, worker.info)
+            self._await_entry(worker, born_ms)
+        self._settle_claim(worker, report.clock_s, sent_at, now)
+        return True
+
+    def _claim(self, worker, info, now):
+        """Keep the entry of another incarnation until a report settles it."""
+        if info.born_ms == worker.refuted_born_ms:
+            return
+        if info.born_ms < worker.info.born_ms and worker.has_reported:
+            return  # a late entry of an earlier incarnation
+        known = worker.claim
+        if known is None or known.born_ms != info.born_ms:
+            worker.claimed_at = now
+            _log_claim(worker, info)
+        elif _is_older(info, known):
+            return
+        worker.claim = info
+
+    def _settle_claim(self, worker, clock_s, sent_at, now):
+        claim = worker.claim
+        if claim is None:
+            return
+        if claim.born_ms == worker.info.born_ms:
+            worker.claim = None
+            if _is_ahead(claim, clock_s, sent_at, now):
+                self._refute(worker, claim)
+            elif not _is_older(claim, worker.info):
+                self._accept(worker, claim, now)
+        elif sent_at >= worker.claimed_at:
+            worker.claim = None
+            if claim.born_ms > worker.info.born_ms:
+                worker.refuted_born_ms = claim.born_ms
+                self._refute(worker, claim)
+
+    def _accept(self, worker, info, now):
+        worker.listed = True
+        if info.draining and not worker.info.draining:
+            _events.log(logging.INFO, "worker is draining", worker=worker.id)
+            self._state.crashes.on_draining(worker)
+        worker.info = info
+        if worker.has_reported:
+            self._state.crashes.on_incarnation(worker.id, info.born_ms, now)
+
+    def _correct(self, worker, born_ms):
+        """Replace a believed incarnation that the worker has never been."""
+        worker.refuted_born_ms = worker.info.born_ms
+        self._refute(worker, worker.info)
+        self._await_entry(worker, born_ms)
+
+    def _await_entry(self, worker, born_ms):
+        """Use a worker again once its own entry has been read."""
+        worker.info = dataclasses.replace(
+            worker.info, born_ms=born_ms, clock_s=0.0, draining=False
+        )
+        worker.listed = False
+
+    def _refute(self, worker, info):
+        self.refuted_entries += 1
+        _events.log(
+            logging.WARNING,
+            "entry of a worker is refuted by its report",
+            worker=worker.id,
+            born_ms=info.born_ms,
+            clock_s=info.clock_s,
+        )
+
+
+def _log_claim(worker, info):
+    if info.born_ms != worker.info.born_ms:
+        _events.log(
+            logging.INFO,
+            "entry names another incarnation of a worker",
+            worker=worker.id,
+            born_ms=info.born_ms,
+            known_born_ms=worker.info.born_ms,
+        )
+
+
+def _assumed_born_ms(worker, sent_at):
+    """Return the incarnation of a worker whose reports name none."""
+    if worker.claim is not None and sent_at >= worker.claimed_at:
+        return worker.claim.born_ms
+    return worker.info.born_ms
+
+
+def _is_older(info, known):
+    """Return whether a worker wrote an entry before the known one.
+
+    A write that got no answer may be carried out after newer ones, and would
+    bring back an earlier capacity, or the state before the worker drained.
+    """
+    # Without an incarnation a restart, which begins a new clock, is not known.
+    return info.born_ms > 0 and info.clock_s < known.clock_s
+
+
+def _is_ahead(info, clock_s, known_since, now):
+    """Return whether the clock of an entry is ahead of what a report shows.
+
+    Parameters
+    ----------
+    info : WorkerInfo
+        Entry of the incarnation that reported.
+    clock_s : float
+        Time on the worker's clock in the report.
+    known_since : float
+        Time before which the clock did not show it.
+    now : float
+    """
+    passed_s = (now - known_since) * _workers.CLOCK_DRIFT_FACTOR
+    return info.clock_s > clock_s + passed_s + CLOCK_MARGIN_S
--- a/src/citrondeal/workflow/_intake.py
+++ b/src/citrondeal/workflow/_intake.py
@@ -136,20 +136,7 @@
 
     def on_worker(self, info, now):
         """Add or update a worker from its entry in the list of workers."""
-        worker = self._state.workers.get(info.worker)
-        if worker is None:
-            worker = self._state.add_worker(info, now)
-        if info.born_ms > worker.info.born_ms:
-            self._state.on_worker_restart(worker, info.born_ms, now)
-        elif _is_older(info, worker.info):
-            return
-        worker.listed = True
-        worker.listed_at = now
-        if info.draining and not worker.info.draining:
-            _events.log(logging.INFO, "worker is draining", worker=worker.id)
-            self._state.crashes.on_draining(worker)
-        worker.info = info
-        self._state.crashes.on_incarnation(worker.id, info.born_ms, now)
+        self._state.incarnations.on_entry(info, now)
 
     def on_workers_read(self, at):
         """Record that the list of workers is known as of a time."""
@@ -158,18 +145,7 @@
     def on_worker_unlisted(self, worker_id, now):
         """Record that a worker has no entry in the list any more."""
         worker = self._state.workers.get(worker_id)
-        if worker is not None and worker.listed:
+        if worker is not None and worker.has_entry:
             worker.listed = False
+            worker.claim = None
             _events.log(logging.INFO, "worker is not listed", worker=worker_id)
-
-
-def _is_older(info, known):
-    """Return whether a worker wrote an entry before the known one.
-
-    A write that got no answer may be carried out after newer ones, and would
-    bring back an earlier capacity, or the state before the worker drained.
-    """
-    if info.born_ms != known.born_ms:
-        return info.born_ms < known.born_ms
-    # Without an incarnation a restart, which begins a new clock, is not known.
-    return info.born_ms > 0 and info.clock_s < known.clock_s
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -160,7 +160,7 @@
                 self._state.release_all_runs(worker)
             worker.unrecognized_runs.clear()
             worker.unaccounted_tasks.clear()
-            if worker.listed:
+            if worker.has_entry:
                 self._state.mark_resolved(worker, now)
             else:
                 self._state.remove_worker(worker, now)
--- a/src/citrondeal/workflow/_racks.py
+++ b/src/citrondeal/workflow/_racks.py
@@ -42,7 +42,7 @@
     for worker in workers:
         info = worker.info
         if (
-            worker.listed
+            worker.has_entry
             and not info.draining
             and info.service == step.job.service
             and _placement.is_eligible(step, worker)
--- a/src/citrondeal/workflow/_reports.py
+++ b/src/citrondeal/workflow/_reports.py
@@ -40,10 +40,10 @@
         worker = self._state.workers.get(worker_id)
         if worker is None:
             return
-        if report.born_ms and report.born_ms != worker.info.born_ms:
-            if report.born_ms < worker.info.born_ms:
-                return
-            self._state.on_worker_restart(worker, report.born_ms, now)
+        if not self._state.incarnations.on_report(
+            worker, report, sent_at, now
+        ):
+            return
         if not worker.reachable:
             self._state.set_reachable(worker, True)
             _events.log(logging.INFO, "worker answers", worker=worker_id)
--- a/src/citrondeal/workflow/_state.py
+++ b/src/citrondeal/workflow/_state.py
@@ -6,6 +6,7 @@
 
 from citrondeal.workflow import _crashes
 from citrondeal.workflow import _events
+from citrondeal.workflow import _incarnations
 from citrondeal.workflow import _jobs
 from citrondeal.workflow import _learning
 from citrondeal.workflow import _model
@@ -69,6 +70,7 @@
     """
 
     crashes_class = _crashes.Crashes
+    incarnations_class = _incarnations.Incarnations
     quotas_class = _quotas.Quotas
     shares_class = _shares.Shares
 
@@ -99,6 +101,7 @@
         self.crashes = self.crashes_class(self)
         self.learning = _learning.Learning()
         self.witnesses = _witnesses.Witnesses(self)
+        self.incarnations = self.incarnations_class(self)
 
     @property
     def earlier_runs_known(self):
@@ -110,7 +113,7 @@
         return any(
             worker.info.service == service
             for worker in self.workers.values()
-            if worker.listed and not worker.info.draining
+            if worker.has_entry and not worker.info.draining
         )
 
     def move_jobs(self):
--- a/src/citrondeal/workflow/_workers.py
+++ b/src/citrondeal/workflow/_workers.py
@@ -27,6 +27,16 @@
 
     Attributes
     ----------
+    listed : bool
+        Whether its own entry was read and its capacity may be used.
+    claim : WorkerInfo or None
+        Entry that no report has confirmed yet, see `_incarnations`.
+    claimed_at : float
+        When an entry of the claimed incarnation was first read.
+    refuted_born_ms : int
+        Incarnation that an entry has named and a report has refuted last.
+    has_reported : bool
+        Whether it has reported to this owner.
     unaccounted_tasks : list of TaskId
         Tasks that may run there beside `runs`, after an earlier owner had
         lost contact with the worker.
@@ -63,8 +73,11 @@
         self._pass_reserved = _ZERO
         self._reserved = {}
         self._free = info.capacity
-        self.listed_at = now
         self.listed = True
+        self.claim = None
+        self.claimed_at = -math.inf
+        self.refuted_born_ms = 0
+        self.has_reported = False
         self.stored = False
         self.reachable = False
         self.reported_at = None
@@ -102,6 +115,11 @@
         self._info, self._free = info, free
         self.largest_capacity = self.largest_capacity.maximum(info.capacity)
 
+    @property
+    def has_entry(self):
+        """Whether the list of workers has an entry of it."""
+        return self.listed or self.claim is not None
+
     @property
     def used(self):
         """Sum of the sizes of all runs on it."""
@@ -111,10 +129,12 @@
     def acknowledgement(self):
         """Number up to which a renewal may acknowledge ends.
 
-        A worker that does not answer may be a new incarnation whose ends have
-        the same numbers, and would forget them unread.
+        A worker that does not answer, or of which an entry says that it has
+        started again, may be a new incarnation whose ends have the same
+        numbers, and would forget them unread.
         """
-        return self.acknowledged if self.reachable else 0
+        is_certain = self.reachable and self.claim is None
+        return self.acknowledged if is_certain else 0
 
     @property
     def may_renew(self):
@@ -133,6 +153,7 @@
             and not self.lease_is_stored
             and self.listed
             and self.reachable
+            and self.claim is None
             and not self._info.draining
             and not self.unrecognized_runs
         )
--- a/src/citrondeal/workflow/tests/capacities.py
+++ b/src/citrondeal/workflow/tests/capacities.py
@@ -106,6 +106,10 @@
         """Return ``(name, info)`` of each record from a position on."""
         return self._records[position:]
 
+    def add(self, info):
+        """Append an entry that its worker has not written."""
+        self._records.append((info.worker, info))
+
     def tick(self, workers, store_up, delays_allowed, now):
         """Let the workers write the entries that are due."""
         if not store_up:
--- /dev/null
+++ b/src/citrondeal/workflow/tests/simulated_renewals.py
@@ -0,0 +1,91 @@
+"""Renewals of the leases on simulated workers, whose answers may be late."""
+
+import dataclasses
+import random
+
+from citrondeal import workflow
+
+LEASE_S = 10.0
+ANSWER_S = 0.01
+LOST_SHARE = 0.05
+LATE_SHARE = 0.1
+BROKEN_SHARE = 0.5  # of the calls that meet a new incarnation
+LATE_S = (0.1, 0.6)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _LateAnswer:
+    """An answer of a worker on its way to an owner."""
+
+    arrives_at: float
+    sent_at: float
+    report: workflow.Report
+
+
+class Renewals:
+    """Renews leases for the owners, one call to a worker at a time.
+
+    Parameters
+    ----------
+    simulation : Simulation
+    seed : int
+        Of the late answers; it leaves the other draws as they are.
+    """
+
+    def __init__(self, simulation, seed):
+        self._simulation = simulation
+        self._rng = random.Random(f"renewals {seed}")
+        self._late = {}  # by epoch of the owner and name of the worker
+
+    def renew(self, owner, worker):
+        """Let an owner renew the leases of a worker that it knows."""
+        now = self._simulation.now
+        state = owner.scheduler.workers.get(worker.name)
+        key = (owner.epoch, worker.name)
+        if state is None or self._is_awaited(owner, key, now):
+            return
+        is_cut = self._is_cut(owner, worker, now)
+        if is_cut or self._simulation.random.random() < LOST_SHARE:
+            if is_cut:
+                owner.scheduler.on_renewal_failed(worker.name, "cut", now)
+            return
+        until = None
+        if state.may_renew:
+            state.extend_lease(now, LEASE_S)
+            until = now + LEASE_S
+        report = worker.renew(owner.epoch, state.acknowledgement, until)
+        if report is None:
+            owner.scheduler.on_newer_owner()
+        elif self._rng.random() < LATE_SHARE:
+            arrives_at = now + self._rng.uniform(*LATE_S)
+            self._late[key] = _LateAnswer(arrives_at, now, report)
+        else:
+            owner.scheduler.on_report(worker.name, report, now, now + ANSWER_S)
+
+    def _is_awaited(self, owner, key, now):
+        """Return whether a call is under way; deliver an answer that is due.
+
+        Orders that were sent after the call may have been answered before.
+        """
+        late = self._late.get(key)
+        if late is None:
+            return False
+        if now >= late.arrives_at:
+            del self._late[key]
+            owner.scheduler.on_report(key[1], late.report, late.sent_at, now)
+        return True
+
+    def _is_cut(self, owner, worker, now):
+        born_ms = owner.connected_to.get(worker.name, worker.born_ms)
+        owner.connected_to[worker.name] = worker.born_ms
+        # The connection to an earlier incarnation ends with it.  A call on an
+        # idle one is repeated, and answered by the present incarnation.
+        is_broken = (
+            born_ms != worker.born_ms and self._rng.random() < BROKEN_SHARE
+        )
+        return (
+            worker.unreachable
+            or worker.down
+            or now < owner.unreachable_until.get(worker.name, 0.0)
+            or is_broken
+        )
--- a/src/citrondeal/workflow/tests/simulated_workers.py
+++ b/src/citrondeal/workflow/tests/simulated_workers.py
@@ -73,9 +73,14 @@
             "rack",
             self.capacity.current,
             born_ms=self.born_ms,
-            clock_s=self.simulation.now - self.born_ms / 1000.0,
+            clock_s=self.clock_s,
         )
 
+    @property
+    def clock_s(self):
+        """Time on its clock, which begins anew with each incarnation."""
+        return (self.simulation.now - self.born_ms / 1000.0) * self.clock_rate
+
     @property
     def down(self):
         """Whether it has crashed and is not back yet."""
@@ -142,7 +147,7 @@
             for r in self.runs.values()
         ]
         return workflow.Report(
-            (self.simulation.now - self.born_ms / 1000.0) * self.clock_rate,
+            self.clock_s,
             self.born_ms,
             running,
             self.unacknowledged_ends[:MAX_LISTED_ENDS],
--- a/src/citrondeal/workflow/tests/simulation.py
+++ b/src/citrondeal/workflow/tests/simulation.py
@@ -11,10 +11,11 @@
 
 from citrondeal import workflow
 from citrondeal.workflow.tests import capacities
+from citrondeal.workflow.tests import odd_entries
+from citrondeal.workflow.tests import simulated_renewals
 from citrondeal.workflow.tests import simulated_workers
 
 TICK_S = 0.05
-LEASE_S = 10.0
 GANG_WAIT_LIMIT_S = 3.0
 MAX_ORDER_DELAY_S = 8.0
 WORKERS_PERIOD_S = 0.4  # between two reads of the list of workers
@@ -22,7 +23,7 @@
 # Orders arrive at once unless they are delayed.
 CAPACITIES_VALID_S = capacities.CONTACT_S - 0.5
 # Orders that were delayed and leases that nobody renews are over by then.
-CALM_AFTER_S = MAX_ORDER_DELAY_S + LEASE_S
+CALM_AFTER_S = MAX_ORDER_DELAY_S + simulated_renewals.LEASE_S
 CALM_JOBS = 5  # submitted once the effects of all faults are over
 # Share of the jobs of which one task crashes each worker that starts it.
 DEADLY_SHARE = 0.06
@@ -76,6 +77,8 @@
             for i in range(self.random.randint(2, 5))
         }
         self.worker_list = capacities.WorkerList(self.random)
+        self.odd_writer = odd_entries.OddWriter(seed)
+        self.renewals = simulated_renewals.Renewals(self, seed)
         self.log = []
         self.stored_jobs = {}
         self.stored_workers = {}
@@ -377,7 +380,7 @@
         self.epoch += 1
         self.log.append(("barrier", self.epoch))
         config = workflow.Config(
-            LEASE_S, capacities_valid_s=CAPACITIES_VALID_S
+            simulated_renewals.LEASE_S, capacities_valid_s=CAPACITIES_VALID_S
         )
         scheduler = self.scheduler_class(config, self.epoch)
         self.owner = Owner(scheduler, self.epoch, len(self.log))
@@ -558,6 +561,9 @@
             self.now < self.faults_ended_at,
             self.now,
         )
+        if self.store_down_until <= self.now < self.faults_ended_at:
+            for info in self.odd_writer.entries(self.workers.values()):
+                self.worker_list.add(info)
         self.check_gangs()
         if self.owner is None and self.now >= self.owner_starts_at:
             self.start_owner()
@@ -587,7 +593,7 @@
         self.random.shuffle(workers)
         for worker in workers:
             if self.random.random() < 0.5:
-                self.renew_leases(owner, worker)
+                self.renewals.renew(owner, worker)
         for action in scheduler.plan(self.now):
             self.deliver(owner, action)
 
@@ -604,35 +610,6 @@
         owner.workers_position = self.worker_list.end
         owner.scheduler.on_workers_read(self.now)
 
-    def renew_leases(self, owner, worker):
-        """Let an owner renew the leases of a worker that it knows."""
-        scheduler = owner.scheduler
-        state = scheduler.workers.get(worker.name)
-        if state is None:
-            return
-        unreachable = (
-            worker.unreachable
-            or worker.down
-            or self.now < owner.unreachable_until.get(worker.name, 0.0)
-        )
-        # The connection to an earlier incarnation ends with it.
-        born_ms = owner.connected_to.get(worker.name, worker.born_ms)
-        owner.connected_to[worker.name] = worker.born_ms
-        unreachable = unreachable or born_ms != worker.born_ms
-        if unreachable or self.random.random() < 0.05:
-            if unreachable:
-                scheduler.on_renewal_failed(worker.name, "cut", self.now)
-            return
-        until = None
-        if state.may_renew:
-            state.extend_lease(self.now, LEASE_S)
-            until = self.now + LEASE_S
-        report = worker.renew(owner.epoch, state.acknowledgement, until)
-        if report is None:
-            scheduler.on_newer_owner()
-            return
-        scheduler.on_report(worker.name, report, self.now, self.now + 0.01)
-
     def deliver(self, owner, action):
         """Deliver an order, which may get lost or arrive late."""
         scheduler, epoch = owner.scheduler, owner.epoch
--- a/src/citrondeal/workflow/tests/steps.py
+++ b/src/citrondeal/workflow/tests/steps.py
@@ -6,6 +6,7 @@
 
 from citrondeal import workflow
 from citrondeal.workflow import _crashes
+from citrondeal.workflow import _incarnations
 from citrondeal.workflow import _intake
 from citrondeal.workflow import _planner
 from citrondeal.workflow import _reports
@@ -120,6 +121,17 @@
         self.release_all_runs(worker)
 
 
+class _BelievesEntries(_incarnations.Incarnations):
+    def _claim(self, worker, info, now):
+        if info.born_ms > worker.info.born_ms:
+            self._state.on_worker_restart(worker, info.born_ms, now)
+            self._accept(worker, info, now)
+
+
+class _StateThatBelievesEntries(_state.State):
+    incarnations_class = _BelievesEntries
+
+
 class _CountsNoCrashes(_crashes.Crashes):
     def _count(self, task, number, crash, now):
         self._state.open_starts.drop(task, number)
@@ -159,6 +171,7 @@
         "state",
         _ReleasesAllAtRestart,
     ),
+    "entries prove an incarnation": ("state", _StateThatBelievesEntries),
     "crashes are not counted": ("state", _StateWithoutCrashes),
     "crash counts are not stored": ("state", _StateWithoutStoredCrashes),
 }
--- a/src/citrondeal/workflow/tests/steps_capacity.py
+++ b/src/citrondeal/workflow/tests/steps_capacity.py
@@ -182,7 +182,7 @@
 @then("workflow a restarted worker is used although its clock begins anew")
 def _(context):
     harness = harnesses.Harness()
-    _report_capacity(harness, FULL, clock_s=3600.0)
+    _report_capacity(harness, FULL, clock_s=harness.now)
     report = workflow.Report(0.5, 2, [], [])
     harness.scheduler.on_report("w0", report, harness.now, harness.now)
     harness.store()
