Report a call to a host that cannot be encoded as failed

Operators saw an unexpected error in each lease renewal, in each owner in turn, after another writer had left an entry with a host such as an empty label, one of 64 characters or Greek letters. `web.Client.request` promises a Result, but encoding the host raised UnicodeError. Members have the same fault: an address in a stored record that is not host:port raised ValueError through `ConnectionPool.call`, past callers that expect PeerError.

Both report such a call as not sent. The border skips entries whose host has no form in DNS, with port 0, an id that no header can hold (a line break in it would forge headers), or numbers above 2^53 - 1, which JSON does not keep; the clock in reports is bounded likewise.

Ruled out: validating only the entries, since members, stored workers of earlier versions and replies of members have addresses too. Other places that connect take theirs from the settings.

--- a/src/citrondeal/peers/_pool.py
+++ b/src/citrondeal/peers/_pool.py
@@ -20,6 +20,7 @@
 # TimeoutError is an OSError.
 _CONNECT_ERRORS = (
     OSError,
+    ValueError,  # the address is not host:port, or the host cannot be encoded
     _codec.FrameError,
     anyio.BrokenResourceError,
     anyio.ClosedResourceError,
--- a/src/citrondeal/peers/tests/peers.feature
+++ b/src/citrondeal/peers/tests/peers.feature
@@ -30,6 +30,7 @@
 
   Scenario: peers call to a closed port is reported as not sent
     Then peers a call to a closed port fails as not sent
+    And peers a call to an address that names no server fails as not sent
 
   Scenario: peers call that times out is reported as maybe sent
     Given peers a server that never answers
--- a/src/citrondeal/peers/tests/steps.py
+++ b/src/citrondeal/peers/tests/steps.py
@@ -282,6 +282,21 @@
     _run(scenario)
 
 
+@then("peers a call to an address that names no server fails as not sent")
+def unusable_address(context):
+    async def scenario(task_group):
+        pool = peers.ConnectionPool(_identity("client"), task_group)
+        for address in ("x", "x:y", "a..b:1", "a" * 64 + ":1", "x:99999"):
+            try:
+                await pool.call(address, ttypes.Intent("a"), 5)
+                raise AssertionError("the call must fail")
+            except peers.PeerError as exc:
+                assert not exc.maybe_sent, address
+            await pool.notify(address, ttypes.Intent("a"))
+
+    _run(scenario)
+
+
 @given("peers a server that never answers")
 def silent_server(context):
     pass
--- a/src/citrondeal/platform/_records.py
+++ b/src/citrondeal/platform/_records.py
@@ -16,8 +16,18 @@
 MAX_WORKER_ID_BYTES = 128
 MAX_WORKER_BYTES = 16 * 1024
 MAX_PORT = 65535
+MAX_HOST_BYTES = 253  # of a name in DNS
+# Larger integers are not exchanged exactly in JSON.
+MAX_INTEGER = 2**53 - 1
 
-_ADDRESS_PATTERN = re.compile(r"[^\s/]+:([0-9]{1,5})")
+_Quantity = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+Clock = Annotated[float, msgspec.Meta(ge=0.0, le=float(MAX_INTEGER))]
+
+# Labels of a name in DNS, or an IPv4 address. Other hosts cannot be encoded.
+_LABEL = r"[A-Za-z0-9_-]{1,63}"
+_ADDRESS_PATTERN = re.compile(rf"({_LABEL}(?:\.{_LABEL})*):([0-9]{{1,5}})")
+# An id is sent in a header, so it has neither spaces nor control characters.
+_WORKER_ID_PATTERN = re.compile(rf"[!-~]{{1,{MAX_WORKER_ID_BYTES}}}")
 
 
 class RecordError(ValueError):
@@ -160,9 +170,9 @@
 
 
 class _Capacity(msgspec.Struct, rename="kebab"):
-    cpu: _Number
-    mem_mb: _Number
-    gpu: _Number = 0
+    cpu: _Quantity
+    mem_mb: _Quantity
+    gpu: _Quantity = 0
 
 
 class _Runner(msgspec.Struct, rename="kebab"):
@@ -172,8 +182,8 @@
     state: Literal["ready", "draining"]
     capacity: _Capacity
     labels: list[str]
-    clock_ms: float
-    born: _Number = 0
+    clock_ms: Clock
+    born: _Quantity = 0
 
 
 _CONFIG_DECODER = msgspec.json.Decoder(_Config)
@@ -246,13 +256,12 @@
         If `data` is not a valid description of a runner, or if it is too
         large to be stored.
     """
-    if len(worker.encode()) > MAX_WORKER_ID_BYTES:
-        raise RecordError(f"id is longer than {MAX_WORKER_ID_BYTES} bytes")
+    if not _WORKER_ID_PATTERN.fullmatch(worker):
+        raise RecordError(f"id {worker!r:.80} cannot be used")
     if len(data) > MAX_WORKER_BYTES:
         raise RecordError(f"entry is longer than {MAX_WORKER_BYTES} bytes")
     runner = _decode(_RUNNER_DECODER, data)
-    address = _ADDRESS_PATTERN.fullmatch(runner.address)
-    if address is None or int(address[1]) > MAX_PORT:
+    if not _is_address(runner.address):
         raise RecordError(f"address {runner.address!r:.80} is not host:port")
     return workflow.WorkerInfo(
         worker=worker,
@@ -270,6 +279,15 @@
     )
 
 
+def _is_address(text):
+    """Return whether a text is ``host:port`` of a server to connect to."""
+    match = _ADDRESS_PATTERN.fullmatch(text)
+    if match is None:
+        return False
+    host, port = match.groups()
+    return len(host) <= MAX_HOST_BYTES and 1 <= int(port) <= MAX_PORT
+
+
 def _decode(decoder, data):
     try:
         return decoder.decode(data)
--- a/src/citrondeal/platform/_runners.py
+++ b/src/citrondeal/platform/_runners.py
@@ -9,6 +9,7 @@
 from citrondeal import errors
 from citrondeal import numbers
 from citrondeal.platform import _names
+from citrondeal.platform import _records
 from citrondeal import web
 from citrondeal import workflow
 
@@ -36,7 +37,7 @@
 
 
 class _RenewalReply(msgspec.Struct, rename="kebab"):
-    clock_ms: float
+    clock_ms: _records.Clock
     running: list[list] = []
     ended: list[list] = []
     born: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)] = 0
--- a/src/citrondeal/platform/tests/platform.feature
+++ b/src/citrondeal/platform/tests/platform.feature
@@ -59,7 +59,9 @@
   # owner: it is taken over and fails when it is stored or used.
   Scenario: platform what a worker says can be stored or is refused
     Then platform each entry of a worker is skipped or can be stored
-    And platform an entry with an address that names no port is skipped
+    And platform an entry with an address that names no server is skipped
+    And platform an entry with an id that no header can hold is skipped
+    And platform an entry with numbers that JSON does not keep is skipped
     And platform reports with numbers that cannot be stored are refused
     And platform a report of 500 ends may omit others
 
--- a/src/citrondeal/platform/tests/steps_limits.py
+++ b/src/citrondeal/platform/tests/steps_limits.py
@@ -140,7 +140,7 @@
             assert _is_skipped("i-1", record), (name, huge)
 
 
-@then("platform an entry with an address that names no port is skipped")
+@then("platform an entry with an address that names no server is skipped")
 def _(context):
     for address in (
         "a:",
@@ -150,14 +150,56 @@
         "a:99999",
         "a: 1",
         "a:\u0661",
+        "a:0",
+        "a:65536",
+        "a..b:1",
+        ".a:1",
+        "a\x00b:1",
+        "a b:1",
+        "\u03b1\u03b2:1",
+        "\u00e9" * 64 + ":1",
+        "a" * 64 + ":1",
+        "a." * 127 + "a:1",
+        "[::1]:1",
     ):
         record = {**steps.WORKER_RECORD, "address": address}
         assert _is_skipped("i-1", record), address
 
 
+@then("platform an entry with an id that no header can hold is skipped")
+def _(context):
+    for worker in (
+        "",
+        "a b",
+        "a\r\nX: 1",
+        "\u00e9",
+        "\u03b1",
+        "a\x00",
+        "\x7f",
+    ):
+        assert _is_skipped(worker, steps.WORKER_RECORD), worker
+
+
+@then("platform an entry with numbers that JSON does not keep is skipped")
+def _(context):
+    good = steps.WORKER_RECORD
+    for huge in (2**53, 2**63 - 1, -1):
+        for fields in (
+            {"born": huge},
+            {"clock-ms": huge},
+            {"capacity": {**good["capacity"], "cpu": huge}},
+        ):
+            assert _is_skipped("i-1", {**good, **fields}), fields
+    assert _is_skipped("i-1", {**good, "clock-ms": 1e308})
+    assert not _is_skipped("i-1", {**good, "born": 2**53 - 1})
+
+
 @then("platform reports with numbers that cannot be stored are refused")
 def _(context):
     task = steps_fuzz.TASK
+    assert steps_fuzz._renew(
+        steps_fuzz._report(**{"clock-ms": 1e308})
+    ).is_err()
     for huge in (2**63, 10**30, -(10**30)):
         for fields in (
             {"born": huge},
--- a/src/citrondeal/web/_client.py
+++ b/src/citrondeal/web/_client.py
@@ -197,7 +197,10 @@
             the request cannot have reached the server, else of kind
             ``unknown_outcome``.
         """
-        data = self._encode_request(method, path, body, headers)
+        try:
+            data = self._encode_request(method, path, body, headers)
+        except UnicodeEncodeError as exc:
+            return _failure(errors.Kind.UNAVAILABLE, exc)
         try:
             # Not `anyio.fail_after`: it takes a scope whose deadline was
             # extended after its cancellation for one that has not timed out.
@@ -263,7 +266,8 @@
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await anyio.connect_tcp(self._host, self._port)
-        except (OSError, TimeoutError) as exc:
+        except (OSError, TimeoutError, UnicodeError) as exc:
+            # UnicodeError: the host has no form in DNS.
             if is_repeat:
                 # The server may have acted on the request sent before.
                 raise
--- a/src/citrondeal/web/tests/steps.py
+++ b/src/citrondeal/web/tests/steps.py
@@ -314,3 +314,20 @@
             await anyio.sleep(_EchoServer.DELAY_S / 2)
 
     _run(server, scenario)
+
+
+@then("web a call to a host that cannot be encoded is unavailable")
+def _(context):
+    async def scenario():
+        for host in (
+            "a..b",
+            "a" * 64,
+            "\u00e9" * 64,
+            "\u03b1\u03b2",
+            "a\x00b",
+        ):
+            outcome = await web.Client(f"{host}:1").request("POST", "/x")
+            kind = outcome.err_value.kind
+            assert kind is errors.Kind.UNAVAILABLE, (host, outcome)
+
+    anyio.run(scenario)
--- a/src/citrondeal/web/tests/web.feature
+++ b/src/citrondeal/web/tests/web.feature
@@ -16,6 +16,7 @@
     And web a call whose answer is cut off has an unknown outcome
     And web a call whose answer is not HTTP has an unknown outcome
     And web a call whose repeat cannot connect has an unknown outcome
+    And web a call to a host that cannot be encoded is unavailable
 
   # Guards against a timeout that cuts off a long answer on a slow link, so
   # that it is requested again forever.
