Count entries of no use, and bound their log lines

Operators could not see in the metrics that something else writes to the list of workers, and each read of a malformed entry wrote a line: a writer that renews some thousand entries would fill the log and hide the rest.

Entries are now read by `cell/_worker_entries.py`: each malformed or refuted one adds to `citrondeal.worker_entries.refused`, and at most ten lines of a kind are written in 10 s, with the number of those left out.

Ruled out: one line for each worker, since ids can be made up.

--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -20,6 +20,7 @@
 from citrondeal.cell import _orders
 from citrondeal.cell import _records
 from citrondeal.cell import _stored_state
+from citrondeal.cell import _worker_entries
 from citrondeal.cell import _writer
 from citrondeal import errors
 from citrondeal import platform
@@ -97,6 +98,7 @@
         self._catalog_in_force = None
         self._metrics = metrics
         self._catalog = catalog
+        self._worker_entries = _worker_entries.WorkerEntries(metrics)
         self._crash_metrics = _crash_metrics.CrashMetrics(metrics)
         self._learning_metrics = _learning_metrics.LearningMetrics(metrics)
         self._account_metrics = _account_metrics.AccountMetrics(metrics)
@@ -301,10 +303,8 @@
         if not record.value:
             self._scheduler.on_worker_unlisted(record.key, now)
             return
-        try:
-            info = platform.decode_worker(record.key, record.value)
-        except platform.RecordError as exc:
-            _warn("worker is skipped", worker=record.key, reason=str(exc))
+        info = self._worker_entries.decode(record, now)
+        if info is None:
             return
         self._scheduler.on_worker(info, now)
         if record.key in self._leases:
@@ -454,6 +454,7 @@
             self._task_group.start_soon(self._execute, action)
         if self._scheduler.wants_to_store:
             self._writer.wake()
+        self._worker_entries.update(self._scheduler.incarnations)
         self._crash_metrics.update(self._scheduler.crashes)
         self._learning_metrics.update(self._scheduler.learning)
         self._account_metrics.update(self._scheduler, now)
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -144,6 +144,11 @@
     And the cell ran no task twice, after its end or beyond its worker's capacity
     And all cell members still run
 
+  # Guards against one writer that fills the log, or whose entries nobody sees.
+  Scenario: cell entries of no use are counted
+    Then cell malformed entries are all counted, with a bounded number of lines
+    And cell entries that reports refute are counted
+
   # Guards against a process that starts with incomplete settings.
   Scenario: cell settings are checked
     Then the cell program exits with status 2 and names the missing setting
--- a/src/citrondeal/cell/tests/doubles.py
+++ b/src/citrondeal/cell/tests/doubles.py
@@ -1,5 +1,7 @@
 """Stand-ins for what an owner of the cell is given, shared by the steps."""
 
+import collections
+
 import anyio
 
 
@@ -15,10 +17,20 @@
 
 
 class Metrics:
-    """Metrics that are not recorded."""
+    """Metrics of which only the counters are kept.
+
+    Attributes
+    ----------
+    counts : collections.Counter
+        By name.
+    """
+
+    def __init__(self):
+        self.counts = collections.Counter()
 
-    def count(self, *args, **kwargs):
-        """Count nothing."""
+    def count(self, name, amount=1, *args, **attributes):
+        """Add to a counter."""
+        self.counts[name] += amount
 
     def record(self, *args, **kwargs):
         """Record nothing."""
--- a/src/citrondeal/workflow/_incarnations.py
+++ b/src/citrondeal/workflow/_incarnations.py
@@ -9,9 +9,13 @@
 import dataclasses
 import logging
 
+from citrondeal import telemetry
 from citrondeal.workflow import _events
 from citrondeal.workflow import _workers
 
+# Another writer can leave any number of entries.
+MAX_LINES = 10
+LINE_PERIOD_S = 10.0
 # By how much the clock of an entry may be ahead of what reports show.
 CLOCK_MARGIN_S = 1.0
 
@@ -32,6 +36,7 @@
     def __init__(self, state):
         self._state = state
         self.refuted_entries = 0
+        self._lines = telemetry.LineLimit(MAX_LINES, LINE_PERIOD_S)
 
     def on_entry(self, info, now):
         """Add or update a worker from its entry in the list of workers.
@@ -52,7 +57,7 @@
         elif _is_older(info, worker.info):
             return
         elif worker.clock is not None and _is_ahead(info, *worker.clock, now):
-            self._refute(worker, info)
+            self._refute(worker, info, now)
         else:
             self._accept(worker, info, now)
 
@@ -76,12 +81,12 @@
         if born_ms < worker.info.born_ms:
             if worker.has_reported:
                 return False
-            self._correct(worker, born_ms)
+            self._correct(worker, born_ms, now)
         elif born_ms > worker.info.born_ms:
             self._state.on_worker_restart(worker, born_ms, now)
         worker.has_reported = True
         if _is_ahead(worker.info, report.clock_s, sent_at, now):
-            self._refute(worker, worker.info)
+            self._refute(worker, worker.info, now)
             self._await_entry(worker, born_ms)
         self._settle_claim(worker, report.clock_s, sent_at, now)
         return True
@@ -95,11 +100,26 @@
         known = worker.claim
         if known is None or known.born_ms != info.born_ms:
             worker.claimed_at = now
-            _log_claim(worker, info)
+            self._log_claim(worker, info, now)
         elif _is_older(info, known):
             return
         worker.claim = info
 
+    def _log_claim(self, worker, info, now):
+        if info.born_ms == worker.info.born_ms:
+            return
+        omitted = self._lines.add("claim", now)
+        if omitted is None:
+            return
+        _events.log(
+            logging.INFO,
+            "entry names another incarnation of a worker",
+            worker=worker.id,
+            born_ms=info.born_ms,
+            known_born_ms=worker.info.born_ms,
+            omitted_before=omitted,
+        )
+
     def _settle_claim(self, worker, clock_s, sent_at, now):
         claim = worker.claim
         if claim is None:
@@ -107,14 +127,14 @@
         if claim.born_ms == worker.info.born_ms:
             worker.claim = None
             if _is_ahead(claim, clock_s, sent_at, now):
-                self._refute(worker, claim)
+                self._refute(worker, claim, now)
             elif not _is_older(claim, worker.info):
                 self._accept(worker, claim, now)
         elif sent_at >= worker.claimed_at:
             worker.claim = None
             if claim.born_ms > worker.info.born_ms:
                 worker.refuted_born_ms = claim.born_ms
-                self._refute(worker, claim)
+                self._refute(worker, claim, now)
 
     def _accept(self, worker, info, now):
         worker.listed = True
@@ -125,10 +145,10 @@
         if worker.has_reported:
             self._state.crashes.on_incarnation(worker.id, info.born_ms, now)
 
-    def _correct(self, worker, born_ms):
+    def _correct(self, worker, born_ms, now):
         """Replace a believed incarnation that the worker has never been."""
         worker.refuted_born_ms = worker.info.born_ms
-        self._refute(worker, worker.info)
+        self._refute(worker, worker.info, now)
         self._await_entry(worker, born_ms)
 
     def _await_entry(self, worker, born_ms):
@@ -138,25 +158,18 @@
         )
         worker.listed = False
 
-    def _refute(self, worker, info):
+    def _refute(self, worker, info, now):
         self.refuted_entries += 1
+        omitted = self._lines.add("refuted", now)
+        if omitted is None:
+            return
         _events.log(
             logging.WARNING,
             "entry of a worker is refuted by its report",
             worker=worker.id,
             born_ms=info.born_ms,
             clock_s=info.clock_s,
-        )
-
-
-def _log_claim(worker, info):
-    if info.born_ms != worker.info.born_ms:
-        _events.log(
-            logging.INFO,
-            "entry names another incarnation of a worker",
-            worker=worker.id,
-            born_ms=info.born_ms,
-            known_born_ms=worker.info.born_ms,
+            omitted_before=omitted,
         )
 
 
--- a/src/citrondeal/workflow/_scheduler.py
+++ b/src/citrondeal/workflow/_scheduler.py
@@ -144,6 +144,11 @@
         """`Crashes` of workers and the tasks that they were counted for."""
         return self._state.crashes
 
+    @property
+    def incarnations(self):
+        """`Incarnations` of workers, and the entries that were refuted."""
+        return self._state.incarnations
+
     @property
     def learning(self):
         """`Learning` about workers and queues."""
