Try to reach workers that never reported less and less often

Callers would wait for starts: 600 entries of another writer with an address where nothing listens took 0.97 of a core of the owner for as long as they stayed, which is nearly all that a VM of the deployments has. Each entry costs an attempt every 0.2 s, with a connection each.

Until a worker has reported to this owner, the delay now doubles with each failure, up to 10 s, and begins anew with each entry of it that is read. A worker that is cut off from the owner and alive writes one every heartbeat, so it is tried as before after at most 0.8 s; one that has reported is retried every 0.2 s as ever.

Ruled out: a limit on the number of entries (a large cell has 810 workers), and waiting for a second entry before the first attempt (delays new workers).

--- a/src/citrondeal/cell/_leases.py
+++ b/src/citrondeal/cell/_leases.py
@@ -17,6 +17,11 @@
 # to be stored, so that it can acknowledge them.
 END_STORED_WAIT_S = 0.3
 RETRY_DELAY_S = 0.2
+# An entry may have been left by another writer, and nobody be at its address.
+# Until a worker has reported, the delay doubles with each failure up to this,
+# and begins anew with each entry that is read.
+MAX_RETRY_DELAY_S = 10.0
+MAX_DOUBLINGS = 6
 
 _LOG = logging.getLogger(__name__)
 
@@ -48,6 +53,8 @@
         self._renewal_scope = None
         self._renewal_sent_at = -math.inf
         self._tries_claim = False
+        self._failures = 0  # since the last report or entry
+        self._entry_read = anyio.Event()
         self._client = platform.RunnerClient(worker.id, worker.info.address)
 
     @property
@@ -65,6 +72,14 @@
         """Whether a report of the worker has shown its clock."""
         return self._worker_clock_offset_s is not None
 
+    @property
+    def retry_delay_s(self):
+        """Seconds until the next attempt if no entry is read before."""
+        if self._worker.has_reported:
+            return RETRY_DELAY_S
+        doublings = min(max(0, self._failures - 1), MAX_DOUBLINGS)
+        return min(RETRY_DELAY_S * 2**doublings, MAX_RETRY_DELAY_S)
+
     def worker_clock_s(self, now):
         """Return the time on the worker's clock in seconds.
 
@@ -82,6 +97,8 @@
         An earlier one that has lost power never answers, and only a report
         of the present one tells which it is and which tasks it has.
         """
+        self._failures = 0
+        self._entry_read.set()
         claim = self._worker.claim
         if (
             self._renewal_scope is not None
@@ -105,12 +122,21 @@
             with telemetry.contain(_LOG, "renewal", worker=self.worker_id):
                 renewed = await self._renew()
             if not renewed:
-                await anyio.sleep(RETRY_DELAY_S)
+                await self._pause()
             elif self._worker.last_end_number > self._worker.acknowledged:
                 writer.wake()
                 await self._wait_stored()
         await self._client.aclose()
 
+    async def _pause(self):
+        """Wait for the next attempt after one that has failed."""
+        if self._worker.has_reported:
+            await anyio.sleep(RETRY_DELAY_S)
+            return
+        self._entry_read = anyio.Event()
+        with anyio.move_on_after(self.retry_delay_s):
+            await self._entry_read.wait()
+
     async def _select_address(self):
         """Connect to the worker where its entry, or its claim, says it is."""
         info, claim = self._worker.info, self._worker.claim
@@ -163,6 +189,7 @@
         return True
 
     def _on_failure(self, failure, now):
+        self._failures += 1
         # The claimed incarnation may have another address.
         self._tries_claim = not self._tries_claim
         if failure.kind is errors.Kind.BARRED:
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -144,6 +144,13 @@
     And the cell ran no task twice, after its end or beyond its worker's capacity
     And all cell members still run
 
+  # Guards against thousands of entries without a worker that cost an owner all
+  # its processor time in attempts to reach them.
+  Scenario: cell entries without a worker cost few attempts
+    Then cell attempts to reach a worker that never reported become rare
+    And cell a worker that has reported is retried without a growing delay
+    And cell an entry ends the wait for the next attempt
+
   # Guards against one writer that fills the log, or whose entries nobody sees.
   Scenario: cell entries of no use are counted
     Then cell malformed entries are all counted, with a bounded number of lines
--- a/src/citrondeal/cell/tests/steps_leases.py
+++ b/src/citrondeal/cell/tests/steps_leases.py
@@ -157,3 +157,62 @@
 
     anyio.run(renew)
     assert tried == [info.address, claim.address] * 2, tried
+
+
+def _lease_of_silent_worker():
+    scheduler = workflow.Scheduler(workflow.Config(LEASE_S), 1)
+    info = workflow.WorkerInfo(
+        "w", _closed_address(), "service", "zone", born_ms=1
+    )
+    scheduler.on_worker(info, 0.0)
+    worker = scheduler.workers["w"]
+    return scheduler, _leases.LeaseRenewer(
+        worker, scheduler, LEASE_S, int, bool
+    )
+
+
+@then("cell attempts to reach a worker that never reported become rare")
+def _(context):
+    _, lease = _lease_of_silent_worker()
+    delays = []
+
+    async def renew():
+        for _ in range(10):
+            await lease._renew()
+            delays.append(lease.retry_delay_s)
+        lease.on_entry()
+        await lease._renew()
+        delays.append(lease.retry_delay_s)
+
+    anyio.run(renew)
+    assert delays[:3] == [0.2, 0.4, 0.8], delays
+    assert delays[6:10] == [_leases.MAX_RETRY_DELAY_S] * 4, delays
+    assert delays[10] == _leases.RETRY_DELAY_S, delays
+
+
+@then("cell a worker that has reported is retried without a growing delay")
+def _(context):
+    scheduler, lease = _lease_of_silent_worker()
+    scheduler.on_report("w", workflow.Report(0.0, 1, [], []), 0.0, 0.0)
+
+    async def renew():
+        for _ in range(5):
+            await lease._renew()
+
+    anyio.run(renew)
+    assert lease.retry_delay_s == _leases.RETRY_DELAY_S
+
+
+@then("cell an entry ends the wait for the next attempt")
+def _(context):
+    _, lease = _lease_of_silent_worker()
+    lease._failures = 10
+
+    async def wait():
+        with anyio.fail_after(1.0):
+            async with anyio.create_task_group() as task_group:
+                task_group.start_soon(lease._pause)
+                await anyio.sleep(0.1)
+                lease.on_entry()
+
+    anyio.run(wait)
