--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -109,8 +109,7 @@
         if worker.info.draining:
             return
         self.worker_crashes += 1
-        is_unresolved = worker.id in self._state.unresolved_workers
-        if is_unresolved or worker.lapsed_unheard:
+        if worker.id in self._state.unresolved_workers:
             self._has_unseen = True
             successor.unseen_ms = born_ms
             self._state.changed_workers[successor.id] = successor
--- a/src/citrondeal/workflow/_model.py
+++ b/src/citrondeal/workflow/_model.py
@@ -364,10 +364,6 @@
     witnesses : dict of str to Witness
         By worker; empty while leases may still be renewed, or if no witness
         was known.
-    lapsed_unheard : bool
-        Whether its leases lapsed before an owner heard of the runs that an
-        earlier one had started.  If it has started again since, they may have
-        ended by a crash that no owner has seen.
     """
 
     info: WorkerInfo
@@ -375,4 +371,3 @@
     numbers: tuple[int, ...] = ()
     unseen_ms: int = 0
     witnesses: dict[str, Witness] = dataclasses.field(default_factory=dict)
-    lapsed_unheard: bool = False
--- a/src/citrondeal/workflow/_persistence.py
+++ b/src/citrondeal/workflow/_persistence.py
@@ -72,7 +72,6 @@
             tuple((numbers or {}).values()),
             worker.unseen_ms,
             witnesses,
-            worker.lapsed_unheard,
         )
 
     def on_stored(self, jobs, workers, ends):
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -161,9 +161,6 @@
             worker.unrecognized_runs.clear()
             worker.unaccounted_tasks.clear()
             if worker.has_entry:
-                if worker.id in self._state.unresolved_workers:
-                    worker.lapsed_unheard = True
-                    self._state.changed_workers[worker.id] = worker
                 self._state.mark_resolved(worker, now)
             else:
                 self._state.remove_worker(worker, now)
--- a/src/citrondeal/workflow/_recovery.py
+++ b/src/citrondeal/workflow/_recovery.py
@@ -37,7 +37,6 @@
             worker.reported_at = now
             worker.listed = False
             worker.unseen_ms = stored_worker.unseen_ms
-            worker.lapsed_unheard = stored_worker.lapsed_unheard
             self._state.crashes.restore_unseen(stored_worker.unseen_ms)
             self._state.run_numbers.skip(max(stored_worker.numbers, default=0))
             # Its leases may be known better than this owner could store them.
--- a/src/citrondeal/workflow/_reports.py
+++ b/src/citrondeal/workflow/_reports.py
@@ -48,7 +48,6 @@
             self._state.set_reachable(worker, True)
             _events.log(logging.INFO, "worker answers", worker=worker_id)
             self._state.remove_replaced(worker, now)
-        worker.lapsed_unheard = False
         worker.reported_at = now
         self._state.learning.on_report(worker, report, now)
         worker.clock = (report.clock_s, sent_at)
--- a/src/citrondeal/workflow/_workers.py
+++ b/src/citrondeal/workflow/_workers.py
@@ -47,8 +47,6 @@
         later; None if neither has happened.
     unseen_ms : int
         See `StoredWorker`.
-    lapsed_unheard : bool
-        See `StoredWorker`.
     speed_class : int
         Rises with its learned speed; 0 if that is the usual one or unknown.
     very_slow : bool
@@ -84,7 +82,6 @@
         self.reachable = False
         self.reported_at = None
         self.unseen_ms = 0
-        self.lapsed_unheard = False
         self.clock = None
         self.ends_known_at = -math.inf
         self.first_report_at = None
