Leave odd entries in the soak of a cell

The soak had no other writer among the workers, so nothing played odd entries beside kills, cuts and changes of the owner.

--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -393,6 +393,11 @@
   Scenario: cell jobs stay known in a short soak test with takeovers
     Then a cell soak test with takeovers and seed 1002 finds no violation in 10 seconds
 
+  # Guards against tasks that run twice, and jobs that never end, while another
+  # writer leaves odd entries and other faults overlap.
+  Scenario: cell guarantees hold in a short soak test with odd entries
+    Then a cell soak test with odd entries and seed 3001 finds no violation in 8 seconds
+
   # Guards against records of ended jobs that stay for ever, because the store
   # rejects the one append that deletes very many at a time.
   Scenario: cell deletions of very many jobs are divided
--- a/src/citrondeal/cell/tests/steps.py
+++ b/src/citrondeal/cell/tests/steps.py
@@ -251,6 +251,14 @@
     _run_soak(seed, limit, "--takeovers")
 
 
+@then(
+    "a cell soak test with odd entries and seed {seed} finds no violation in"
+    " {limit} seconds"
+)
+def _(context, seed, limit):
+    _run_soak(seed, limit, "--odd_entries")
+
+
 def _run_soak(seed, limit, *options):
     done = subprocess.run(
         [sys.executable, "-m", "tools.soak"]
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -17,6 +17,7 @@
 from tools.soak import clients
 from tools.soak import environment
 from tools.soak import faults
+from tools.soak import odd_entries as odd_writers
 from tools.soak import takeovers as owner_faults
 
 CLIENT_COUNT = 6
@@ -32,7 +33,9 @@
 KNOWN_TIMEOUT_S = 14.0
 
 
-async def _run_seed(seed, seconds, members, runners, with_takeovers):
+async def _run_seed(
+    seed, seconds, members, runners, with_takeovers, with_odd_entries
+):
     rng = random.Random(seed)
     soak_environment = environment.SoakEnvironment(members, runners)
     injector = faults.Faults(
@@ -44,6 +47,9 @@
     owner_injector = owner_faults.Takeovers(
         soak_environment, random.Random(rng.getrandbits(64))
     )
+    odd_writer = odd_writers.OddWriter(
+        soak_environment, random.Random(f"odd entries {seed}")
+    )
     query_seeds = [rng.getrandbits(64) for _ in range(QUERY_CLIENT_COUNT)]
     try:
         async with anyio.create_task_group() as task_group:
@@ -61,6 +67,8 @@
                 running.start_soon(injector.run, seconds)
                 if with_takeovers:
                     running.start_soon(owner_injector.run, seconds)
+                if with_odd_entries:
+                    running.start_soon(odd_writer.run, seconds)
             await load_clients.wait_completed(COMPLETION_TIMEOUT_S)
             if with_takeovers:
                 await anyio.sleep(DELETION_WAIT_S)
@@ -72,6 +80,7 @@
     finally:
         soak_environment.stop()
     injected = injector.injected + owner_injector.injected
+    injected += odd_writer.written
     return _build_report(seed, load_clients, counts, injected), logs
 
 
@@ -106,6 +115,7 @@
     runners=4,
     keep="",
     takeovers=False,
+    odd_entries=False,
 ):
     """Run the soak test with consecutive seeds.
 
@@ -124,6 +134,8 @@
     takeovers : bool
         Whether to inject faults into the owner and the store's history too,
         and to query all jobs after a last change of the owner.
+    odd_entries : bool
+        Whether another writer leaves odd entries in the list of runners.
 
     Returns
     -------
@@ -134,7 +146,13 @@
     failed = 0
     for seed in range(first, first + seeds):
         report, logs = anyio.run(
-            _run_seed, seed, seconds, members, runners, takeovers
+            _run_seed,
+            seed,
+            seconds,
+            members,
+            runners,
+            takeovers,
+            odd_entries,
         )
         print(json.dumps(report), flush=True)
         if report["broken"]:
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -17,7 +17,7 @@
 START_TIMEOUT_S = 30.0
 STATE_TIMEOUT_S = 0.2
 CELL_TOPIC = "keyed.citrondeal.cell"
-UNUSED_KEY = b"member/none"
+UNUSED_KEY = "member/none"
 
 
 class SoakEnvironment:
@@ -61,6 +61,11 @@
         self._store = web.Client(f"127.0.0.1:{self._store_port}")
         self._standins = None
 
+    @property
+    def worker_ids(self):
+        """Ids of the runners of the stand-in."""
+        return [f"i-{i}" for i in range(self._runners)]
+
     @property
     def proxies(self):
         """Proxies in front of the runners, and of the store (one a member)."""
@@ -101,10 +106,14 @@
 
     async def append_cell_record(self):
         """Append a record to the cell's topic that changes nothing."""
-        content = bytes([len(UNUSED_KEY)]) + UNUSED_KEY
+        await self.append(CELL_TOPIC, UNUSED_KEY, b"")
+
+    async def append(self, topic, key, value):
+        """Append a record to a topic of the store, as another writer."""
+        content = bytes([len(key)]) + key.encode() + value
         await self._store.request(
             "POST",
-            f"/v1/log-append?topic={CELL_TOPIC}&part=0",
+            f"/v1/log-append?topic={topic}&part=0",
             len(content).to_bytes(4, "big") + content,
         )
 
