--- a/src/citrondeal/cell/tests/processes.py
+++ b/src/citrondeal/cell/tests/processes.py
@@ -216,6 +216,21 @@
         self._folder.cleanup()
 
 
+def worker_entry(**fields):
+    """Return an entry of the list of workers, with an address of nobody."""
+    entry = {
+        "service": "lanes",
+        "address": "127.0.0.1:9",
+        "zone": "z",
+        "state": "ready",
+        "capacity": {"cpu": 1000, "mem-mb": 1000},
+        "labels": [],
+        "clock-ms": 1,
+        "born": 1,
+    }
+    return json.dumps(entry | fields).encode()
+
+
 def job_body(tasks=2, work_s=0.3, cpu=1000, crash_s=None, **fields):
     """Return the body of a job with one step.
 
--- a/tools/soak/odd_entries.py
+++ b/tools/soak/odd_entries.py
@@ -1,10 +1,10 @@
 """Seeded series of odd entries from another writer of the list of runners."""
 
-import json
 import time
 
 import anyio
 
+from citrondeal.cell.tests import processes
 from citrondeal import platform
 
 PAUSE_RANGE_S = (0.1, 1.5)  # between two entries
@@ -52,27 +52,13 @@
         return self._rng.choice(self._environment.worker_ids)
 
 
-def _entry(**fields):
-    entry = {
-        "service": "lanes",
-        "address": "127.0.0.1:9",
-        "zone": "z",
-        "state": "ready",
-        "capacity": {"cpu": 10**6, "mem-mb": 10**6, "gpu": 0},
-        "labels": ["a", "rack"],
-        "clock-ms": 1,
-        "born": 1,
-    }
-    return json.dumps(entry | fields).encode()
-
-
 def _later(rng):
     born_ms = int(time.time() * 1000) + rng.randint(1, 24 * HOUR_MS)
-    return _entry(born=born_ms)
+    return processes.worker_entry(born=born_ms)
 
 
 def _last(rng):
-    return _entry(born=LAST_INCARNATION, state="draining")
+    return processes.worker_entry(born=LAST_INCARNATION, state="draining")
 
 
 def _nested(rng):
@@ -80,15 +66,15 @@
 
 
 def _bad_host(rng):
-    return _entry(address="a..b:1")
+    return processes.worker_entry(address="a..b:1")
 
 
 def _bad_port(rng):
-    return _entry(address="127.0.0.1:99999")
+    return processes.worker_entry(address="127.0.0.1:99999")
 
 
 def _huge(rng):
-    return _entry(capacity={"cpu": 2**63, "mem-mb": 1})
+    return processes.worker_entry(capacity={"cpu": 2**63, "mem-mb": 1})
 
 
 def _no_bytes(rng):
