Name an entry that no report has confirmed what it is

"Claim" is the word for a claim of the ownership; a newcomer would look for an election of workers. The attribute is `WorkerState.unconfirmed` now.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	$(BIN)/python -m tools.run_soak
 
 soak-cell: env
-	$(BIN)/python -m tools.soak --seeds 50 --takeovers
+	$(BIN)/python -m tools.soak --seeds 50 --takeovers --odd_entries
 
 format: env
 	$(BIN)/ruff format .
--- a/src/citrondeal/cell/_leases.py
+++ b/src/citrondeal/cell/_leases.py
@@ -52,7 +52,7 @@
         self._stored = anyio.Event()
         self._renewal_scope = None
         self._renewal_sent_at = -math.inf
-        self._tries_claim = False
+        self._tries_unconfirmed = False
         self._failures = 0  # since the last report or entry
         self._entry_read = anyio.Event()
         self._client = platform.RunnerClient(worker.id, worker.info.address)
@@ -92,19 +92,19 @@
         self._stored.set()
 
     def on_entry(self):
-        """Renew anew if an entry claims another incarnation of the worker.
+        """Renew anew if an entry names another incarnation of the worker.
 
         An earlier one that has lost power never answers, and only a report
         of the present one tells which it is and which tasks it has.
         """
         self._failures = 0
         self._entry_read.set()
-        claim = self._worker.claim
+        entry = self._worker.unconfirmed
         if (
             self._renewal_scope is not None
-            and claim is not None
-            and claim.born_ms != self._worker.info.born_ms
-            and self._worker.claimed_at > self._renewal_sent_at
+            and entry is not None
+            and entry.born_ms != self._worker.info.born_ms
+            and self._worker.unconfirmed_since > self._renewal_sent_at
         ):
             self._renewal_scope.cancel()
 
@@ -138,10 +138,10 @@
             await self._entry_read.wait()
 
     async def _select_address(self):
-        """Connect to the worker where its entry, or its claim, says it is."""
-        info, claim = self._worker.info, self._worker.claim
-        if claim is not None and self._tries_claim:
-            info = claim
+        """Connect to the address in an entry of the worker."""
+        info, entry = self._worker.info, self._worker.unconfirmed
+        if entry is not None and self._tries_unconfirmed:
+            info = entry
         if self._client.address != info.address:
             await self._client.aclose()
             self._client = platform.RunnerClient(self.worker_id, info.address)
@@ -165,7 +165,9 @@
         # Ends that are not acknowledged yet would make the worker answer a
         # held renewal at once, so it is not asked to wait.
         pending = worker.last_end_number > worker.acknowledged
-        at_once = pending or not worker.reachable or worker.claim is not None
+        at_once = (
+            pending or not worker.reachable or worker.unconfirmed is not None
+        )
         wait_s = REPORT_WAIT_S if worker.may_renew else RETRY_DELAY_S
         renewal = platform.LeaseRenewal(
             self._scheduler.epoch,
@@ -177,7 +179,7 @@
         with anyio.CancelScope() as self._renewal_scope:
             outcome = await self._client.renew_leases(renewal)
         if self._renewal_scope.cancel_called:
-            return True  # the claim is to be settled without a pause
+            return True  # the entry is to be settled without a pause
         now = _clock.now()
         if outcome.is_err():
             self._on_failure(outcome.err_value, now)
@@ -190,8 +192,8 @@
 
     def _on_failure(self, failure, now):
         self._failures += 1
-        # The claimed incarnation may have another address.
-        self._tries_claim = not self._tries_claim
+        # The incarnation that an entry names may have another address.
+        self._tries_unconfirmed = not self._tries_unconfirmed
         if failure.kind is errors.Kind.BARRED:
             telemetry.event(
                 _LOG,
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -203,7 +203,7 @@
     Then cell renewals to a worker that does not answer do not extend its leases
     And cell a start sent twice is unknown unless it is done or fenced
     And cell a renewal to an earlier incarnation ends when the next is known
-    And cell a claimed incarnation is looked for at its own address too
+    And cell an unconfirmed incarnation is looked for at its own address too
 
   # Guards against starts that are sent after the owner has learned that their
   # worker has shrunk.
--- a/src/citrondeal/cell/tests/steps_leases.py
+++ b/src/citrondeal/cell/tests/steps_leases.py
@@ -135,15 +135,15 @@
         anyio.run(renew)
 
 
-@then("cell a claimed incarnation is looked for at its own address too")
+@then("cell an unconfirmed incarnation is looked for at its own address too")
 def _(context):
     scheduler = workflow.Scheduler(workflow.Config(LEASE_S), 1)
     info = workflow.WorkerInfo(
         "w", _closed_address(), "service", "zone", born_ms=1
     )
     scheduler.on_worker(info, 0.0)
-    claim = dataclasses.replace(info, born_ms=2, address=_closed_address())
-    scheduler.on_worker(claim, 0.0)
+    entry = dataclasses.replace(info, born_ms=2, address=_closed_address())
+    scheduler.on_worker(entry, 0.0)
     lease = _leases.LeaseRenewer(
         scheduler.workers["w"], scheduler, LEASE_S, int, bool
     )
@@ -156,7 +156,7 @@
             await lease._renew()
 
     anyio.run(renew)
-    assert tried == [info.address, claim.address] * 2, tried
+    assert tried == [info.address, entry.address] * 2, tried
 
 
 def _lease_of_silent_worker():
--- a/src/citrondeal/workflow/_incarnations.py
+++ b/src/citrondeal/workflow/_incarnations.py
@@ -2,8 +2,8 @@
 
 An entry in the list of workers proves no incarnation, since any writer of the
 list may have left it.  Only a report of the worker does.  An entry of another
-incarnation, or of a worker that has not reported yet, is therefore kept as a
-claim until the worker answers a renewal.
+incarnation, or of a worker that has not reported yet, is therefore kept as
+unconfirmed until the worker answers a renewal.
 """
 
 import dataclasses
@@ -53,7 +53,7 @@
         elif info.born_ms != worker.info.born_ms or (
             info.born_ms and not worker.has_reported
         ):
-            self._claim(worker, info, now)
+            self._keep(worker, info, now)
         elif _is_older(info, worker.info):
             return
         elif worker.clock is not None and _is_ahead(info, *worker.clock, now):
@@ -88,27 +88,27 @@
         if _is_ahead(worker.info, report.clock_s, sent_at, now):
             self._refute(worker, worker.info, now)
             self._await_entry(worker, born_ms)
-        self._settle_claim(worker, report.clock_s, sent_at, now)
+        self._settle(worker, report.clock_s, sent_at, now)
         return True
 
-    def _claim(self, worker, info, now):
+    def _keep(self, worker, info, now):
         """Keep the entry of another incarnation until a report settles it."""
         if info.born_ms == worker.refuted_born_ms:
             return
         if info.born_ms < worker.info.born_ms and worker.has_reported:
             return  # a late entry of an earlier incarnation
-        known = worker.claim
+        known = worker.unconfirmed
         if known is None or known.born_ms != info.born_ms:
-            worker.claimed_at = now
-            self._log_claim(worker, info, now)
+            worker.unconfirmed_since = now
+            self._log_unconfirmed(worker, info, now)
         elif _is_older(info, known):
             return
-        worker.claim = info
+        worker.unconfirmed = info
 
-    def _log_claim(self, worker, info, now):
+    def _log_unconfirmed(self, worker, info, now):
         if info.born_ms == worker.info.born_ms:
             return
-        omitted = self._lines.add("claim", now)
+        omitted = self._lines.add("unconfirmed", now)
         if omitted is None:
             return
         _events.log(
@@ -120,21 +120,21 @@
             omitted_before=omitted,
         )
 
-    def _settle_claim(self, worker, clock_s, sent_at, now):
-        claim = worker.claim
-        if claim is None:
+    def _settle(self, worker, clock_s, sent_at, now):
+        entry = worker.unconfirmed
+        if entry is None:
             return
-        if claim.born_ms == worker.info.born_ms:
-            worker.claim = None
-            if _is_ahead(claim, clock_s, sent_at, now):
-                self._refute(worker, claim, now)
-            elif not _is_older(claim, worker.info):
-                self._accept(worker, claim, now)
-        elif sent_at >= worker.claimed_at:
-            worker.claim = None
-            if claim.born_ms > worker.info.born_ms:
-                worker.refuted_born_ms = claim.born_ms
-                self._refute(worker, claim, now)
+        if entry.born_ms == worker.info.born_ms:
+            worker.unconfirmed = None
+            if _is_ahead(entry, clock_s, sent_at, now):
+                self._refute(worker, entry, now)
+            elif not _is_older(entry, worker.info):
+                self._accept(worker, entry, now)
+        elif sent_at >= worker.unconfirmed_since:
+            worker.unconfirmed = None
+            if entry.born_ms > worker.info.born_ms:
+                worker.refuted_born_ms = entry.born_ms
+                self._refute(worker, entry, now)
 
     def _accept(self, worker, info, now):
         worker.listed = True
@@ -175,8 +175,8 @@
 
 def _assumed_born_ms(worker, sent_at):
     """Return the incarnation of a worker whose reports name none."""
-    if worker.claim is not None and sent_at >= worker.claimed_at:
-        return worker.claim.born_ms
+    if worker.unconfirmed is not None and sent_at >= worker.unconfirmed_since:
+        return worker.unconfirmed.born_ms
     return worker.info.born_ms
 
 
--- a/src/citrondeal/workflow/_intake.py
+++ b/src/citrondeal/workflow/_intake.py
@@ -147,5 +147,5 @@
         worker = self._state.workers.get(worker_id)
         if worker is not None and worker.has_entry:
             worker.listed = False
-            worker.claim = None
+            worker.unconfirmed = None
             _events.log(logging.INFO, "worker is not listed", worker=worker_id)
--- a/src/citrondeal/workflow/_workers.py
+++ b/src/citrondeal/workflow/_workers.py
@@ -29,10 +29,10 @@
     ----------
     listed : bool
         Whether its own entry was read and its capacity may be used.
-    claim : WorkerInfo or None
+    unconfirmed : WorkerInfo or None
         Entry that no report has confirmed yet, see `_incarnations`.
-    claimed_at : float
-        When an entry of the claimed incarnation was first read.
+    unconfirmed_since : float
+        When an entry of its incarnation was first read.
     refuted_born_ms : int
         Incarnation that an entry has named and a report has refuted last.
     has_reported : bool
@@ -74,8 +74,8 @@
         self._reserved = {}
         self._free = info.capacity
         self.listed = True
-        self.claim = None
-        self.claimed_at = -math.inf
+        self.unconfirmed = None
+        self.unconfirmed_since = -math.inf
         self.refuted_born_ms = 0
         self.has_reported = False
         self.stored = False
@@ -118,7 +118,7 @@
     @property
     def has_entry(self):
         """Whether the list of workers has an entry of it."""
-        return self.listed or self.claim is not None
+        return self.listed or self.unconfirmed is not None
 
     @property
     def used(self):
@@ -133,7 +133,7 @@
         started again, may be a new incarnation whose ends have the same
         numbers, and would forget them unread.
         """
-        is_certain = self.reachable and self.claim is None
+        is_certain = self.reachable and self.unconfirmed is None
         return self.acknowledged if is_certain else 0
 
     @property
@@ -153,7 +153,7 @@
             and not self.lease_is_stored
             and self.listed
             and self.reachable
-            and self.claim is None
+            and self.unconfirmed is None
             and not self._info.draining
             and not self.unrecognized_runs
         )
--- a/src/citrondeal/workflow/tests/incarnations.feature
+++ b/src/citrondeal/workflow/tests/incarnations.feature
@@ -4,7 +4,7 @@
   # use for ever and lets its tasks run twice.
   Scenario: workflow an entry with a later incarnation of a live worker is refuted
     Given a workflow cell whose two workers are filled by a job
-    When another writer claims a later incarnation of a workflow worker
+    When another writer names a later incarnation of a workflow worker
     Then workflow nothing is started before the worker reports
     And workflow the runs stay and the worker is used once it has reported
     And workflow the same entry does not take the worker out of use again
@@ -28,7 +28,7 @@
   # ends of the earlier one makes it forget unread.
   Scenario: workflow no end is acknowledged while an incarnation is uncertain
     Given a workflow cell whose two workers are filled by a job
-    When another writer claims a later incarnation of a workflow worker
+    When another writer names a later incarnation of a workflow worker
     Then workflow its ends are acknowledged only after its next report
 
   # Guards against an entry whose clock hides all later entries of its worker.
@@ -50,5 +50,5 @@
   # Guards against crashes that are counted although no worker has crashed.
   Scenario: workflow a wrong incarnation counts no crash
     Given a workflow cell whose two workers are filled by a job
-    When another writer claims a later incarnation of a workflow worker
+    When another writer names a later incarnation of a workflow worker
     Then workflow no crash is counted once the worker has reported
--- a/src/citrondeal/workflow/tests/steps.py
+++ b/src/citrondeal/workflow/tests/steps.py
@@ -123,7 +123,7 @@
 
 
 class _BelievesEntries(_incarnations.Incarnations):
-    def _claim(self, worker, info, now):
+    def _keep(self, worker, info, now):
         if info.born_ms > worker.info.born_ms:
             self._state.on_worker_restart(worker, info.born_ms, now)
             self._accept(worker, info, now)
--- a/src/citrondeal/workflow/tests/steps_incarnations.py
+++ b/src/citrondeal/workflow/tests/steps_incarnations.py
@@ -35,7 +35,7 @@
     harness.report_all()
 
 
-@when("another writer claims a later incarnation of a workflow worker")
+@when("another writer names a later incarnation of a workflow worker")
 def _(context):
     harness = context.harness
     harness.scheduler.on_worker(
