Log what tells the causes of a second run of a task apart

Callers saw a task run twice, and no line told which belief was wrong. A lapse now says how long ago the leases ended and how long ago the newest start was, a start how long its worker's leases still last, reports and restarts name the incarnation, an end its number, and a takeover the done tasks that it knows. Two counters and lines are for what must not occur: a run that is found beside another one or after the end of its task, and ends that a worker forgets before this owner has read them.

--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -11,6 +11,7 @@
 import anyio
 
 from citrondeal.cell import _account_metrics
+from citrondeal.cell import _anomaly_metrics
 from citrondeal.cell import _clock
 from citrondeal.cell import _crash_metrics
 from citrondeal.cell import _follower
@@ -99,6 +100,7 @@
         self._metrics = metrics
         self._catalog = catalog
         self._worker_entries = _worker_entries.WorkerEntries(metrics)
+        self._anomaly_metrics = _anomaly_metrics.AnomalyMetrics(metrics)
         self._crash_metrics = _crash_metrics.CrashMetrics(metrics)
         self._learning_metrics = _learning_metrics.LearningMetrics(metrics)
         self._account_metrics = _account_metrics.AccountMetrics(metrics)
@@ -229,6 +231,7 @@
             jobs=len(scheduler.jobs),
             workers=len(scheduler.workers),
             with_progress=len(state["job"]),
+            done_tasks=_done_tasks(scheduler),
             positions=self.positions,
         )
         return True
@@ -455,6 +458,7 @@
         if self._scheduler.wants_to_store:
             self._writer.wake()
         self._worker_entries.update(self._scheduler.incarnations)
+        self._anomaly_metrics.update(self._scheduler.anomalies)
         self._crash_metrics.update(self._scheduler.crashes)
         self._learning_metrics.update(self._scheduler.learning)
         self._account_metrics.update(self._scheduler, now)
@@ -497,5 +501,14 @@
         )
 
 
+def _done_tasks(scheduler):
+    """Return the number of tasks of active jobs that are known as done."""
+    return sum(
+        step.done_count
+        for job in scheduler.active.values()
+        for step in job.steps
+    )
+
+
 def _warn(message, **fields):
     telemetry.event(_LOG, logging.WARNING, message, **fields)
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -154,6 +154,11 @@
                     logging.WARNING,
                     "leases of a worker have lapsed",
                     worker=worker.id,
+                    born_ms=worker.info.born_ms,
+                    expired_ago_s=round(now - worker.lease_expires_at, 3),
+                    newest_start_ago_s=round(
+                        _newest_start_age_s(worker, now), 3
+                    ),
                     lost_runs=len(worker.runs),
                 )
                 self._state.crashes.on_lapse(worker, now)
@@ -449,6 +454,8 @@
             task=_events.task_name(task.id),
             run=number,
             worker=worker.id,
+            born_ms=worker.info.born_ms,
+            lease_left_s=round(worker.lease_expires_at - now, 3),
             report_age_s=round(now - worker.reported_at, 3),
             waited_s=round(now - step.job.accepted_at, 3),
         )
@@ -464,5 +471,9 @@
         )
 
 
+def _newest_start_age_s(worker, now):
+    return now - max(run.ordered_at for run in worker.runs.values())
+
+
 def _has_ticket(step, now):
     return lambda worker: _tickets.has_ticket_or_reservation(step, worker, now)
--- a/src/citrondeal/workflow/_reports.py
+++ b/src/citrondeal/workflow/_reports.py
@@ -57,6 +57,7 @@
         self._state.run_numbers.skip(_highest_run(report))
         for end in report.ended:
             self._on_end(worker, end, now)
+        worker.reads_all_ends = True
         listed = {reported.task: reported for reported in report.running}
         self._remove_unrecognized(worker, listed)
         if not report.truncated:
@@ -106,6 +107,7 @@
     def _on_end(self, worker, end, now):
         if end.number <= worker.last_end_number:
             return
+        self._state.anomalies.on_end(worker, end)
         worker.last_end_number = end.number
         run = worker.runs.get(end.task)
         if run is not None and run.number in (
@@ -124,6 +126,8 @@
             task=_events.task_name(end.task),
             run=end.run,
             worker=worker.id,
+            born_ms=worker.info.born_ms,
+            number=end.number,
             how=end.outcome.value,
             known=task is not None,
         )
@@ -248,8 +252,11 @@
             task=_events.task_name(task.id),
             run=reported.number,
             worker=worker.id,
+            born_ms=worker.info.born_ms,
         )
         other = task.run
+        if task.done or other is not None:
+            self._state.anomalies.on_repeated_run(worker, task, run.number)
         if task.done or (other is not None and other.number > run.number):
             self._state.stop(run, "another run of the task is kept", now)
             return
--- a/src/citrondeal/workflow/_scheduler.py
+++ b/src/citrondeal/workflow/_scheduler.py
@@ -144,6 +144,11 @@
         """`Crashes` of workers and the tasks that they were counted for."""
         return self._state.crashes
 
+    @property
+    def anomalies(self):
+        """`Anomalies` that reports have shown."""
+        return self._state.anomalies
+
     @property
     def incarnations(self):
         """`Incarnations` of workers, and the entries that were refuted."""
--- a/src/citrondeal/workflow/_state.py
+++ b/src/citrondeal/workflow/_state.py
@@ -4,6 +4,7 @@
 import logging
 import math
 
+from citrondeal.workflow import _anomalies
 from citrondeal.workflow import _crashes
 from citrondeal.workflow import _events
 from citrondeal.workflow import _incarnations
@@ -99,6 +100,7 @@
         self.open_starts = _open_starts.OpenStarts(self.mark_changed)
         self.withheld = _withheld.WithheldStarts(self)
         self.crashes = self.crashes_class(self)
+        self.anomalies = _anomalies.Anomalies()
         self.learning = _learning.Learning()
         self.witnesses = _witnesses.Witnesses(self)
         self.incarnations = self.incarnations_class(self)
@@ -202,6 +204,8 @@
             logging.INFO,
             "worker has a new incarnation",
             worker=worker.id,
+            born_ms=born_ms,
+            earlier_born_ms=worker.info.born_ms,
             lost_runs=len(lost),
             undecided_runs=len(worker.runs) - len(lost),
         )
@@ -229,6 +233,7 @@
         worker.unaccounted_tasks.clear()
         worker.phase = None
         worker.last_end_number = worker.acknowledged = 0
+        worker.reads_all_ends = True
         self.set_reachable(worker, False)
 
     def _is_lost(self, run):
--- a/src/citrondeal/workflow/_workers.py
+++ b/src/citrondeal/workflow/_workers.py
@@ -63,6 +63,9 @@
         renewed before the record is replaced.
     has_renewed : bool
         Whether this owner has renewed its leases.
+    reads_all_ends : bool
+        Whether no earlier owner may have acknowledged ends of runs that this
+        one has not read.
     """
 
     def __init__(self, info, now, lease_expires_at, usage):
@@ -87,6 +90,7 @@
         self.first_report_at = None
         self.lease_is_stored = False
         self.has_renewed = False
+        self.reads_all_ends = False
         self.lease_expires_at = lease_expires_at
         self.runs = {}
         self.unrecognized_runs = {}
