Count the lease that a start gives to its worker

Cause: a start carries a time until which its task may run, as a renewal does, but the owner extended its belief about the leases of a worker at renewals only. A worker that was silent for longer than a lease (6 s there, 10 s elsewhere) is usable as soon as its record is stored again, up to 1 s before the next renewal that extends anything. If that renewal, or the one under way, gets no answer, the believed end of the leases still lies in the past: the task is released and started elsewhere at once, while the first worker runs it for 2.5 s. A new owner is hit in the same way after it has read from a stored record when the leases end.

Ruled out for these tasks: an order that outlives a restart (no worker restarted), a second owner (one epoch started both runs), and an end that was not stored (the first run had not ended).

Change: the scheduler gives each start its time limit and extends the leases of the worker by it when the start is decided. The limit now counts from the decision instead of from sending. The end of the leases that is stored for the next owner comes from the same belief.

Before: `workflow leases: workflow a start gives its worker a lease before any renewal` fails, with the second start 0.1 s after the first.

--- a/src/citrondeal/cell/_orders.py
+++ b/src/citrondeal/cell/_orders.py
@@ -10,9 +10,6 @@
 # More orders at a time would keep a weak machine from answering the probes of
 # the other members, which would then replace it.
 MAX_ORDERS_IN_FLIGHT = 48
-# A worker rejects a start that arrives later than this, so that one that got
-# no answer cannot take effect much later.
-START_VALID_S = 2.5
 
 _LOG = logging.getLogger(__name__)
 
@@ -73,7 +70,7 @@
         if not self._may_start(action, lease, now):
             return workflow.OrderOutcome.REFUSED
         epoch = self._scheduler.epoch
-        until_s = lease.worker_clock_s(now) + START_VALID_S
+        until_s = lease.worker_clock_s(action.valid_until)
         outcome = await lease.client.start(action, epoch, until_s)
         if outcome is workflow.OrderOutcome.UNKNOWN and self._may_start(
             action, lease, _clock.now()
--- a/src/citrondeal/platform/tests/steps_repeats.py
+++ b/src/citrondeal/platform/tests/steps_repeats.py
@@ -12,7 +12,7 @@
 
 REJECTIONS = (429, 503, 507)
 START = workflow.Start(
-    "w", workflow.TaskId("00000000000000aa", 0, 0, 0), 1, "", "", "", 0
+    "w", workflow.TaskId("00000000000000aa", 0, 0, 0), 1, "", "", "", 0, 2.5
 )
 
 
--- a/src/citrondeal/workflow/_messages.py
+++ b/src/citrondeal/workflow/_messages.py
@@ -109,7 +109,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Start:
-    """Order to a worker to start a task."""
+    """Order to a worker to start a task.
+
+    Attributes
+    ----------
+    worker : str
+    task : TaskId
+    run : int
+    spec : str
+    checkpoint : str
+        Where the run resumes; empty for the beginning.
+    ticket : str
+        Empty if the queue needs none.
+    born_ms : int
+        Incarnation of the worker for which it was decided.
+    valid_until : float
+        Scheduler time after which the worker is to reject it.
+    """
 
     worker: str
     task: _model.TaskId
@@ -118,6 +134,7 @@
     checkpoint: str
     ticket: str
     born_ms: int
+    valid_until: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -468,6 +468,7 @@
             checkpoint,
             ticket,
             worker.info.born_ms,
+            worker.allow_start(now),
         )
 
 
--- a/src/citrondeal/workflow/_withheld.py
+++ b/src/citrondeal/workflow/_withheld.py
@@ -85,7 +85,7 @@
                 self._cancel(group)
             elif not any(self._has_expired(s, now) for s in group.starts):
                 del self._groups[group.task.id]
-                due.extend(self._with_ticket(s, now) for s in group.starts)
+                due.extend(self._renew(s, now) for s in group.starts)
         return due
 
     def expired_tickets(self):
@@ -145,8 +145,13 @@
             now,
         )
 
-    def _with_ticket(self, start, now):
-        return dataclasses.replace(start, ticket=self._ticket(start, now))
+    def _renew(self, start, now):
+        worker = self._state.workers[start.worker]
+        return dataclasses.replace(
+            start,
+            ticket=self._ticket(start, now),
+            valid_until=worker.allow_start(now),
+        )
 
     def _cancel(self, group):
         del self._groups[group.task.id]
--- a/src/citrondeal/workflow/_workers.py
+++ b/src/citrondeal/workflow/_workers.py
@@ -8,6 +8,9 @@
 CLOCK_DRIFT_FACTOR = 1.02
 # Covers the time from sending an order to its arrival at the worker.
 LEASE_MARGIN_S = 0.3
+# A worker rejects a start that arrives later than this, so that one that got
+# no answer cannot take effect much later.
+START_VALID_S = 2.5
 
 _ZERO = _model.Size()
 
@@ -62,7 +65,7 @@
         Whether the end of its leases may be stored, so that they must not be
         renewed before the record is replaced.
     has_renewed : bool
-        Whether this owner has renewed its leases.
+        Whether this owner has given it a lease.
     reads_all_ends : bool
         Whether no earlier owner may have acknowledged ends of runs that this
         one has not read.
@@ -209,6 +212,18 @@
         expires_at = now + lease_s * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_S
         self.lease_expires_at = max(self.lease_expires_at, expires_at)
 
+    def allow_start(self, now):
+        """Allow for the lease that a start gives, like a renewal.
+
+        Returns
+        -------
+        float
+            Time after which the start is void, and until which its task may
+            run without a renewal.
+        """
+        self.extend_lease(now, START_VALID_S)
+        return now + START_VALID_S
+
     def add(self, run):
         """Add a run, which uses the resources of its task."""
         size = run.task.step.spec.size
--- a/src/citrondeal/workflow/tests/simulated_orders.py
+++ b/src/citrondeal/workflow/tests/simulated_orders.py
@@ -1,7 +1,6 @@
 """Orders of owners to simulated workers, which may get lost or be late."""
 
 from citrondeal import workflow
-from citrondeal.workflow.tests import simulated_workers
 
 MAX_DELAY_S = 8.0
 LATE_SHARE = 0.03
@@ -74,14 +73,13 @@
     def _order(self, owner, worker, action, now):
         """Return a function that carries out an order on its worker."""
         epoch, born_ms = owner.epoch, worker.born_ms
-        until = now + simulated_workers.START_VALID_S
 
         def carry_out():
             # An order that is delayed ends with the connection to its worker.
             if self._is_gone(worker) or worker.born_ms != born_ms:
                 return workflow.OrderOutcome.UNKNOWN
             if isinstance(action, workflow.Start):
-                return worker.start(action, epoch, until)
+                return worker.start(action, epoch, action.valid_until)
             return worker.stop(action, epoch)
 
         return carry_out
