Count only ends that no earlier owner can have acknowledged

Now numbers are compared from the first end on that the owner has read, and an assumed run is no proof.

--- a/src/citrondeal/workflow/_anomalies.py
+++ b/src/citrondeal/workflow/_anomalies.py
@@ -27,6 +27,9 @@
     def on_repeated_run(self, worker, task, number):
         """Record a run that is found although its task needs none.
 
+        An assumed run, of which only an earlier owner has known, is no proof
+        of another one.
+
         Parameters
         ----------
         worker : WorkerState
--- a/src/citrondeal/workflow/_reports.py
+++ b/src/citrondeal/workflow/_reports.py
@@ -57,7 +57,6 @@
         self._state.run_numbers.skip(_highest_run(report))
         for end in report.ended:
             self._on_end(worker, end, now)
-        worker.reads_all_ends = True
         listed = {reported.task: reported for reported in report.running}
         self._remove_unrecognized(worker, listed)
         if not report.truncated:
@@ -109,6 +108,7 @@
             return
         self._state.anomalies.on_end(worker, end)
         worker.last_end_number = end.number
+        worker.reads_all_ends = True
         run = worker.runs.get(end.task)
         if run is not None and run.number in (
             end.run,
@@ -255,7 +255,7 @@
             born_ms=worker.info.born_ms,
         )
         other = task.run
-        if task.done or other is not None:
+        if task.done or (other is not None and other.number):
             self._state.anomalies.on_repeated_run(worker, task, run.number)
         if task.done or (other is not None and other.number > run.number):
             self._state.stop(run, "another run of the task is kept", now)
--- a/src/citrondeal/workflow/tests/steps_anomalies.py
+++ b/src/citrondeal/workflow/tests/steps_anomalies.py
@@ -34,6 +34,7 @@
 def _(context):
     harness = harnesses.Harness(workers=())
     harness._add_worker("w0", 4)
+    assert _read_ends(harness) == 0
     assert _read_ends(harness, 58) == 0
     assert _read_ends(harness, 60) == 1
 
