Let renewals time out in random histories, and cut workers off for longer

The random histories did not find that starts give leases: a call that is given up was not among their faults, and workers were rarely back after more than a whole lease. Now a fiftieth of the renewals that are carried out time out after 0.9 s, of those after the first answer of a silent worker three in ten, and some workers are cut off for 10 to 13 s.

--- a/src/citrondeal/workflow/tests/random_faults.py
+++ b/src/citrondeal/workflow/tests/random_faults.py
@@ -3,6 +3,7 @@
 from citrondeal.workflow.tests import capacities
 
 LONG_OUTAGE_S = 15.0
+CUT_S = (10.0, 13.0)  # some of these end after the leases of the worker
 OWNER_GAP_S = 1.0  # from the end of an owner to the start of the next one
 
 
@@ -36,6 +37,9 @@
         simulation.store_down_until = simulation.now + LONG_OUTAGE_S
     elif roll < 0.04:
         worker.capacity.change(capacities.choose(rng), simulation.now)
+    elif roll < 0.046:
+        worker.unreachable = True
+        worker.reachable_at = simulation.now + rng.uniform(*CUT_S)
 
 
 def _split_owner(simulation):
--- a/src/citrondeal/workflow/tests/simulated_renewals.py
+++ b/src/citrondeal/workflow/tests/simulated_renewals.py
@@ -11,15 +11,27 @@
 LATE_SHARE = 0.1
 BROKEN_SHARE = 0.5  # of the calls that meet a new incarnation
 LATE_S = (0.1, 0.6)
+TIMEOUT_SHARE = 0.02  # of the calls that are carried out
+# The same of those that follow the first answer of a worker that was silent.
+NEXT_TIMEOUT_SHARE = 0.3
+TIMEOUT_S = 0.9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _LateAnswer:
-    """An answer of a worker on its way to an owner."""
+    """An answer of a worker on its way to an owner.
+
+    Attributes
+    ----------
+    arrives_at : float
+    sent_at : float
+    report : workflow.Report or None
+        None if the owner gives the call up instead.
+    """
 
     arrives_at: float
     sent_at: float
-    report: workflow.Report
+    report: workflow.Report | None
 
 
 class Renewals:
@@ -36,6 +48,7 @@
         self._simulation = simulation
         self._rng = random.Random(f"renewals {seed}")
         self._late = {}  # by epoch of the owner and name of the worker
+        self._answered_first = set()  # keys of the workers just heard again
 
     def renew(self, owner, worker):
         """Let an owner renew the leases of a worker that it knows."""
@@ -56,11 +69,29 @@
         report = worker.renew(owner.epoch, state.acknowledgement, until)
         if report is None:
             owner.scheduler.on_newer_owner()
-        elif self._rng.random() < LATE_SHARE:
+        else:
+            self._answer(owner, key, report, now)
+
+    def _answer(self, owner, key, report, now):
+        """Deliver an answer, later or not at all for some calls."""
+        roll = self._rng.random()
+        if self._rng.random() < self._timeout_share(owner, key):
+            self._late[key] = _LateAnswer(now + TIMEOUT_S, now, None)
+        elif roll < LATE_SHARE:
             arrives_at = now + self._rng.uniform(*LATE_S)
             self._late[key] = _LateAnswer(arrives_at, now, report)
         else:
-            owner.scheduler.on_report(worker.name, report, now, now + ANSWER_S)
+            owner.scheduler.on_report(key[1], report, now, now + ANSWER_S)
+
+    def _timeout_share(self, owner, key):
+        """Return the probability that the owner gives this call up."""
+        if not owner.scheduler.workers[key[1]].reachable:
+            self._answered_first.add(key)
+            return 0.0
+        if key in self._answered_first:
+            self._answered_first.discard(key)
+            return NEXT_TIMEOUT_SHARE
+        return TIMEOUT_SHARE
 
     def _is_awaited(self, owner, key, now):
         """Return whether a call is under way; deliver an answer that is due.
@@ -72,9 +103,16 @@
             return False
         if now >= late.arrives_at:
             del self._late[key]
-            owner.scheduler.on_report(key[1], late.report, late.sent_at, now)
+            self._end_late_call(owner, key[1], late, now)
         return True
 
+    def _end_late_call(self, owner, name, late, now):
+        scheduler = owner.scheduler
+        if late.report is None:
+            scheduler.on_renewal_failed(name, "timeout", now)
+        else:
+            scheduler.on_report(name, late.report, late.sent_at, now)
+
     def _is_cut(self, owner, worker, now):
         born_ms = owner.connected_to.get(worker.name, worker.born_ms)
         owner.connected_to[worker.name] = worker.born_ms
--- a/src/citrondeal/workflow/tests/simulated_workers.py
+++ b/src/citrondeal/workflow/tests/simulated_workers.py
@@ -45,6 +45,7 @@
         self.clock_rate = random.Random(name).uniform(*CLOCK_RATES)
         self.unanswered = set()  # starts, as accounting task and run
         self.unreachable = False
+        self.reachable_at = math.inf  # end of a cut
         self.removed = False
         self.restart()
 
@@ -101,6 +102,9 @@
         if self.down_until and not self.down:
             self.down_until = 0.0
             self.simulation.bring_back(self)
+        if now >= self.reachable_at:
+            self.reachable_at = math.inf
+            self.unreachable = self.removed
         if now >= self.lease_until:
             self.lapsed_at = now
         for run in list(self.runs.values()):
--- a/src/citrondeal/workflow/tests/steps.py
+++ b/src/citrondeal/workflow/tests/steps.py
@@ -86,6 +86,14 @@
         return
 
 
+class _IgnoresLeasesOfStarts(_planner.Planner):
+    def _start(self, task, worker, ticket, number, now):
+        expires_at = worker.lease_expires_at
+        start = super()._start(task, worker, ticket, number, now)
+        worker.lease_expires_at = expires_at
+        return start
+
+
 class _StartsPartsOfGangs(_planner.Planner):
     def _start_or_renew_tickets(self, step, chosen, actions, now):
         if step.spec.gang and len(chosen) > 1:
@@ -164,6 +172,7 @@
     "dependencies are ignored": ("planner", _IgnoresDependencies),
     "failures are not counted": ("reports", _CountsNoFailures),
     "leases never lapse": ("planner", _NeverLapses),
+    "starts give no lease": ("planner", _IgnoresLeasesOfStarts),
     "gangs start in part": ("planner", _StartsPartsOfGangs),
     "spread is ignored": ("intake", _IgnoresSpread),
     "capacity changes are ignored": ("intake", _IgnoresCapacityChanges),
--- a/src/citrondeal/workflow/tests/workflow.feature
+++ b/src/citrondeal/workflow/tests/workflow.feature
@@ -22,6 +22,7 @@
       | dependencies are ignored                |
       | failures are not counted                |
       | leases never lapse                      |
+      | starts give no lease                    |
       | spread is ignored                       |
       | gangs start in part                     |
       | capacity changes are ignored            |
