--- a/src/citrondeal/workflow/_witnesses.py
+++ b/src/citrondeal/workflow/_witnesses.py
@@ -72,7 +72,7 @@
             worker = self._state.workers.get(worker_id)
             if (
                 worker is None
-                or worker.has_renewed
+                or worker.has_given_lease
                 or now >= worker.lease_expires_at
             ):
                 del self._awaited[worker_id], self._ends_at[worker_id]
--- a/src/citrondeal/workflow/_workers.py
+++ b/src/citrondeal/workflow/_workers.py
@@ -64,7 +64,7 @@
     lease_is_stored : bool
         Whether the end of its leases may be stored, so that they must not be
         renewed before the record is replaced.
-    has_renewed : bool
+    has_given_lease : bool
         Whether this owner has given it a lease.
     reads_all_ends : bool
         Whether no earlier owner may have acknowledged ends of runs that this
@@ -92,7 +92,7 @@
         self.ends_known_at = -math.inf
         self.first_report_at = None
         self.lease_is_stored = False
-        self.has_renewed = False
+        self.has_given_lease = False
         self.reads_all_ends = False
         self.lease_expires_at = lease_expires_at
         self.runs = {}
@@ -208,7 +208,7 @@
 
     def extend_lease(self, now, lease_s):
         """Allow for a renewal by `lease_s`, which may reach the worker."""
-        self.has_renewed = True
+        self.has_given_lease = True
         expires_at = now + lease_s * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_S
         self.lease_expires_at = max(self.lease_expires_at, expires_at)
 
--- a/src/citrondeal/workflow/tests/steps.py
+++ b/src/citrondeal/workflow/tests/steps.py
@@ -62,7 +62,7 @@
     def on_report(self, worker_id, report, sent_at, now):
         super().on_report(worker_id, report, sent_at, now)
         for worker in self._state.workers.values():
-            if worker.lease_is_stored and not worker.has_renewed:
+            if worker.lease_is_stored and not worker.has_given_lease:
                 worker.lease_expires_at = now
 
 
