Divide the owner of the cell from what it passes records to

cell/_owner.py had 514 lines and, beside the epoch itself, four more jobs. It now has 397 and reads as start, recovery, events, decisions:

- _deletions.py deletes the records of ended jobs and of foreign submissions,
- _job_records.py decodes submissions, cancellations and barriers,
- _ticket_requests.py fetches the tickets that the scheduler has asked for.

All three are plain functions that get the scheduler, since they keep no state of their own. Behaviour is the same, but for the logger of seven log lines, which is that of the new modules.

Tests: three files name the new places of what moved (`_deletions`, instead of methods of an owner); what they check is unchanged.

--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -14,13 +14,16 @@
 from citrondeal.cell import _anomaly_metrics
 from citrondeal.cell import _clock
 from citrondeal.cell import _crash_metrics
+from citrondeal.cell import _deletions
 from citrondeal.cell import _follower
+from citrondeal.cell import _job_records
 from citrondeal.cell import _job_topics
 from citrondeal.cell import _learning_metrics
 from citrondeal.cell import _leases
 from citrondeal.cell import _orders
 from citrondeal.cell import _records
 from citrondeal.cell import _stored_state
+from citrondeal.cell import _ticket_requests
 from citrondeal.cell import _worker_entries
 from citrondeal.cell import _writer
 from citrondeal import errors
@@ -44,15 +47,7 @@
 # take up to 1.1 s; a job has to be known 3 s after its acknowledgement, of
 # which the way of the answer takes up to 0.5 s.
 MAX_VIEW_AGE_S = 2.0
-# The age of a submission is the difference of two machines' wall clocks,
-# which may be wrong, so it is limited to this.
-MAX_SUBMISSION_AGE_S = 60.0
 RETRY_DELAY_S = 0.2
-# Each period costs a store call for each topic with jobs that ended in it.
-DELETE_PERIOD_S = 8.0
-# Time allowed for tickets on their way from the ticket service, through
-# another member.
-TICKET_RELAY_S = 0.1
 
 _LOG = logging.getLogger(__name__)
 
@@ -170,7 +165,7 @@
             self._early_worker_records = {}
             task_group.start_soon(self._job_reader.run)
             task_group.start_soon(self._run_writer)
-            task_group.start_soon(self._delete_ended_jobs)
+            task_group.start_soon(_deletions.run, self._store, self._scheduler)
             task_group.start_soon(self._confirm)
             await self._plan()
             task_group.cancel_scope.cancel()
@@ -246,50 +241,10 @@
     # Events
 
     def _on_job_records(self, records, recovered):
-        now = _clock.now()
-        unix = time.time()
-        # Of two accounts that use the same id, the first one has the job.
-        for record in sorted(records, key=lambda record: record.offset):
-            with telemetry.contain(_LOG, "job record", key=record.key):
-                self._on_job_record(record, recovered, now, unix)
-        self._plan_needed.set()
-
-    def _on_job_record(self, record, recovered, now, unix):
-        kind, name = _records.split_key(record.key)
-        if record.key == _records.BARRIER_KEY:
-            self._on_barrier(record)
-        elif kind == "cancel" and record.value:
-            self._on_cancellation(record, name, now)
-        elif kind == "job" and record.value:
-            self._on_submission(record, recovered, now, unix)
-
-    def _on_cancellation(self, record, name, now):
-        try:
-            caller = _records.decode_caller(record.value)
-        except workflow.RecordError as exc:
-            _warn("cancellation is skipped", key=record.key, reason=str(exc))
-            return
-        self._scheduler.on_cancel(_records.job_of_name(name), now, caller)
-
-    def _on_submission(self, record, recovered, now, unix):
-        try:
-            submission = workflow.decode_submission(record.value)
-        except workflow.RecordError as exc:
-            _warn("submission is skipped", key=record.key, reason=str(exc))
-            return
-        age = min(
-            max(0.0, unix - submission.submitted_unix), MAX_SUBMISSION_AGE_S
-        )
-        # If a client sent a job again, only the newest record of its key is
-        # left, so the offset does not show when an earlier owner first
-        # read the job.
-        self._scheduler.on_submission(
-            submission, record.offset, now, recovered, age
+        _job_records.deliver(
+            self._scheduler, records, recovered, _clock.now(), time.time()
         )
-
-    def _on_barrier(self, record):
-        if record.value.isdigit():
-            self._scheduler.on_barrier(int(record.value))
+        self._plan_needed.set()
 
     def _on_workers(self, records):
         if not self._recovered:
@@ -374,63 +329,6 @@
         self._scheduler.on_newer_owner()
         self._plan_needed.set()
 
-    async def _delete_ended_jobs(self):
-        """Delete records of ended jobs, so that the next recovery is short."""
-        while True:
-            await anyio.sleep(DELETE_PERIOD_S)
-            self._scheduler.forget_expired_jobs(_clock.now())
-            await self._delete_foreign_jobs()
-            by_topic = {}
-            for job in self._scheduler.take_droppable():
-                topic = _records.job_topic(_records.job_key(job))
-                by_topic.setdefault(topic, []).append(job)
-            for topic, jobs in by_topic.items():
-                await self._delete_jobs(topic, jobs)
-
-    async def _delete_foreign_jobs(self):
-        """Delete submissions with the id of a job of another account."""
-        for job, account in self._scheduler.take_foreign():
-            key = _records.job_key(job, account)
-            outcome = await self._store.append(
-                _records.job_topic(key), [platform.Record(key, b"")]
-            )
-            if outcome.is_err():
-                # It is found and deleted again by the next owner.
-                _warn(
-                    "submission of another account is not deleted",
-                    job=job,
-                    reason=outcome.err_value.message,
-                )
-
-    async def _delete_jobs(self, topic, jobs):
-        records = [
-            platform.Record(key(job, self._scheduler.account_of(job)), b"")
-            for job in jobs
-            for key in (_records.job_key, _records.cancel_key)
-        ]
-        for group in _records.split(records):
-            outcome = await self._store.append(topic, group)
-            if outcome.is_err():
-                break
-        if outcome.is_err():
-            # Tried again in the next period; deleting a key twice is
-            # harmless.
-            self._scheduler.keep_submissions(jobs)
-            _warn(
-                "records of ended jobs are not deleted",
-                count=len(jobs),
-                reason=outcome.err_value.message,
-            )
-            return
-        telemetry.event(
-            _LOG,
-            logging.INFO,
-            "records of ended jobs are deleted",
-            topic=topic,
-            offset=outcome.ok_value,
-            jobs=jobs,
-        )
-
     # Decisions
 
     async def _plan(self):
@@ -475,31 +373,16 @@
     async def _execute(self, action):
         if isinstance(action, workflow.FetchTickets):
             with telemetry.contain(_LOG, "tickets"):
-                await self._fetch_tickets(action)
+                await _ticket_requests.fetch(
+                    self._scheduler,
+                    self._ticket_dispatcher,
+                    action,
+                    self._metrics,
+                )
         else:
             await self._orders.send(action)
         self._plan_needed.set()
 
-    async def _fetch_tickets(self, action):
-        asked_at = _clock.now()
-        grant = None
-        with telemetry.contain(_LOG, "ticket call"):
-            outcome = await self._ticket_dispatcher.fetch(
-                platform.step_name(action.step), action
-            )
-            grant = outcome.ok()
-        now = _clock.now()
-        granted, valid_until = None, now
-        if grant is not None:
-            granted = grant.tickets
-            # The validity counts from when the tickets were made, which was
-            # before they arrived here.
-            valid_until += grant.valid_s - TICKET_RELAY_S
-        self._metrics.record("citrondeal.tickets.time", now - asked_at)
-        self._scheduler.on_tickets(
-            action.step, action.workers, granted, valid_until, now
-        )
-
 
 def _done_tasks(scheduler):
     """Return the number of tasks of active jobs that are known as done."""
--- a/src/citrondeal/cell/tests/histories.py
+++ b/src/citrondeal/cell/tests/histories.py
@@ -7,6 +7,7 @@
 import anyio
 import result
 
+from citrondeal.cell import _deletions
 from citrondeal.cell import _desk
 from citrondeal.cell import _follower
 from citrondeal.cell import _job_topics
@@ -34,7 +35,7 @@
 QUERIES = 5  # in each turn
 FINAL_STATES = ("completed", "failed", "cancelled")
 _PERIODS = (
-    (_owner, "DELETE_PERIOD_S", 0.05),
+    (_deletions, "DELETE_PERIOD_S", 0.05),
     (_owner, "JOB_LONG_POLL_S", 0.05),
     (_owner, "MAX_VIEW_AGE_S", MAX_VIEW_AGE_S),
     (_owner, "RETRY_DELAY_S", 0.02),
--- a/src/citrondeal/cell/tests/steps_accounts.py
+++ b/src/citrondeal/cell/tests/steps_accounts.py
@@ -6,6 +6,7 @@
 from behave import then
 
 from citrondeal.cell import _account_metrics
+from citrondeal.cell import _deletions
 from citrondeal.cell import _desk
 from citrondeal.cell import _owner
 from citrondeal.cell import _records
@@ -67,7 +68,7 @@
                 while not owner.is_current:
                     await anyio.sleep(0.005)
             owner.scheduler.on_stored(*owner.scheduler.take_changes())
-            await owner._delete_foreign_jobs()
+            await _deletions.delete_foreign_jobs(self.store, owner.scheduler)
             states = [_query(owner, account) for account in accounts]
             task_group.cancel_scope.cancel()
         return states
--- a/src/citrondeal/cell/tests/steps_deletions.py
+++ b/src/citrondeal/cell/tests/steps_deletions.py
@@ -8,6 +8,7 @@
 from behave import then
 import result
 
+from citrondeal.cell import _deletions
 from citrondeal.cell import _owner
 from citrondeal.cell import _records
 from citrondeal.cell.tests import doubles
@@ -127,7 +128,7 @@
         store = _create_store()
         return await _run_owners(store, _Hold(store, matches))
 
-    with mock.patch.object(_owner, "DELETE_PERIOD_S", DELETE_PERIOD_S):
+    with mock.patch.object(_deletions, "DELETE_PERIOD_S", DELETE_PERIOD_S):
         return anyio.run(run)
 
 
@@ -163,8 +164,7 @@
             sizes.append(sum(len(_store._encode_record(r)) for r in records))
             return result.Ok(0)
 
-    owner = _create_owner(Store(), 1)
-    owner._scheduler = workflow.Scheduler(workflow.Config(), 1)
+    scheduler = workflow.Scheduler(workflow.Config(), 1)
     jobs = [f"{number:016x}" for number in range(count)]
-    anyio.run(owner._delete_jobs, TOPIC, jobs)
+    anyio.run(_deletions.delete_jobs, Store(), scheduler, TOPIC, jobs)
     assert sum(sizes) > limit >= max(sizes), sizes
