Divide the lease group into beliefs, decisions and their parts

ownership/_lease_group.py had 938 lines: the whole protocol with 30 attributes in one class.

- _decisions.py (178): which claims, releases, heartbeats and requests are due,
- _beliefs.py (269): the state, and until when own leases are valid,
- _log_view.py, _members.py: how well the log is read, and who is live,
- _sent_heartbeats.py, _peer_promises.py, _drains.py: what was sent and asked for, each with the limits of its own memory,
- _config.py, and the building of heartbeat records in _records.py beside their validation.

The parts with a state of their own are objects; beliefs and decisions are classes that LeaseGroup extends, because the mutated groups of the tests replace single rules in them and are to stay as they are. No test is changed, and all mutations are found as before.

Behaviour is the same.

--- a/src/citrondeal/ownership/__init__.py
+++ b/src/citrondeal/ownership/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from citrondeal.ownership import _actions
+from citrondeal.ownership import _config
 from citrondeal.ownership import _lease_group
 from citrondeal.ownership import _lease_table
 from citrondeal.ownership import _rendezvous
@@ -25,7 +26,7 @@
 ]
 
 AppendRecord = _actions.AppendRecord
-Config = _lease_group.Config
+Config = _config.Config
 Drain = _actions.Drain
 Gained = _actions.Gained
 LeaseGroup = _lease_group.LeaseGroup
--- a/src/citrondeal/ownership/_records.py
+++ b/src/citrondeal/ownership/_records.py
@@ -1,4 +1,4 @@
-"""Validation of heartbeat records."""
+"""Heartbeat records: their contents and validation."""
 
 import dataclasses
 
@@ -59,6 +59,33 @@
     return Heartbeat(*names, get("seq"), *maps, *relay)
 
 
+def make(process, incarnation, address, role, seq, **fields):
+    """Return a heartbeat record to append.
+
+    Parameters
+    ----------
+    process, incarnation, address, role : str
+    seq : int
+    **fields
+        Other fields of `Heartbeat`; those left out are empty.
+    """
+    return {
+        "kind": "heartbeat",
+        "process": process,
+        "incarnation": incarnation,
+        "address": address,
+        "role": role,
+        "seq": seq,
+        "members": {},
+        "holds": {},
+        "claims": {},
+        "releases": {},
+        "relay_of": None,
+        "relay_incarnation": None,
+        **fields,
+    }
+
+
 def _is_address(value):
     return type(value) is str
 
