Read the records between two pages before those that pages show

Callers saw a task that must run once run twice (TWICE).

A follower passed on all that they showed and then read on from the end that the first page had given. A later page may show a job whose record lies behind the barrier of the next owner, which was appended after the first page had been read. So an owner that had been replaced and loaded a topic again (its records had expired unread, or it was itself still recovering) knew the job before the barrier and started it. The next owner, which does not count jobs behind its barrier as recovered, started it too, and did not know its end.

It takes a topic of several pages (over 500 keys or 1 MB), so a cell with many jobs, and a read that is held up between two pages.

Ruled out: the order within one read. Followers pass on a batch in order, and an owner that reads a barrier decides nothing more.

Change: if pages show a record at or behind the end that the first page gave, the follower reads the log from there up to that record, and passes on the records before the end and then these, in order. Only topics of several pages cost a further read, which came next anyway. For a new owner, all of these are recovered jobs as before.

Before: `cell a job behind a barrier is not read before the barrier` fails.

--- a/src/citrondeal/cell/_follower.py
+++ b/src/citrondeal/cell/_follower.py
@@ -4,6 +4,7 @@
 import math
 
 import anyio
+import result
 
 from citrondeal.cell import _clock
 from citrondeal import errors
@@ -107,21 +108,51 @@
         if outcome.is_err():
             self._on_failure(outcome.err_value)
             return False
-        self._position, records = outcome.ok_value
+        end, records = outcome.ok_value
+        newer = await self._read_newer(end, records)
+        if newer.is_err():
+            self._on_failure(newer.err_value)
+            return False
+        self._position, newer_records = newer.ok_value
         self._goal = None
-        records = self._deletions(records) + records
+        records = self._deletions(records, end) + [
+            record for record in records if record.offset < end
+        ]
+        records += newer_records
         self._deliver(records)
         self._on_answer(sent_at)
         return True
 
-    def _deletions(self, records):
+    async def _read_newer(self, end, records):
+        """Read the records from `end` on to the last one that pages showed.
+
+        Pages are no snapshot: a later one may show a record without those
+        before it, which are of keys that earlier pages have passed.
+
+        Returns
+        -------
+        result.Result
+            ``Ok((int, list of Record))``: the offset from which to read on,
+            and the records.
+        """
+        goal = max((record.offset + 1 for record in records), default=end)
+        newer = []
+        while end < goal:
+            outcome = await self._store.read(self._topic, end, 0.0)
+            if outcome.is_err():
+                return outcome
+            end = outcome.ok_value.next_offset
+            newer += outcome.ok_value.records
+        return result.Ok((end, newer))
+
+    def _deletions(self, records, end):
         """Return a deletion for each known key that is no longer stored.
 
         The record that deleted it may itself have been deleted unread.
         """
         stored = {record.key for record in records}
         return [
-            platform.Record(key, b"", self._position)
+            platform.Record(key, b"", end)
             for key in sorted(self._keys - stored)
         ]
 
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -231,6 +231,12 @@
   Scenario: cell departures are noticed although their records were deleted
     Then a cell follower passes on the deletion of a key that is stored no longer
 
+  # Guards against a job that two owners start: the earlier one finds it in a
+  # page that was read after the barrier of the next one, which was appended
+  # once an earlier page had been read.
+  Scenario: cell a job behind a barrier is not read before the barrier
+    Then a cell follower passes on the records of pages behind those before them
+
   # Guards against strong members that claim last for ever, because the store
   # was silent when they started.
   Scenario: cell a member that starts while the store is silent claims in order
--- a/src/citrondeal/cell/tests/steps_follower.py
+++ b/src/citrondeal/cell/tests/steps_follower.py
@@ -7,6 +7,7 @@
 from citrondeal.cell import _follower
 from citrondeal import errors
 from citrondeal import platform
+from citrondeal.platform import _store
 
 WAIT_S = 1.0
 
@@ -77,3 +78,48 @@
 
     anyio.run(run)
     assert seen == {"a": b"", "b": b"x"}, seen
+
+
+class _GrowingStore(platform.StoreClient):
+    """Gets a barrier, and a job behind it, between its two pages."""
+
+    def __init__(self):
+        super().__init__("127.0.0.1:1")
+        self.log = [platform.Record("job/1", b"x", 0)]
+
+    async def read_newest_page(self, topic, after=""):
+        end = len(self.log)
+        if after:
+            return result.Ok(_store.Page(end, False, self.log[2:]))
+        page = _store.Page(end, True, self.log[:1])
+        self.log.append(platform.Record("barrier", b"2", 1))
+        self.log.append(platform.Record("job/2", b"x", 2))
+        return result.Ok(page)
+
+    async def read(self, topic, start, wait_s):
+        if len(self.log) == 1:
+            return result.Err(errors.Failure(errors.Kind.CONFLICT, "deleted"))
+        # An answer may hold only a part of the records.
+        records = self.log[start : start + 1]
+        end = len(self.log)
+        return result.Ok(platform.Batch(end, start + len(records), records))
+
+
+@then(
+    "a cell follower passes on the records of pages behind those before them"
+)
+def _(context):
+    seen = []
+
+    async def run():
+        follower = _follower.Follower(
+            _GrowingStore(), "topic", seen.extend, WAIT_S
+        )
+        await follower.read_once()
+        await follower.read_once()
+        await follower.read_once()
+        assert follower.end == 3, follower.end
+
+    anyio.run(run)
+    keys = [record.key for record in seen]
+    assert keys == ["job/1", "barrier", "job/2"], keys
