Report a call to a worker without a usable address as failed

Cause: `workers.Client.sync` promises a Result, but httpcore raises TypeError or ValueError while it makes the URL, before any error that `sync` expects. The exchange runs in the task group of the process, which ends with it.

Ruled out: skipping such rows. A worker whose row is missing counts as having left the list, and a daemon may still be reachable at its other address.

Change: the URL is made first, and a failure of that is `unavailable`, since nothing was sent.

--- a/src/citrondeal/workers/_client.py
+++ b/src/citrondeal/workers/_client.py
@@ -90,6 +90,11 @@
             ``unavailable`` if nothing was sent, ``unknown_outcome`` if the
             request may have taken effect.
         """
+        try:
+            url = httpcore.URL(f"http://{address}/v1/sync")
+        except (TypeError, ValueError) as exc:
+            # The host or the port has no form in a URL.
+            return _failure(errors.Kind.UNAVAILABLE, exc)
         body = json.dumps(message, separators=(",", ":")).encode()
         headers = [("content-type", "application/json")]
         try:
@@ -97,7 +102,7 @@
                 pool = await self._pool_for(address)
                 response = await pool.request(
                     "POST",
-                    f"http://{address}/v1/sync",
+                    url,
                     content=body,
                     headers=headers,
                     extensions={"timeout": {"connect": CONNECT_TIMEOUT_S}},
