Report an attempt at an endpoint without a usable address as not sent

Callers got "may have run" for requests of which no byte was sent, if the VM list has an endpoint with an address such as "αβ:1", "x:y" or a port over 65535. Each such attempt also kept its slot occupied for the time of an attempt.

The URL was made inside the attempt, and `TypeError` and `ValueError` of httpcore passed `Client.attempt`, which promises an `Outcome`. The dispatcher contains unexpected errors and takes the outcome as unknown.

Change: the URL is made first, and a failure of that is `NOT_SENT`, so that another endpoint may get the request.

--- a/src/citrondeal/endpoints/_client.py
+++ b/src/citrondeal/endpoints/_client.py
@@ -162,12 +162,17 @@
         Outcome
             How far the attempt got, and the answer if it is complete.
         """
+        try:
+            url = httpcore.URL(f"http://{address}{path}")
+        except (TypeError, ValueError) as exc:
+            # The host or the port has no form in a URL.
+            return Outcome(Delivery.NOT_SENT, reason=str(exc))
         progress = _Progress(may_send)
         pool = self._pool_for(address, connections)
         try:
             with anyio.fail_after(timeout_s):
                 return await self._send(
-                    pool, address, path, headers, body, timeout_s, progress
+                    pool, address, url, headers, body, timeout_s, progress
                 )
         except _Withdrawn:
             return Outcome(
@@ -191,7 +196,7 @@
             )
 
     async def _send(
-        self, pool, address, path, headers, body, timeout_s, progress
+        self, pool, address, url, headers, body, timeout_s, progress
     ):
         request_headers = [("host", address)]
         request_headers += [
@@ -206,7 +211,7 @@
         }
         async with pool.stream(
             "POST",
-            f"http://{address}{path}",
+            url,
             headers=request_headers,
             content=body,
             extensions={"timeout": timeouts, "trace": progress.trace},
--- a/src/citrondeal/endpoints/tests/endpoints.feature
+++ b/src/citrondeal/endpoints/tests/endpoints.feature
@@ -19,6 +19,19 @@
       | says that it did not run           | not_run    |
       | sends garbage                      | unknown    |
 
+  # Guards against a request that ends as "may have run", and a slot that stays
+  # occupied, because the VM list names an address that no URL can hold.
+  Scenario Outline: endpoints attempt at <address> is not sent
+    Then endpoints an attempt at <address> is not sent
+
+    Examples:
+      | address         |
+      | αβ:1            |
+      | x:y             |
+      | 127.0.0.1:99999 |
+      | [::1:1          |
+      | a..b:1          |
+
   Scenario: endpoints attempt withdrawn right before the first byte
     Given endpoints an endpoint that answers
     Then endpoints an attempt whose lease has ended writes nothing
--- a/src/citrondeal/endpoints/tests/steps.py
+++ b/src/citrondeal/endpoints/tests/steps.py
@@ -189,6 +189,15 @@
     assert detected, mutation
 
 
+@then("endpoints an attempt at {address} is not sent")
+def attempt_at_odd_address(context, address):
+    async def scenario(task_group, client):
+        got = await _attempt(client, address, b"x")
+        assert got.delivery is endpoints.Delivery.NOT_SENT, got
+
+    _run(scenario)
+
+
 @then("endpoints an attempt whose lease has ended writes nothing")
 def attempt_withdrawn(context):
     async def scenario(task_group, client):
