Skip rows of the VM list that no process can use

Operators of the older system could lose all schedulers of a zone, or all gateways, to one row of the VM list: with cores of 1e400 or a memory of 400 digits each scheduler ended while it read the list, and 2^31 slots or an id with a lone surrogate cannot be put into a message between gateways.

Cause: numbers of a row had a lower limit only, and ids none on characters. `placement.capacity_of` raises OverflowError in `PoolOwner.on_workers`, and the codec raises OverflowError and UnicodeEncodeError in the notification of the load and in replies that name the known gateways. The first two run in the task group of the process, which ends with them.

Evidence: capacities by calling `on_workers` with parsed rows; the messages by calling `peers.encode` (`Load` with 2^31: "int out of range"; a name of "\ud800": "surrogates not allowed"). That a gateway ends was read, not run.

Ruled out: cutting a number to the limit, since the true capacity is not known then and a worker would get tasks that it can't run.

Change: such a row is invalid, and skipped and counted like other invalid rows. A worker whose row becomes invalid counts as having left the list: its tasks keep their leases and are started elsewhere after them.

Before: the eight examples of `scheduler skips a row whose <field> is <value>` fail, three with OverflowError. After: all pass, with the 26 scenarios of scheduler, runtime and gateway.

Not changed: a list with a value nested over about 1,000 levels or an integer of over 4,300 digits is unreadable as a whole, as before (tried by hand).

--- a/src/citrondeal/logservice/_vms.py
+++ b/src/citrondeal/logservice/_vms.py
@@ -23,7 +23,17 @@
 # slow calls and a busy process.
 MAX_LIST_AGE_S = 2.5
 
-_Count = Annotated[int, msgspec.Meta(ge=0)]
+# Larger numbers of slots, summed, do not fit into a message between daemons.
+MAX_SLOTS = 1_000_000
+# Larger integers are not exchanged exactly in JSON.
+MAX_INTEGER = 2**53 - 1
+
+# An id is a part of messages and of names, so it has neither spaces nor
+# characters without a form in UTF-8.
+_Id = Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,128}\Z")]
+_Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+_Cores = Annotated[float, msgspec.Meta(ge=0, le=float(MAX_INTEGER))]
 
 _LOG = logging.getLogger(__name__)
 
@@ -70,7 +80,7 @@
     Unknown fields are ignored.
     """
 
-    id: Annotated[str, msgspec.Meta(min_length=1, max_length=128)]
+    id: _Id
     kind: Literal["endpoint", "worker", "entry"]
     zone: str
     region: str
@@ -80,9 +90,9 @@
     http: str = ""
     peer: str = ""
     service: str = ""
-    slots: _Count = 0
-    connections: _Count = 0
-    cores: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    slots: _Slots = 0
+    connections: _Slots = 0
+    cores: _Cores = 0.0
     memory_mb: _Count = 0
     accelerators: _Count = 0
 
--- a/src/citrondeal/scheduler/tests/steps_odd_rows.py
+++ b/src/citrondeal/scheduler/tests/steps_odd_rows.py
@@ -8,11 +8,14 @@
 
 from citrondeal import errors
 from citrondeal import jobs
+from citrondeal.logservice import _vms
 from citrondeal import placement
 from citrondeal.scheduler import _exchange
+from citrondeal.scheduler import main
 from citrondeal import telemetry
 from citrondeal import workers
 
+HUGE = "1" + "0" * 400  # more digits than a float holds
 REPLY = json.dumps({"boot_id": "1", "clock_s": 1.0, "tasks": []}).encode()
 HEAD = f"HTTP/1.1 200 OK\r\nContent-Length: {len(REPLY)}\r\n\r\n".encode()
 
@@ -66,3 +69,15 @@
     """Return whether no exchange is under way, and one was answered."""
     waiting = [w.pending_request_at for w in owner._workers.values()]
     return owner.dump()["answering"] and waiting == [None, None]
+
+
+@then(
+    "a scheduler adds the workers of a list with {field} {value} to its pool"
+)
+def _(context, field, value):
+    good = {"id": "w1", "kind": "worker", "zone": "a", "region": "b"}
+    value = json.loads(value.replace("HUGE", HUGE))
+    vms, invalid = _vms.parse_rows([good | {"id": "w2", field: value}, good])
+    owner = jobs.PoolOwner(jobs.JobTable(), placement.Pool())
+    owner.on_workers([main._worker_info(vm) for vm in vms], 0.0)
+    assert (owner.worker_names(), invalid) == (["w1"], 1)
