--- a/src/citrondeal/cell/tests/memory_store.py
+++ b/src/citrondeal/cell/tests/memory_store.py
@@ -45,15 +45,18 @@
         await anyio.sleep(0)
         if self.before_append is not None:
             await self.before_append(topic, records)
-        stored = self.topics[topic]
-        if at is not None and at != len(stored):
+        if at is not None and at != len(self.topics[topic]):
             return _failure(errors.Kind.CONFLICT, "end")
+        return self.append_now(topic, records, producer)
+
+    def append_now(self, topic, records, producer=None):
+        """Append at once, unless the producer may not."""
         if producer is not None:
             earlier = self._check(self._producers[topic], producer)
             if earlier is not None:
                 return earlier
             state = self._producers[topic]
-            state.offsets[producer.sequence] = len(stored)
+            state.offsets[producer.sequence] = len(self.topics[topic])
             while len(state.offsets) > REPEATABLE_APPENDS:
                 state.offsets.popitem(last=False)
         return result.Ok(self.put(topic, records))
