Add restarts, cancellations and small writes to histories of owners

Each history now draws which of them it has: members that start again as another incarnation (so their late calls come from one that is gone), cancelled jobs, reports that list few ends, and writers that need several appends for the changes of one time. Runs may fail. A final state of any kind has to stay, and a job that was shown in one must be known to the newest owner.

`simple_members.py` was divided off.

--- a/src/citrondeal/cell/tests/owner_histories.py
+++ b/src/citrondeal/cell/tests/owner_histories.py
@@ -12,16 +12,11 @@
 
 from citrondeal.cell import _clock
 from citrondeal.cell import _leases
-from citrondeal.cell import _members
 from citrondeal.cell import _owner
-from citrondeal.cell import _ownership
 from citrondeal.cell import _records
-from citrondeal.cell.tests import doubles
 from citrondeal.cell.tests import paged_store
+from citrondeal.cell.tests import simple_members
 from citrondeal.cell.tests import simple_worker
-from citrondeal import election
-from citrondeal import peers
-from citrondeal.peers.gen.peers import ttypes
 from citrondeal import platform
 from citrondeal.runtime.tests import virtual_time
 from citrondeal import workflow
@@ -31,98 +26,17 @@
 MEMBERS = 3
 WORKERS = 3
 CLIENTS = 6
-LEASE_S = 2.0
 WATCH_PERIOD_S = 0.05
+FINAL_STATES = (
+    workflow.JobState.COMPLETED,
+    workflow.JobState.FAILED,
+    workflow.JobState.CANCELLED,
+)
 CHUNK = 50  # histories of which the counts are printed together
 MAX_BLIND_S = 2.0
 _JOB_TOPICS = tuple(f"keyed.citrondeal.work.{i}" for i in range(2))
 
 
-class _Settings(doubles.Settings):
-    max_lease_s = LEASE_S
-
-
-class _Links:
-    """Carries the probes between the members of a history."""
-
-    def __init__(self, history):
-        self._history = history
-
-    async def call(self, address, request, timeout_s):
-        """Send a probe to a member."""
-        await anyio.sleep(0.005)
-        member = self._history.members[address]
-        if anyio.current_time() < member.hidden_until:
-            raise peers.PeerError("refused", False, True)
-        return member.answer_probe()
-
-
-class _Member:
-    """One process of the cell, without its clients."""
-
-    def __init__(self, history, index, task_group):
-        self._history = history
-        self._task_group = task_group
-        self.name = f"m{index}"
-        self.address = self.name + ".test:1"
-        self.hidden_until = 0.0
-        self._created = 0
-        self._owner_store = None
-        store = self.store = paged_store.Client(history.store, self.name)
-        incarnation = f"{history.rng.getrandbits(64):016x}"
-        state = election.Election(self.name, incarnation, now=_clock.now())
-        self.membership = _members.Membership(
-            store,
-            _Links(history),
-            _records.Member(self.name, self.address, "z", 1.0),
-            state,
-            incarnation,
-            lambda earlier: self.ownership.on_owner_change(),
-        )
-        self.ownership = _ownership.Ownership(
-            self.membership, self._create_owner, task_group
-        )
-
-    def _create_owner(self, epoch):
-        self._created += 1
-        self._owner_store = paged_store.Client(
-            self._history.store, f"{self.name}/{self._created}"
-        )
-        owner = _owner.Owner(
-            self._owner_store,
-            None,
-            epoch,
-            doubles.Confirmation(),
-            _Settings(),
-            doubles.Metrics(),
-        )
-        self._history.on_owner(epoch, owner)
-        return owner
-
-    def blind(self, until):
-        """Let it read no claims for a time, nor, mostly, store progress."""
-        self.store.blind_until = until
-        if self._owner_store is not None and self._history.rng.random() < 0.7:
-            self._owner_store.refused_until = until
-
-    def answer_probe(self):
-        """Return the answer to a probe."""
-        now = _clock.now()
-        state, is_owner = self.membership.election, self.ownership.active
-        return ttypes.ProbeReply(
-            epoch=state.epoch,
-            owner=is_owner,
-            store_age_s=self.membership.store_age_s(now),
-            owner_age_s=0.0 if is_owner else state.owner_age_s(now),
-            owner_address=state.owner_address(),
-        )
-
-    async def run(self):
-        """Take part in the cell."""
-        await self.membership.load()
-        await self.membership.run()
-
-
 class _Errors(logging.Handler):
     """Keeps errors that were logged and contained."""
 
@@ -158,6 +72,12 @@
         self.members = {}
         self.violations = []
         self.counts = collections.Counter()
+        # Each history has only some of the faults.
+        self._restarts = self.rng.random() < 0.4
+        self._cancelled_share = self.rng.choice((0.0, 0.1))
+        self._listed_ends = self.rng.choice((3, 20, 500))
+        # Some writers need several appends for the changes of one time.
+        self._append_bytes = self.rng.choice((200, 1000, 100_000))
         self._owners = {}  # by epoch
         self._recovered = set()  # epochs
         self._workers = {}
@@ -165,7 +85,7 @@
         self._ordered = {}  # (job, epoch): whether it was `recovered` there
         self._done = {}  # epochs that acknowledged the ends of tasks
         self._accepted = set()
-        self._completed = set()  # jobs that were shown so
+        self._shown = {}  # final states of jobs that were shown
 
     def play(self):
         """Play the history in virtual time."""
@@ -183,7 +103,9 @@
                 (time, "time", anyio.current_time),
                 (_owner, "DELETE_PERIOD_S", 0.7),
                 (_records, "JOB_TOPICS", _JOB_TOPICS),
+                (_records, "MAX_APPEND_BYTES", self._append_bytes),
                 (_leases.platform, "RunnerClient", self._connect),
+                (simple_worker, "MAX_LISTED_ENDS", self._listed_ends),
             ):
                 stack.enter_context(mock.patch.object(target, name, value))
             stack.callback(logger.removeHandler, errors)
@@ -201,14 +123,14 @@
             self._workers[worker.name] = worker
             task_group.start_soon(self._list_worker, worker)
         for index in range(MEMBERS):
-            member = _Member(self, index, task_group)
-            self.members[member.address] = member
-            task_group.start_soon(member.run)
+            task_group.start_soon(self._run_member, f"m{index}")
         task_group.start_soon(self._watch)
         async with anyio.create_task_group() as faults:
             faults.start_soon(self._replace_owners)
             faults.start_soon(self._let_records_expire)
             faults.start_soon(self._hide_workers)
+            if self._restarts:
+                faults.start_soon(self._restart_members)
             for _ in range(CLIENTS):
                 task_group.start_soon(self._submit, anyio.current_time())
             await anyio.sleep(FAULTY_S)
@@ -218,9 +140,8 @@
         self._check_writers()
         self._check_accepted()
         self.counts.update(self.store.counts)
-        self.counts["completed"] = len(self._completed)
+        self.counts.update(state.value for state in self._shown.values())
         self.counts["acknowledged ends"] = len(self._done)
-        self.counts["owners"] = len(self._owners)
         self.counts["recovered owners"] = len(self._recovered)
 
     def _violate(self, text):
@@ -237,6 +158,21 @@
             )
             await anyio.sleep(1.0)
 
+    async def _run_member(self, name):
+        while True:
+            async with anyio.create_task_group() as task_group:
+                member = simple_members.Member(self, name, task_group)
+                member.scope = task_group.cancel_scope
+                self.members[member.address] = member
+                await member.run()
+            await anyio.sleep(self.rng.uniform(0.01, 1.0))
+
+    async def _restart_members(self):
+        while True:
+            await anyio.sleep(self.rng.uniform(1.0, 8.0))
+            self.counts["member restarted"] += 1
+            self.rng.choice(list(self.members.values())).scope.cancel()
+
     async def _replace_owners(self):
         rng = self.rng
         while True:
@@ -291,7 +227,7 @@
             job,
             "",
             tuple(steps),
-            workflow.Policy("queue", "service"),
+            workflow.Policy("queue", "service", max_attempts=3),
         )
         key = _records.job_key(job)
         record = platform.Record(key, workflow.encode(submission))
@@ -302,14 +238,25 @@
                 self._accepted.add(job)
                 break
             await anyio.sleep(rng.uniform(0.1, 0.5))
+        if rng.random() < self._cancelled_share:
+            await anyio.sleep(rng.uniform(0.0, 2.0))
+            self.counts["cancellations"] += 1
+            await client.append(
+                topic, [platform.Record(_records.cancel_key(job), b"\x01")]
+            )
         if rng.random() < 0.3:
             await anyio.sleep(rng.uniform(0.1, 6.0))
-            ended = job in self._completed
+            ended = job in self._shown
             self.counts["sent again" + " after its end" * ended] += 1
             await client.append(topic, [record])
 
     # Checks
 
+    def next_number(self):
+        """Return a number that no owner has had."""
+        self.counts["owners"] += 1
+        return self.counts["owners"]
+
     def on_owner(self, epoch, owner):
         """Record an owner that is about to run."""
         if epoch in self._owners:
@@ -417,14 +364,19 @@
 
     def _check_shown(self, epoch, scheduler):
         newest = epoch == max(self._recovered)
+        for job in set(self._shown) - set(scheduler.jobs) if newest else ():
+            self._violate(f"2: job {job} has ended and is not known")
         for job in scheduler.jobs.values():
             state = scheduler.job_state(job.id)
-            if state is workflow.JobState.COMPLETED:
-                self._completed.add(job.id)
-            elif job.id in self._completed and newest:
+            shown = self._shown.get(job.id)
+            if shown is None and state in FINAL_STATES:
+                self._shown[job.id] = state
+            elif shown not in (None, state) and (
+                newest or state in FINAL_STATES
+            ):
                 self._violate(
-                    f"2: job {job.id} was completed and is {state.value} for"
-                    f" {epoch}"
+                    f"2: job {job.id} was {shown.value} and is {state.value}"
+                    f" for {epoch}"
                 )
 
     def _check_writers(self):
--- a/src/citrondeal/cell/tests/simple_worker.py
+++ b/src/citrondeal/cell/tests/simple_worker.py
@@ -11,7 +11,9 @@
 from citrondeal import workflow
 
 CAPACITY = 12  # runs
+MAX_LISTED_ENDS = 3  # in one report
 POLL_S = 0.05
+FAILED_SHARE = 0.05  # of runs
 LOST_SHARE = 0.05  # of calls that are carried out and not answered
 REFUSED_SHARE = 0.03
 
@@ -71,10 +73,14 @@
             self.runs.items(), key=lambda item: item[1].ends_at
         ):
             if min(run.ends_at, self._until_s) <= now:
-                done = run.ends_at <= self._until_s
-                self._end(
-                    task, workflow.RunOutcome("done" if done else "lapsed")
-                )
+                self._end(task, self._outcome(run))
+
+    def _outcome(self, run):
+        if run.ends_at > self._until_s:
+            return workflow.RunOutcome.LAPSED
+        if self._rng.random() < FAILED_SHARE:
+            return workflow.RunOutcome.FAILED
+        return workflow.RunOutcome.DONE
 
     def _end(self, task, outcome):
         run = self.runs.pop(task)
@@ -134,12 +140,19 @@
         while not self._ends and anyio.current_time() < limit:
             await anyio.sleep(POLL_S)
             self.advance()
+        listed = self._ends[:MAX_LISTED_ENDS]
         running = [
             workflow.ReportedRun(task, run.number, "", 50.0)
             for task, run in self.runs.items()
         ]
         return result.Ok(
-            workflow.Report(anyio.current_time(), 1, running, list(self._ends))
+            workflow.Report(
+                anyio.current_time(),
+                1,
+                running,
+                listed,
+                len(listed) == MAX_LISTED_ENDS,
+            )
         )
 
 
