Hand a pool to no scheduler that has just started

Callers of the older scheduler waited up to 34 s for an urgent job after a pool owner was killed: the next owner gave the pool back to the killed process once it had been live for 10 s.

Cause: rebalancing looks only at the ranking and at how long a member has been live, 10 s. A scheduler that has not known the VM list for `unlisted_hold_s` (600 s) can't know which workers have left lately, so as the owner it starts no task of earlier owners until their leases have ended.

Evidence: the entry in KNOWN-RED.txt of the system scenario about a killed owner, and a scheduler built from the sample settings, without processes, that drains its pool 10.25 s after the start of a better-placed member.

Ruled out: a larger `rebalance_after_s` (gateways hand endpoints over by it, the waits between drains grow with it, and settings files in use have 10).

Change: a lease group has `settle_s`, the least time for which a member has been live before a resource is handed to it. A scheduler's is `unlisted_hold_s` plus the lag of the list, 603 s; a gateway's stays 0. Claims of a pool without an owner are as before.

Before: `scheduler hands the pool to no process that has just started` fails with 10.25 s. After: it passes, with the 110 scenarios of ownership, runtime, config and scheduler.

--- a/src/citrondeal/ownership/_lease_group.py
+++ b/src/citrondeal/ownership/_lease_group.py
@@ -42,6 +42,9 @@
     drift: float = 1.05
     claim_stagger_s: float = 0.5
     rebalance_after_s: float = 10.0
+    # A resource is not handed over to a member that has been live for less
+    # than this, because it can't use the resource well yet.
+    settle_s: float = 0.0
     # Promises are requested once the last renewal that was read back was sent
     # this long ago.  One lost renewal is tolerated, and two rounds of requests
     # fit into `lease_ttl_s`.
@@ -909,6 +912,7 @@
             return []
         actions = []
         stable_s = self._config.rebalance_after_s
+        live_s = max(stable_s, self._config.settle_s)
         for resource in self._reported_epochs:
             best = self._ranking(resource)[0]
             if best == self._process:
@@ -918,7 +922,7 @@
             )
             if last_best != best:
                 not_before, wait_s = (
-                    self._members[best][2] + stable_s,
+                    self._members[best][2] + live_s,
                     stable_s,
                 )
             if self._log_end_read_at < not_before:
--- a/src/citrondeal/runtime/_components.py
+++ b/src/citrondeal/runtime/_components.py
@@ -26,9 +26,11 @@
         Runs all background tasks but the HTTP server.
     dump : callable
         Returns the JSON-ready state of the daemon.
+    settle_s : float, optional
+        See `ownership.Config`.
     """
 
-    def __init__(self, config, role, task_group, dump):
+    def __init__(self, config, role, task_group, dump, settle_s=0.0):
         self._config = config
         self._task_group = task_group
         self.identity = _identity.identity_of(config, role)
@@ -45,14 +47,15 @@
             self.links,
             task_group,
             self.metrics,
+            settle_s,
         )
         self.settings = _tree.TreeReplica(self.log, task_group, self.metrics)
         self._add_gauges()
 
     @classmethod
-    def from_config(cls, config, role, task_group, dump):
+    def from_config(cls, config, role, task_group, dump, settle_s=0.0):
         """Build the components from the settings of a daemon."""
-        return cls(config, role, task_group, dump)
+        return cls(config, role, task_group, dump, settle_s)
 
     def _add_gauges(self):
         gauge = self.metrics.gauge
--- a/src/citrondeal/runtime/_leases.py
+++ b/src/citrondeal/runtime/_leases.py
@@ -71,8 +71,13 @@
         )
 
     @classmethod
-    def from_config(cls, config, identity, log, pool, task_group, metrics):
-        """Build the group of this process from a daemon's settings."""
+    def from_config(
+        cls, config, identity, log, pool, task_group, metrics, settle_s=0.0
+    ):
+        """Build the group of this process from a daemon's settings.
+
+        `settle_s` is that of `ownership.Config`.
+        """
         leases = config.leases
         group = ownership.LeaseGroup.from_config(
             ownership.Config(
@@ -83,6 +88,7 @@
                 outage_limit_s=leases.outage_limit_s,
                 claim_stagger_s=leases.claim_stagger_s,
                 rebalance_after_s=leases.rebalance_after_s,
+                settle_s=settle_s,
             ),
             zone=identity.zone,
             role=identity.role,
--- a/src/citrondeal/scheduler/main.py
+++ b/src/citrondeal/scheduler/main.py
@@ -43,16 +43,23 @@
         self._task_group = task_group
         self._zone = config.process.zone
         self._pool_resource = f"pool/{self._zone}"
+        owner_config = jobs.OwnerConfig(
+            task_ttl_s=config.leases.task_ttl_s,
+            poll_s=config.workers.period_s,
+        )
         self._shared = runtime.SharedComponents.from_config(
-            config, "scheduler", task_group, self.dump
+            config,
+            "scheduler",
+            task_group,
+            self.dump,
+            # A new owner that has not known the VM list for so long has to
+            # wait for the leases of earlier owners.
+            settle_s=owner_config.unlisted_hold_s + owner_config.list_lag_s,
         )
         self._owner = jobs.PoolOwner(
             jobs.JobTable(),
             placement.Pool(placement.Config()),
-            jobs.OwnerConfig(
-                task_ttl_s=config.leases.task_ttl_s,
-                poll_s=config.workers.period_s,
-            ),
+            owner_config,
         )
         self._jobs = _jobs.JobService(
             self._owner,
