--- a/src/citrondeal/ownership/_config.py
+++ b/src/citrondeal/ownership/_config.py
@@ -24,6 +24,9 @@
     drift: float = 1.05
     claim_stagger_s: float = 0.5
     rebalance_after_s: float = 10.0
+    # A resource is not handed over to a member that has been live for less
+    # than this, because it can't use the resource well yet.
+    settle_s: float = 0.0
     # Promises are requested once the last renewal that was read back was sent
     # this long ago.  One lost renewal is tolerated, and two rounds of requests
     # fit into `lease_ttl_s`.
--- a/src/citrondeal/ownership/_decisions.py
+++ b/src/citrondeal/ownership/_decisions.py
@@ -17,7 +17,9 @@
         super().__init__(*args)
         self._seq = 0
         self._last_listed_members = {}
-        self._drains = _drains.DrainRequests(self._config.rebalance_after_s)
+        self._drains = _drains.DrainRequests(
+            self._config.rebalance_after_s, self._config.settle_s
+        )
         self._relayed_at = {}  # by (process, incarnation)
 
     # Claims and releases.
--- a/src/citrondeal/ownership/_drains.py
+++ b/src/citrondeal/ownership/_drains.py
@@ -21,12 +21,17 @@
 
     Parameters
     ----------
-    stable_s : float
-        Seconds for which the member has to be live before the first request.
+    period_s : float
+        Seconds until a request for the same member is repeated the first
+        time.
+    settle_s : float
+        Seconds for which a member has to be live before the first request,
+        if these are more than `period_s`.
     """
 
-    def __init__(self, stable_s):
-        self._stable_s = stable_s
+    def __init__(self, period_s, settle_s):
+        self._period_s = period_s
+        self._live_s = max(period_s, settle_s)
         self._requests = {}  # by resource
 
     def forget_unknown(self, resources):
@@ -47,9 +52,7 @@
         """
         last = self._requests.get(resource)
         if last is None or last.member != member:
-            last = _Request(
-                member, live_since + self._stable_s, self._stable_s
-            )
+            last = _Request(member, live_since + self._live_s, self._period_s)
         if now < last.not_before:
             return False
         # The preferred member may not want the resource, or not claim it in
@@ -57,6 +60,6 @@
         self._requests[resource] = _Request(
             member,
             now + last.wait_s,
-            min(2 * last.wait_s, _MAX_WAIT_PERIODS * self._stable_s),
+            min(2 * last.wait_s, _MAX_WAIT_PERIODS * self._period_s),
         )
         return True
