Let the clock of a simulated worker begin at zero

In the 120 s that it has for the rest of the jobs, a worker that was up again was out of use for 36.45 s in 26 stretches, most of them of one heartbeat (1.5 s): the owner had its report, but no entry of it (`listed` false).

Cause: a fault of the model. It rounds the start of an incarnation up by a millisecond, to keep `born` unique, and took the clock from that. So the entry that a worker writes as it starts showed a clock below 0, and the owner, which begins at 0 with each incarnation, took it for older than what it knew and waited for the next one. No real worker does so: "its counts start anew (`seq`, the numbers of ends, its clock)" (PROTOCOL.md, Service discovery), and the decoder of entries (`platform/_records.py`, `Clock`) rejects a clock below 0.

Ruled out: the product. With the clock at 0 the same owner believes the first entry as soon as the worker has reported.

Change: the clock counts from the start itself; `born` stays as it was. The model is stricter: workers are in use at once after a restart, so starts meet them in the first 1.5 s too.

The new scenario failed before the change.

--- a/src/citrondeal/workflow/tests/incarnations.feature
+++ b/src/citrondeal/workflow/tests/incarnations.feature
@@ -52,3 +52,10 @@
     Given a workflow cell whose two workers are filled by a job
     When another writer names a later incarnation of a workflow worker
     Then workflow no crash is counted once the worker has reported
+
+  # Guards against histories in which a worker stays out of use for a heartbeat
+  # after each restart, since its first entry has a clock below zero.
+  Scenario: workflow the first entry of a simulated worker counts
+    Given a workflow simulation without faults
+    When a worker of the workflow simulation starts again
+    Then workflow its first entry counts before its next one is due
--- a/src/citrondeal/workflow/tests/simulated_workers.py
+++ b/src/citrondeal/workflow/tests/simulated_workers.py
@@ -52,6 +52,7 @@
         """Start a new incarnation."""
         # Later than that of an incarnation that began at the same time.
         started_ms = int(self.simulation.now * 1000) + 1
+        self.started_at = self.simulation.now
         self.born_ms = max(started_ms, self.born_ms + 1)
         self.fence = 0
         self.runs = {}
@@ -79,7 +80,7 @@
     @property
     def clock_s(self):
         """Time on its clock, which begins anew with each incarnation."""
-        return (self.simulation.now - self.born_ms / 1000.0) * self.clock_rate
+        return (self.simulation.now - self.started_at) * self.clock_rate
 
     @property
     def down(self):
