Keep room for a gang with a crash between its attempts

What callers saw: a gang one of whose workers has crashed once does not start again for as long as later jobs wait, while a gang without a crash that was submitted behind as many running tasks gets its room as these end.

Cause: a task with a crash that finds no place is tried again after 0.3 s only, since its placement costs more. Room is kept for one pass. So in the passes between two attempts nothing was kept for it, neither from other steps nor, as a waiting gang, from jobs of low precedence, and the next ones in the order took what had become free. An urgent wide step with a crash takes the same path.

Ruled out: that the later jobs are more urgent (their objectives are later than that of the gang); that the gang is a suspect that waits for an empty worker (it has one crash, suspects have two).

Change: an attempt remembers the workers on which it kept room, and the passes up to the next attempt keep room on those again. That costs a choice among a few workers instead of a placement. Nothing is kept for a task that waits for an empty worker or for its crashes to be stored, as before.

Related paths: the wait for an empty worker keeps its workers between attempts already (`_held`); steps that wait for tickets hold their own reservation.

The new scenario failed before ("not started again after 10.0 s").

Not changed: a gang that needs all workers of a small service can wait over 3 s for suspects that close one worker after the other.

--- a/src/citrondeal/workflow/_isolation.py
+++ b/src/citrondeal/workflow/_isolation.py
@@ -45,6 +45,7 @@
         self._isolated = None  # task whose chosen workers run nothing else
         self._attempts_left = 0
         self._retry_at = {}  # by task id
+        self._awaited = {}  # workers with room kept for a task, by its id
         self._usable = {}  # workers by service, listed once in a pass
 
     def begin_pass(self, now):
@@ -53,10 +54,14 @@
         self._attempts_left = MAX_ATTEMPTS_PER_PASS
         self._usable = {}
         self._retry_at = {i: t for i, t in self._retry_at.items() if t > now}
+        counted = self._state.crashes.counted
+        self._awaited = {
+            i: w for i, w in self._awaited.items() if i in counted
+        }
         task = self._held_for
         if task and not self.waits(task, now):
             self._held_for, self._held = None, set()
-        for task in self._state.crashes.counted.values():
+        for task in counted.values():
             self._steps.add(task.step.id)
             for run in _runs(task):
                 self._worker_tasks.setdefault(run.worker, []).append(task)
@@ -77,6 +82,15 @@
     def on_not_placed(self, task, now):
         """Record that no place was found for a task."""
         self._retry_at[task.id] = now + RETRY_AFTER_S
+        self._awaited.pop(task.id, None)
+
+    def on_reserved(self, task, workers):
+        """Record on which workers room is kept for a task."""
+        self._awaited[task.id] = workers
+
+    def awaited_workers(self, task):
+        """Return the usable workers on which its last attempt kept room."""
+        return [w for w in self._awaited.get(task.id, ()) if w.usable]
 
     def open_workers(self, workers, task=None):
         """Return the workers on which a task may be placed.
@@ -153,6 +167,7 @@
         run : Run
         """
         task.isolation_wanted_at = None
+        self._awaited.pop(task.id, None)
         run.isolated = task is self._isolated
         if task.crashes:
             self._worker_tasks.setdefault(run.worker, []).append(task)
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -274,6 +274,9 @@
                 others += tasks
             elif self._may_place_crashed(task):
                 self._place_crashed(step, tasks, task, actions, now)
+            elif workers := self._isolation.awaited_workers(task):
+                # Otherwise other tasks would take the room between attempts.
+                self._reserve_for_pass(step, tasks, workers, now)
         return others
 
     def _may_place_crashed(self, task):
@@ -294,15 +297,20 @@
             self._state.reserve(step, [])
         self._ask_for_tickets(step, len(tasks), usable, actions, now)
         if not self._isolation.waits(task, now):
-            self._reserve_for_pass(step, tasks, allowed, now)
+            awaited = self._reserve_for_pass(step, tasks, allowed, now)
+            self._isolation.on_reserved(task, awaited)
 
     def _reserve_for_pass(self, step, waiting, allowed, now):
+        """Keep room for tasks that do not fit, and return its workers."""
         if not self._may_reserve(step, now):
-            if step.spec.gang and not _precedence.is_low(step, now):
-                self._waiting_gangs.append((step, waiting, allowed))
-            return
-        for _, worker in _placement.choose_to_reserve(step, waiting, allowed):
+            if not step.spec.gang or _precedence.is_low(step, now):
+                return []
+            self._waiting_gangs.append((step, waiting, allowed))
+            return allowed
+        chosen = _placement.choose_to_reserve(step, waiting, allowed)
+        for _, worker in chosen:
             worker.reserve_for_pass(step.spec.size)
+        return list({worker.id: worker for _, worker in chosen}.values())
 
     def _reserve_for_waiting_gangs(self):
         """Keep room for all waiting gangs from jobs of low precedence.
--- a/src/citrondeal/workflow/tests/isolation.feature
+++ b/src/citrondeal/workflow/tests/isolation.feature
@@ -105,3 +105,10 @@
       | moment |
       | before |
       | after  |
+
+  # Guards against a gang that never starts again after a crash: room was kept
+  # for it only while it was tried, and others took it in between.
+  Scenario: workflow isolation a gang with a crash gets room on a busy cell
+    Given a workflow gang on two workers, and a backlog of later jobs
+    When a worker of the workflow gang crashes
+    Then the workflow gang starts again once the tasks beside it have ended
