Export the counters of an owner's scheduler from one module

Names, values and order of the metrics are the same. One test names the new place (steps_crash_metrics.py); its checks are unchanged.

--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -10,18 +10,15 @@
 
 import anyio
 
-from citrondeal.cell import _account_metrics
-from citrondeal.cell import _anomaly_metrics
 from citrondeal.cell import _clock
-from citrondeal.cell import _crash_metrics
 from citrondeal.cell import _deletions
 from citrondeal.cell import _follower
 from citrondeal.cell import _job_records
 from citrondeal.cell import _job_topics
-from citrondeal.cell import _learning_metrics
 from citrondeal.cell import _leases
 from citrondeal.cell import _orders
 from citrondeal.cell import _records
+from citrondeal.cell import _scheduler_metrics
 from citrondeal.cell import _stored_state
 from citrondeal.cell import _ticket_requests
 from citrondeal.cell import _worker_entries
@@ -95,10 +92,7 @@
         self._metrics = metrics
         self._catalog = catalog
         self._worker_entries = _worker_entries.WorkerEntries(metrics)
-        self._anomaly_metrics = _anomaly_metrics.AnomalyMetrics(metrics)
-        self._crash_metrics = _crash_metrics.CrashMetrics(metrics)
-        self._learning_metrics = _learning_metrics.LearningMetrics(metrics)
-        self._account_metrics = _account_metrics.AccountMetrics(metrics)
+        self._scheduler_metrics = _scheduler_metrics.SchedulerMetrics(metrics)
         self._scheduler = None
         self._orders = None
         self._recovered = False
@@ -356,10 +350,7 @@
         if self._scheduler.wants_to_store:
             self._writer.wake()
         self._worker_entries.update(self._scheduler.incarnations)
-        self._anomaly_metrics.update(self._scheduler.anomalies)
-        self._crash_metrics.update(self._scheduler.crashes)
-        self._learning_metrics.update(self._scheduler.learning)
-        self._account_metrics.update(self._scheduler, now)
+        self._scheduler_metrics.update(self._scheduler, now)
 
     def _pass_configuration(self, scheduler, now):
         """Pass a new configuration on to the scheduler."""
--- /dev/null
+++ b/src/citrondeal/cell/_scheduler_metrics.py
@@ -0,0 +1,80 @@
+"""Metrics of what the scheduler of one owner counts."""
+
+from citrondeal.cell import _account_metrics
+
+
+class CounterMetrics:
+    """Exports the counters of one part of a scheduler.
+
+    Parameters
+    ----------
+    metrics : citrondeal.telemetry.Metrics
+    read : callable
+        ``read(part)`` returns the counters by the name of their metric.
+    """
+
+    def __init__(self, metrics, read):
+        self._metrics = metrics
+        self._read = read
+        self._exported = {}
+
+    def update(self, part):
+        """Add what was counted since the last call."""
+        for name, value in self._read(part).items():
+            increase = value - self._exported.get(name, 0)
+            self._metrics.count(name, increase)
+            self._exported[name] = value
+
+
+class SchedulerMetrics:
+    """Exports what one owner's scheduler counts.
+
+    Parameters
+    ----------
+    metrics : citrondeal.telemetry.Metrics
+    """
+
+    def __init__(self, metrics):
+        self._anomalies = CounterMetrics(metrics, _anomaly_counters)
+        self._crashes = crash_metrics(metrics)
+        self._learning = CounterMetrics(metrics, _learning_counters)
+        self._accounts = _account_metrics.AccountMetrics(metrics)
+
+    def update(self, scheduler, now):
+        """Add what was counted since the last call.
+
+        Parameters
+        ----------
+        scheduler : citrondeal.workflow.Scheduler
+        now : float
+        """
+        self._anomalies.update(scheduler.anomalies)
+        self._crashes.update(scheduler.crashes)
+        self._learning.update(scheduler.learning)
+        self._accounts.update(scheduler, now)
+
+
+def crash_metrics(metrics):
+    """Return the `CounterMetrics` of the crashes of workers."""
+    return CounterMetrics(metrics, _crash_counters)
+
+
+def _anomaly_counters(anomalies):
+    return {
+        "citrondeal.runs.repeated": anomalies.repeated_runs,
+        "citrondeal.ends.missing": anomalies.missing_ends,
+    }
+
+
+def _crash_counters(crashes):
+    return {
+        "citrondeal.worker_crashes": crashes.worker_crashes,
+        "citrondeal.tasks_given_up": crashes.tasks_given_up,
+    }
+
+
+def _learning_counters(learning):
+    return {
+        f"citrondeal.{name}": value
+        for name, value in learning.counters().items()
+    }
--- a/src/citrondeal/cell/tests/steps_crash_metrics.py
+++ b/src/citrondeal/cell/tests/steps_crash_metrics.py
@@ -5,7 +5,7 @@
 
 from behave import then
 
-from citrondeal.cell import _crash_metrics
+from citrondeal.cell import _scheduler_metrics
 from citrondeal import telemetry
 
 
@@ -23,7 +23,7 @@
 def _(context):
     metrics = telemetry.Metrics("test")
     for crashes, given_up in ((3, 0), (2, 1)):
-        exported = _crash_metrics.CrashMetrics(metrics)
+        exported = _scheduler_metrics.crash_metrics(metrics)
         for share in (0, 1, 1):
             counted = types.SimpleNamespace(
                 worker_crashes=share * crashes, tasks_given_up=share * given_up
