--- a/src/citrondeal/cell/tests/owner_histories.py
+++ b/src/citrondeal/cell/tests/owner_histories.py
@@ -11,8 +11,8 @@
 import anyio
 
 from citrondeal.cell import _clock
+from citrondeal.cell import _deletions
 from citrondeal.cell import _leases
-from citrondeal.cell import _owner
 from citrondeal.cell import _records
 from citrondeal.cell.tests import paged_store
 from citrondeal.cell.tests import simple_members
@@ -101,7 +101,7 @@
             for target, name, value in (
                 (_clock, "now", anyio.current_time),
                 (time, "time", anyio.current_time),
-                (_owner, "DELETE_PERIOD_S", 0.7),
+                (_deletions, "DELETE_PERIOD_S", 0.7),
                 (_records, "JOB_TOPICS", _JOB_TOPICS),
                 (_records, "MAX_APPEND_BYTES", self._append_bytes),
                 (_leases.platform, "RunnerClient", self._connect),
