Leave a job to its account when the next owner finds another's submission

Callers saw an accepted job replaced: after a change of the owner, the account that had submitted it was told that it does not exist, and another account that had used the same id was shown its state, also a completed one.

Cause: an owner gives an id to the first submission in the log and deletes those of other accounts every 8 s. The next owner sees only the newest record of each key. If the first account has sent its job again after the other's submission, or the first submission was deleted after the end and the deletion of the other got no answer, the other account's submission comes first. The stored progress names the account, but was restored onto whichever job was found. The tasks have the same names, so ends and runs of the one counted for the other.

Change: the account in stored progress decides. The submission of the other account is dropped and deleted as it would have been by the earlier owner. An owner that sees a second account with an id stores the progress of the job, so that its account is known even if nothing of it has happened yet.

Before: `cell a job stays with its account after a change of the owner` fails. After: it passes.

Remains: a cancellation by the first account that is read while the other's job stands in its place is ignored until it is sent again.

--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -292,6 +292,13 @@
     And a cell owner deletes a submission of another account with the same id
     And a cell owner hides an ended job from other accounts after a takeover
 
+  # Guards against a job that the next owner gives to another account which has
+  # used its id: its submission is the only one that is left, or the first job
+  # was sent again after it. The first account's job is lost then.
+  Scenario: cell a job stays with its account after a change of the owner
+    Then a cell next owner leaves a job to its account before another submission
+    And a cell owner stores whose job it is once another account uses its id
+
   # Guards against caps that never reach the scheduler, or only once.
   Scenario: cell an owner follows the client accounts
     Then a cell owner plans by the client accounts of the newest configuration
--- a/src/citrondeal/cell/tests/steps_accounts.py
+++ b/src/citrondeal/cell/tests/steps_accounts.py
@@ -127,6 +127,46 @@
     assert cell.states() == ["completed", "", ""]
 
 
+def _store_progress(cell, state, done=()):
+    progress = workflow.Progress(state, done, account="first")
+    record = platform.Record(_records.job_key(JOB), workflow.encode(progress))
+    cell.store.put(_records.STATE_TOPIC, [record])
+
+
+@then(
+    "a cell next owner leaves a job to its account before another submission"
+)
+def _(context):
+    ended = _Cell()
+    ended.submit("second")
+    _store_progress(ended, workflow.JobState.COMPLETED)
+    assert ended.states() == ["completed", "", ""]
+    sent_again = _Cell()
+    sent_again.submit("second")
+    sent_again.submit("first")
+    _store_progress(sent_again, workflow.JobState.RUNNING, (b"\0",))
+    assert sent_again.states() == ["running", "", ""]
+    stored = {record.key for record in sent_again.store.newest(TOPIC)}
+    assert _records.job_key(JOB, "first") in stored, stored
+    assert _records.job_key(JOB, "second") not in stored, stored
+
+
+@then("a cell owner stores whose job it is once another account uses its id")
+def _(context):
+    scheduler = workflow.Scheduler(workflow.Config(), 1)
+    for account in ("first", "second"):
+        submission = workflow.Submission(
+            JOB,
+            "",
+            (workflow.Step(1, workflow.Size()),),
+            workflow.Policy("queue", "service"),
+            account=account,
+        )
+        scheduler.on_submission(submission, 0, 0.0)
+    jobs, _, _ = scheduler.take_changes()
+    assert jobs[JOB].account == "first", jobs
+
+
 @then("a cell owner plans by the client accounts of the newest configuration")
 def _(context):
     anyio.run(_change_accounts)
--- a/src/citrondeal/workflow/_intake.py
+++ b/src/citrondeal/workflow/_intake.py
@@ -36,14 +36,14 @@
             Seconds since it was accepted.
         """
         known = self._state.jobs.get(submission.job)
-        if known is not None:
-            if submission.account != known.submission.account:
-                self._drop_foreign(submission)
-                return
+        if known and submission.account == known.submission.account:
             # The submission is in the log again and has to be dropped again.
             known.submission_dropped = False
             return
         job = _jobs.JobRecord(submission, offset, now - age_s, recovered)
+        if known:
+            self._drop_foreign(known, job)
+            return
         account = self._state.quotas.accounts.get(submission.account)
         if account is not None:
             job.excess = self._state.rates.is_excess(account, job.accepted_at)
@@ -63,11 +63,13 @@
         for caller in self._state.pending_cancels.pop(job.id, ()):
             self.on_cancel(job.id, now, caller)
 
-    def _drop_foreign(self, submission):
+    def _drop_foreign(self, known, job):
         """Ignore a job whose id another client account has used before."""
-        self._state.foreign_submissions.append(
-            (submission.job, submission.account)
-        )
+        self._state.foreign_submissions.append(job)
+        if not known.ended:
+            # The next owner cannot tell by the log whose job came first.
+            self._state.mark_changed(known)
+        submission = job.submission
         _events.log(
             logging.WARNING,
             "submission has the id of a job of another account",
--- a/src/citrondeal/workflow/_jobs.py
+++ b/src/citrondeal/workflow/_jobs.py
@@ -10,6 +10,7 @@
 from citrondeal.workflow import _record_size
 
 STATES = _model.JobState
+FINAL_STATES = (STATES.COMPLETED, STATES.FAILED, STATES.CANCELLED)
 # Number of a run whose actual number only its worker knows.
 UNKNOWN_RUN_NUMBER = 0
 # Stands for a run that may have ended by a crash which no owner has seen.
@@ -283,11 +284,7 @@
     @property
     def ended(self):
         """Whether it is in a final state, so that no task may start."""
-        return self.state in (
-            STATES.COMPLETED,
-            STATES.FAILED,
-            STATES.CANCELLED,
-        )
+        return self.state in FINAL_STATES
 
     @property
     def done(self):
--- a/src/citrondeal/workflow/_recovery.py
+++ b/src/citrondeal/workflow/_recovery.py
@@ -80,6 +80,8 @@
         """Restore the stored progress of a job."""
         self._state.run_numbers.skip(_highest_run(progress))
         job = self._state.jobs.get(job_id)
+        if job is not None and job.submission.account != progress.account:
+            job = self._give_back(job, progress, now)
         if job is None:
             return
         cancelled = job.ended
@@ -101,6 +103,36 @@
             job.ended_at = now
             self._state.active.pop(job_id, None)
 
+    def _give_back(self, other, progress, now):
+        """Give an id back to the account whose job earlier owners have known.
+
+        Returns
+        -------
+        JobRecord or None
+            The job whose progress this is; None if nothing is left of it to
+            be restored.
+        """
+        state = self._state
+        owned = [
+            job
+            for job in state.foreign_submissions
+            if job.id == other.id
+            and job.submission.account == progress.account
+        ]
+        if not owned and progress.state not in _jobs.FINAL_STATES:
+            return other
+        state.foreign_submissions = [
+            job for job in state.foreign_submissions if job not in owned
+        ]
+        state.foreign_submissions.append(other)
+        state.changed_jobs.pop(other.id, None)
+        state.active.pop(other.id, None)
+        if not owned:
+            self.restore_ended_job(other.id, progress, now)
+            return None
+        state.jobs[other.id] = state.active[other.id] = owned[0]
+        return owned[0]
+
     def restore_ended_job(self, job_id, progress, now):
         """Restore the end of a job whose submission was dropped."""
         submission = _model.Submission(
--- a/src/citrondeal/workflow/_retention.py
+++ b/src/citrondeal/workflow/_retention.py
@@ -47,7 +47,7 @@
         """
         found = self._state.foreign_submissions
         self._state.foreign_submissions = []
-        return found
+        return [(job.id, job.submission.account) for job in found]
 
     def keep_submissions(self, job_ids):
         """Offer jobs again, because their submissions were not dropped."""
--- a/src/citrondeal/workflow/_state.py
+++ b/src/citrondeal/workflow/_state.py
@@ -93,7 +93,7 @@
         self.changed_jobs = {}
         self.changed_workers = {}
         self.pending_cancels = {}  # sets of `Caller` by job id
-        self.foreign_submissions = []  # id and account, to be deleted
+        self.foreign_submissions = []  # `JobRecord`s, to be deleted
         self.forgotten_jobs = []
         self.superseded = False
         self._full_jobs = {}
