End a recovery that has read the barrier of a later owner

Cause: it had read the state, and loading a topic of submissions took 4.4 s, because its records expired between pages. By then the next owner had completed these jobs and deleted their submissions. The barrier in that topic made it stop deciding, but it went on to restore what fits to no time. Nothing looked at the barrier in the topic of progress: an owner that reads the submissions before the next one fences, and the progress after that one has written, went on with the progress and the workers of the next one until it read a barrier elsewhere.

Epoch 3 reads the state at 1004.48, epoch 4 fences at 1005.20 and deletes the submission at 1007.42, epoch 3 loads the topic at 1008.68, and the barrier of epoch 4 is among its records.

Ruled out: a lost submission or progress; each newest owner knew all of them.

Change: a recovery ends once a barrier of a later epoch has been read, also in the topic of progress. `Owner._recover` says so already ("False if a newer owner exists").

Before: `cell a recovery ends at the barrier of a later owner` fails. After: it passes.

--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -208,6 +208,8 @@
             state.update(await self._read_state())
 
         await self._job_reader.load(read_state)
+        if scheduler.superseded:
+            return False
         for job, progress in state["job"].items():
             if job in scheduler.jobs:
                 scheduler.restore(job, progress, now)
@@ -240,9 +242,17 @@
         while True:
             outcome = await self._store.read_newest(_records.STATE_TOPIC)
             if outcome.is_ok():
-                return _stored_state.decode(outcome.ok_value[1], self._metrics)
+                records = outcome.ok_value[1]
+                self._on_state_barriers(records)
+                return _stored_state.decode(records, self._metrics)
             await anyio.sleep(RETRY_DELAY_S)
 
+    def _on_state_barriers(self, records):
+        """Give up if a later owner may have stored what was read."""
+        for record in records:
+            if record.key == _records.BARRIER_KEY:
+                self._on_barrier(record)
+
     # Events
 
     def _on_job_records(self, records, recovered):
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -237,6 +237,11 @@
   Scenario: cell a job behind a barrier is not read before the barrier
     Then a cell follower passes on the records of pages behind those before them
 
+  # Guards against an owner that was replaced during its recovery and goes on
+  # with what the next one has stored, of jobs that it does not know.
+  Scenario: cell a recovery ends at the barrier of a later owner
+    Then a cell owner gives up once it reads the barrier of a later one
+
   # Guards against strong members that claim last for ever, because the store
   # was silent when they started.
   Scenario: cell a member that starts while the store is silent claims in order
--- a/src/citrondeal/cell/tests/steps_recovery.py
+++ b/src/citrondeal/cell/tests/steps_recovery.py
@@ -13,6 +13,7 @@
 from citrondeal.cell import _owner
 from citrondeal.cell import _records
 from citrondeal.cell.tests import doubles
+from citrondeal.cell.tests import memory_store
 from citrondeal.peers.gen.peers import ttypes
 from citrondeal import platform
 from citrondeal.runtime.tests import virtual_time
@@ -173,3 +174,35 @@
     # Two appends fence; nine topics are read, three at the same time.
     assert took_s < 5.5 * STORE_DELAY_S, took_s
     assert store.max_parallel == _job_topics.MAX_PARALLEL_LOADS
+
+
+class _OvertakenStore(memory_store.MemoryStore):
+    """Gets the state of a next owner before a topic of this one is read."""
+
+    def __init__(self, topic):
+        super().__init__()
+        self._topic = topic
+
+    async def read_newest(self, topic):
+        if topic == self._topic:
+            progress = workflow.encode(
+                workflow.Progress(workflow.JobState.RUNNING)
+            )
+            barrier = platform.Record(_records.BARRIER_KEY, b"2")
+            self.put(topic, [barrier])
+            record = platform.Record(_records.job_key(JOB), progress)
+            self.put(_records.STATE_TOPIC, [record])
+        return await super().read_newest(topic)
+
+
+async def _run_owner(owner):
+    with anyio.fail_after(5.0):
+        await owner.run()
+
+
+@then("a cell owner gives up once it reads the barrier of a later one")
+def _(context):
+    for topic in (_records.STATE_TOPIC, _records.JOB_TOPICS[-1]):
+        owner = _make_owner(_OvertakenStore(topic))
+        anyio.run(_run_owner, owner)
+        assert owner.scheduler is None, topic
