Send the path of a request as its caller sent it

Callers got "may have run" for a request whose path has an encoded space, though no byte of it was sent, and the attempt counts as broken off by its endpoint (the gateway's part is by reading). Letters beyond ASCII had no endpoint. An encoded "?", "#" or percent sign, and a part after a semicolon, came to the endpoint as another path or not at all.

Cause: the server decodes the path, and the gateway put it undecoded into a URL. httpcore reads "?" and "#" there, drops what follows a semicolon, raises for letters beyond ASCII, and h11 refuses a space after the request has been marked as started.

Evidence: found while trying odd addresses with `endpoints.Client`; "/a b" gave `UNKNOWN` with `broke_off`, reason "Illegal target characters".

Ruled out: passing on the raw path of the server, since route and service are found in the decoded one, and "%2F" in a service would name another path.

Change: the path is encoded again where the caller's request is read, and the client gives the target to httpcore as it is.

Before: the six examples of `callers request with <path> and <header> reaches its endpoint` fail. After: they pass, with the 32 scenarios of endpoints and gateway. An encoded slash still arrives as a slash, and bytes that are not UTF-8 as U+FFFD.

--- a/src/citrondeal/callers/_app.py
+++ b/src/citrondeal/callers/_app.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import re
+import string
+import urllib.parse
 
 from citrondeal.callers import _ids
 from citrondeal import errors
@@ -15,6 +17,10 @@
 _TEAM = re.compile(r"[A-Za-z0-9._-]{0,64}")
 _BOOLEANS = {"true": True, "false": False}
 
+# What stays as it is in the path and in the query of a URL, beside letters and
+# digits.
+_PATH_CHARS = "/:@!$&'()*+,;=-._~"
+_QUERY_CHARS = string.punctuation
 # Headers that control how citrondeal handles a request. They are removed
 # here; what an endpoint needs of them, the gateway sets on each attempt.
 _CONTROL_HEADERS = frozenset(
@@ -184,8 +190,14 @@
 
 
 def _path_with_query(request):
-    query = f"?{request.raw_query}" if request.raw_query else ""
-    return "/" + request.params["path"] + query
+    # The server has decoded the path, but not the query.
+    path = urllib.parse.quote(request.params["path"], safe=_PATH_CHARS)
+    query = ""
+    if request.raw_query:
+        query = "?" + urllib.parse.quote(
+            request.raw_query, safe=_QUERY_CHARS, encoding="latin-1"
+        )
+    return "/" + path + query
 
 
 def _parse_integer(headers, name, low, high):
--- a/src/citrondeal/endpoints/_client.py
+++ b/src/citrondeal/endpoints/_client.py
@@ -163,9 +163,9 @@
             How far the attempt got, and the answer if it is complete.
         """
         try:
-            url = httpcore.URL(f"http://{address}{path}")
+            url = _url_of(address, path)
         except (TypeError, ValueError) as exc:
-            # The host or the port has no form in a URL.
+            # The host, the port or the path has no form in a URL.
             return Outcome(Delivery.NOT_SENT, reason=str(exc))
         progress = _Progress(may_send)
         pool = self._pool_for(address, connections)
@@ -286,6 +286,17 @@
     return f"{time.time() + deadline_s - now:.3f}"
 
 
+def _url_of(address, path):
+    # Parsing the path as well would drop a part after a semicolon.
+    server = httpcore.URL(f"http://{address}")
+    return httpcore.URL(
+        scheme=server.scheme,
+        host=server.host,
+        port=server.port,
+        target=path.encode("ascii"),
+    )
+
+
 def _is_delimited(response):
     # Without a length or a transfer encoding, the end of the answer cannot be
     # told from a connection that broke in the middle of it.
