Send headers beyond ASCII as their caller sent them

Callers got "may have run" for a request with a header such as "note: café", though no byte of it was sent.

Cause: the server decodes headers as latin-1, and httpcore takes text only if it is ASCII. Its TypeError passed `endpoints.Client.attempt`, and the dispatcher takes an unexpected error as an unknown outcome.

Evidence: an attempt with such a header raises "header value strings may not include unicode characters".

Change: the client encodes headers as the server has decoded them.

Before: the example of `callers request with <path> and <header> reaches its endpoint` with "café" raises TypeError. After: all seven pass, with the 32 scenarios of endpoints and gateway.

--- a/src/citrondeal/callers/tests/callers.feature
+++ b/src/citrondeal/callers/tests/callers.feature
@@ -13,3 +13,4 @@
       | /a%25b?c=%20d&e | x      |
       | /a:b@c;d=e      | x      |
       | /a%0D%0Ab       | x      |
+      | /a              | café   |
--- a/src/citrondeal/endpoints/_client.py
+++ b/src/citrondeal/endpoints/_client.py
@@ -198,13 +198,13 @@
     async def _send(
         self, pool, address, url, headers, body, timeout_s, progress
     ):
-        request_headers = [("host", address)]
+        request_headers = [(b"host", address.encode("ascii"))]
         request_headers += [
-            (name, value)
+            (name.encode("latin-1"), value.encode("latin-1"))
             for name, value in headers.items()
             if name not in _CONNECTION_HEADERS
         ]
-        request_headers.append(("content-length", str(len(body))))
+        request_headers.append((b"content-length", b"%d" % len(body)))
         timeouts = {
             "connect": self._connect_timeout_s,
             "read": min(timeout_s, self._silent_after_s),
