Let no reply of a worker end the scheduler that owns the pool

Cause: `usage` was checked nowhere, and a size only for being a finite number, which becomes infinite in thousandths of a core. `PoolOwner.on_reply` raises, in a task of the process.

Ruled out: refusing the whole reply for its `usage`. The worker's tasks would lose their leases over a figure that only estimates use.

Change: a `usage` with anything else than numbers from 0 to 1e9 is ignored; a reply with a size beyond 1e9 is refused, as one that is not finite was.

Before: the eight examples of `jobs a worker that lists a task with odd <field> ends nothing` raise. After: they pass, with all other scenarios of jobs and placement.

--- a/src/citrondeal/jobs/_owner.py
+++ b/src/citrondeal/jobs/_owner.py
@@ -15,6 +15,9 @@
 from citrondeal import numbers
 from citrondeal import placement
 
+# Of anything that a worker reports; its sums stay exact.
+MAX_QUANTITY = 1e9
+
 
 class PoolOwner:
     """Starts, renews, stops and restarts the tasks of one zone.
@@ -600,7 +603,7 @@
             assignment.size = size
             self._allot(worker, assignment, now)
         usage = listing.get("usage")
-        if usage and assignment.job is not None:
+        if _is_usage(usage) and assignment.job is not None:
             self._pool.report_usage(
                 worker.info.name, assignment.allotment_key, usage, now
             )
@@ -1344,6 +1347,21 @@
     return 0 if crashes is None else crashes.counted
 
 
+def _is_quantity(value):
+    return numbers.is_finite(value) and 0 <= value <= MAX_QUANTITY
+
+
+def _is_usage(usage):
+    return isinstance(usage, dict) and all(
+        _is_quantity(value)
+        for value in (
+            usage.get("cores"),
+            usage.get("memory_mb"),
+            usage.get("lag_s", 0.0),
+        )
+    )
+
+
 def _parse_reply(reply):
     """Return the listed tasks by id, or None if the reply is malformed."""
     try:
@@ -1358,7 +1376,7 @@
             if task["state"] not in (*_assignments.ENDED_STATES, "running"):
                 return None
             if not all(
-                numbers.is_finite(task[name]) and task[name] >= 0
+                _is_quantity(task[name])
                 for name in ("cores", "memory_mb", "accelerators")
             ):
                 return None
--- a/src/citrondeal/jobs/tests/jobs.feature
+++ b/src/citrondeal/jobs/tests/jobs.feature
@@ -273,6 +273,25 @@
     And jobs a reply with a number of too many digits is refused
     And jobs a deeply nested reply of a worker is refused
 
+  Scenario Outline: jobs a worker that lists a task with odd <field> ends nothing
+    # Guards against one reply that ends the scheduler that owns the pool, and
+    # each one that takes it over.
+    Given jobs a scheduler that owns a pool of 1 workers
+    When jobs "a" with 1 tasks is submitted and 2 s pass
+    And jobs each worker lists its tasks with <field> <value> and 10 s pass
+    Then jobs the state of "a" is "open"
+
+    Examples:
+      | field  | value                                       |
+      | cores  | 1.7e308                                     |
+      | usage  | "x"                                         |
+      | usage  | [1]                                         |
+      | usage  | {"a": 1}                                    |
+      | usage  | {"cores": "x", "memory_mb": 1}              |
+      | usage  | {"cores": 1, "memory_mb": 1e400}            |
+      | usage  | {"cores": 1, "memory_mb": 1, "lag_s": "x"}  |
+      | usage  | {"cores": 1, "memory_mb": 1, "lag_s": null} |
+
   Scenario: jobs a task that crashes its worker has a budget
     # Guards against one task that ends worker after worker: a run that ends
     # with a restart of its worker was counted nowhere. The default of
--- a/src/citrondeal/jobs/tests/steps.py
+++ b/src/citrondeal/jobs/tests/steps.py
@@ -1,5 +1,6 @@
 """Steps for the job table and the pool owner."""
 
+import json
 import math
 
 from behave import given
@@ -401,6 +402,17 @@
     owner.on_reply(worker.name, reply, context.now, context.now)
 
 
+@when(
+    "jobs each worker lists its tasks with {field} {value}"
+    " and {seconds:g} s pass"
+)
+def odd_listing(context, field, value, seconds):
+    for worker in context.workers:
+        for task in worker.running(context.now):
+            task[field] = json.loads(value)
+    run(context, seconds)
+
+
 @then("jobs a deeply nested reply of a worker is refused")
 def _(context):
     content = b"[" * 100_000 + b"]" * 100_000
