Note that a pool is unused as soon as list and log are read

Callers of the older scheduler waited up to 34 s for an urgent job after the first owner of a pool was killed, without any handover after that.

Cause: a scheduler looks whether the pool was never claimed when it reads the VM list. Its first read comes before that of the log, the next one a second later. If another one claims in between, it never notes that it knows all workers, and as the next owner it starts no task of earlier owners until their leases have ended.

Evidence: in four failed runs of the system scenario about a killed pool owner, the next owner had started 0.55 and 0.68 s before the first owner got the pool, or 0.36 and 1.47 s after. The times of the reads, printed in five runs of a scratch copy: the log was never read at the first read of the list, and the second one came 1.0 s after it.

Ruled out: reading the list more often, which costs calls at all times.

Change: the check is made once more as soon as both are read, before this process may claim. It no longer claims before it has read the log, which it could not use before either.

Before: `scheduler that starts just before the first claim knows all workers` fails. After: it passes, with the other scenarios of ownership, runtime, config and scheduler.

--- a/src/citrondeal/runtime/_leases.py
+++ b/src/citrondeal/runtime/_leases.py
@@ -122,6 +122,11 @@
             and follower.is_from_start
         )
 
+    @property
+    def at_log_end(self):
+        """Whether the last read of the log succeeded and reached its end."""
+        return self._replica.follower.at_tail
+
     def was_never_claimed(self, resource):
         """Whether no process has ever claimed a resource.
 
--- a/src/citrondeal/scheduler/main.py
+++ b/src/citrondeal/scheduler/main.py
@@ -22,6 +22,7 @@
 
 RELEASE_TIMEOUT_S = 3.0  # for the pool release to be read back from the log
 FIRST_CLAIM_DELAY_S = 1.5  # longer than the period of VM list reads
+VIEW_CHECK_S = 0.1  # period of checks for the first views of list and log
 JOB_QUERY_TIMEOUT_S = 1.0
 
 _LOG = logging.getLogger(__name__)
@@ -177,18 +178,27 @@
     def _on_list_read(self):
         now = anyio.current_time()
         self._owner.on_list_read(now)
+        self._note_unused_pool(now)
+
+    def _note_unused_pool(self, now):
         if self._shared.leases.was_never_claimed(self._pool_resource):
             self._owner.on_unused_pool(now)
 
     async def _claim_pool(self):
-        """Claim the pool once the VM list has been read.
+        """Claim the pool once the VM list and the log have been read.
 
         All schedulers of a new zone then know its workers before the first
         task is started, as `jobs.PoolOwner.on_unused_pool` requires.
         """
-        await anyio.sleep(FIRST_CLAIM_DELAY_S)
-        while self._shared.directory.updated_at is None:
-            await anyio.sleep(0.1)
+        claim_at = anyio.current_time() + FIRST_CLAIM_DELAY_S
+        while (
+            self._shared.directory.updated_at is None
+            or not self._shared.leases.at_log_end
+        ):
+            await anyio.sleep(VIEW_CHECK_S)
+        # The next read of the list may come after another's first claim.
+        self._note_unused_pool(anyio.current_time())
+        await anyio.sleep_until(claim_at)
         self._shared.leases.group.set_wanted(
             [self._pool_resource], anyio.current_time()
         )
