--- a/src/citrondeal/endpoints/_client.py
+++ b/src/citrondeal/endpoints/_client.py
@@ -163,9 +163,9 @@
             How far the attempt got, and the answer if it is complete.
         """
         try:
-            url = httpcore.URL(f"http://{address}{path}")
+            url = _url_of(address, path)
         except (TypeError, ValueError) as exc:
-            # The host or the port has no form in a URL.
+            # The host, the port or the path has no form in a URL.
             return Outcome(Delivery.NOT_SENT, reason=str(exc))
         progress = _Progress(may_send)
         pool = self._pool_for(address, connections)
@@ -198,13 +198,13 @@
     async def _send(
         self, pool, address, url, headers, body, timeout_s, progress
     ):
-        request_headers = [("host", address)]
+        request_headers = [(b"host", address.encode("ascii"))]
         request_headers += [
-            (name, value)
+            (name.encode("latin-1"), value.encode("latin-1"))
             for name, value in headers.items()
             if name not in _CONNECTION_HEADERS
         ]
-        request_headers.append(("content-length", str(len(body))))
+        request_headers.append((b"content-length", b"%d" % len(body)))
         timeouts = {
             "connect": self._connect_timeout_s,
             "read": min(timeout_s, self._silent_after_s),
@@ -286,6 +286,17 @@
     return f"{time.time() + deadline_s - now:.3f}"
 
 
+def _url_of(address, path):
+    # Parsing the path as well would drop a part after a semicolon.
+    server = httpcore.URL(f"http://{address}")
+    return httpcore.URL(
+        scheme=server.scheme,
+        host=server.host,
+        port=server.port,
+        target=path.encode("ascii"),
+    )
+
+
 def _is_delimited(response):
     # Without a length or a transfer encoding, the end of the answer cannot be
     # told from a connection that broke in the middle of it.
