Count what an unheard worker may run by its unconfirmed entries

What callers saw: a client account uses more than its cap for some seconds after a change of the owner.

Cause: the record of a worker that has started again is stored with its report, while its capacity is still that of the incarnation before, since its own entry has not been read. The entry that comes then is not stored. The next owner takes the capacity of the record (here 12.5 cores, no accelerator) as the most that the worker may run until it is heard. It reads the larger entry (32 cores) by which the owner before it has started tasks, but since an entry is a claim until a report confirms it, it counts for nothing.

Change: the largest amounts in unconfirmed entries of the known incarnation, or of a later one, count too, until the worker reports to this owner, which then knows its runs. Entries of earlier incarnations do not count: their runs are over. An entry of another writer can make accounts with a cap wait in the same way, as long as the worker is not heard and its lease may last.

Not changed: an owner that sees only the newest entry, after the worker has shrunk since the tasks were started, still counts too little. That takes the largest capacity in the record.

Figures: the new step failed before and passes now (a cap of 20 cores, a record of 4 and an entry of 16 cores: 4 instead of 16 tasks start).

--- a/src/citrondeal/workflow/_incarnations.py
+++ b/src/citrondeal/workflow/_incarnations.py
@@ -11,6 +11,7 @@
 
 from citrondeal import telemetry
 from citrondeal.workflow import _events
+from citrondeal.workflow import _model
 from citrondeal.workflow import _workers
 
 # Another writer can leave any number of entries.
@@ -85,6 +86,7 @@
         elif born_ms > worker.info.born_ms:
             self._state.on_worker_restart(worker, born_ms, now)
         worker.has_reported = True
+        worker.claimed_capacity = _model.Size()
         if _is_ahead(worker.info, report.clock_s, sent_at, now):
             self._refute(worker, worker.info, now)
             self._await_entry(worker, born_ms)
@@ -97,6 +99,10 @@
             return
         if info.born_ms < worker.info.born_ms and worker.has_reported:
             return  # a late entry of an earlier incarnation
+        if info.born_ms >= worker.info.born_ms and not worker.has_reported:
+            worker.claimed_capacity = worker.claimed_capacity.maximum(
+                info.capacity
+            )
         known = worker.unconfirmed
         if known is None or known.born_ms != info.born_ms:
             worker.unconfirmed_since = now
--- a/src/citrondeal/workflow/_usage.py
+++ b/src/citrondeal/workflow/_usage.py
@@ -145,4 +145,5 @@
 
 def _rest(worker):
     """Return the most that unknown runs can use on a worker."""
-    return worker.largest_capacity.maximum(worker.used).minus(worker.used)
+    capacity = worker.largest_capacity.maximum(worker.claimed_capacity)
+    return capacity.maximum(worker.used).minus(worker.used)
--- a/src/citrondeal/workflow/_workers.py
+++ b/src/citrondeal/workflow/_workers.py
@@ -45,6 +45,9 @@
         lost contact with the worker.
     largest_capacity : Size
         Largest amounts that its entries have given.
+    claimed_capacity : Size
+        Largest amounts in entries that no report has confirmed, until it
+        reports: an earlier owner may have started tasks by them.
     reported_at : float or None
         When it last reported, or when this owner recovered it if that was
         later; None if neither has happened.
@@ -75,6 +78,7 @@
         self._info = info
         self._usage = usage
         self.largest_capacity = info.capacity
+        self.claimed_capacity = _ZERO
         self._used = _ZERO
         self._pass_reserved = _ZERO
         self._reserved = {}
--- a/src/citrondeal/workflow/tests/quotas.feature
+++ b/src/citrondeal/workflow/tests/quotas.feature
@@ -57,6 +57,7 @@
   # runs on workers that it has not heard, or on silent ones.
   Scenario: workflow runs that a new owner cannot see count against the cap
     Then workflow an unheard worker counts with its capacity until it reports
+    And workflow it counts with that of its newest entry if that is larger
     And workflow unknown runs on a silent worker count until its lease lapses
 
   # Guards against a gang that never fits because smaller tasks of its account
--- a/src/citrondeal/workflow/tests/steps_quotas.py
+++ b/src/citrondeal/workflow/tests/steps_quotas.py
@@ -221,8 +221,20 @@
 
 @then("workflow an unheard worker counts with its capacity until it reports")
 def _(context):
+    _check_unheard_worker(16)
+
+
+@then("workflow it counts with that of its newest entry if that is larger")
+def _(context):
+    _check_unheard_worker(4)
+
+
+def _check_unheard_worker(stored_cores):
+    """Check how much may run beside a worker of 16 cores that is not heard."""
     harness = _harness(None, ("w0", "w1"))
-    _next_owner(harness, [workflow.StoredWorker(harness.infos["w1"])])
+    capacity = workflow.Size(1000 * stored_cores, 1000)
+    info = dataclasses.replace(harness.infos["w1"], capacity=capacity)
+    _next_owner(harness, [workflow.StoredWorker(info)])
     silent, harness.running["w1"] = harness.running.pop("w1"), {}
     del harness.running["w1"]
     harness.report_all()
