Raise the fence of a worker that may have started again

Cause: orders name no incarnation, and every order of an owner had the same fence, its epoch. A worker that starts again under its id has forgotten the fence, the stopped runs and its ends, and its clock begins anew. A start that got no answer could be carried out by the next incarnation after the owner had taken that one over, and a late renewal could make it forget ends unread.

Evidence: the random model dropped late orders when their worker started again.

Change: the fence is the epoch times 2^20 plus the number of times that the owner has raised it for the worker. It rises when the worker may be a new incarnation. The report that shows a restart counts only if it answers a renewal under a fence that was raised after the last start. It then lists whatever earlier orders have done, and none can take effect after it. So a run that it lacks is gone, whatever the earlier incarnation had confirmed. A refusal of an order under a lower fence than the present one is no sign of a newer owner. It counts as unknown also for a first attempt, since the HTTP client may have sent the order twice. A worker that is removed and listed again begins above the fence that it has seen.

Not closed: a late start that the new incarnation carries out before it has heard from the owner.

Changed tests: two steps of capacity.feature let the new incarnation report twice instead of once, because the first report now only raises the fence; what they assert is unchanged. In the model a connection to an earlier incarnation ends without a renewal of the present one (80 instead of 50 % of them), and counts as a lost connection instead of silence.

--- a/src/citrondeal/cell/_leases.py
+++ b/src/citrondeal/cell/_leases.py
@@ -166,11 +166,14 @@
         # held renewal at once, so it is not asked to wait.
         pending = worker.last_end_number > worker.acknowledged
         at_once = (
-            pending or not worker.reachable or worker.unconfirmed is not None
+            pending
+            or not worker.reachable
+            or not worker.is_proven
+            or worker.unconfirmed is not None
         )
         wait_s = REPORT_WAIT_S if worker.may_renew else RETRY_DELAY_S
         renewal = platform.LeaseRenewal(
-            self._scheduler.epoch,
+            worker.fence,
             worker.acknowledgement,
             until_s,
             0.0 if at_once else wait_s,
@@ -182,7 +185,7 @@
             return True  # the entry is to be settled without a pause
         now = _clock.now()
         if outcome.is_err():
-            self._on_failure(outcome.err_value, now)
+            self._on_failure(outcome.err_value, renewal.fence, now)
             return False
         report = outcome.ok_value
         self._worker_clock_offset_s = report.clock_s - now
@@ -190,11 +193,11 @@
         self._on_report()
         return True
 
-    def _on_failure(self, failure, now):
+    def _on_failure(self, failure, fence, now):
         self._failures += 1
         # The incarnation that an entry names may have another address.
         self._tries_unconfirmed = not self._tries_unconfirmed
-        if failure.kind is errors.Kind.BARRED:
+        if failure.kind is errors.Kind.BARRED and fence == self._worker.fence:
             telemetry.event(
                 _LOG,
                 logging.WARNING,
--- a/src/citrondeal/cell/_orders.py
+++ b/src/citrondeal/cell/_orders.py
@@ -69,19 +69,24 @@
         now = _clock.now()
         if not self._may_start(action, lease, now):
             return workflow.OrderOutcome.REFUSED
-        epoch = self._scheduler.epoch
         until_s = lease.worker_clock_s(action.valid_until)
-        outcome = await lease.client.start(action, epoch, until_s)
+        outcome = await self._try_start(action, lease, until_s)
         if outcome is workflow.OrderOutcome.UNKNOWN and self._may_start(
             action, lease, _clock.now()
         ):
             # Sending the same run twice is safe: the worker starts it once,
             # whether one or both of the calls arrive.
             outcome = platform.outcome_after_repeat(
-                await lease.client.start(action, epoch, until_s)
+                await self._try_start(action, lease, until_s)
             )
         return outcome
 
+    async def _try_start(self, action, lease, until_s):
+        worker = self._scheduler.workers[action.worker]
+        fence = worker.fence
+        outcome = await lease.client.start(action, fence, until_s)
+        return workflow.settle_outcome(outcome, fence, worker)
+
     def _may_start(self, action, lease, now):
         """Return whether a start that was decided may be sent now.
 
@@ -107,9 +112,12 @@
 
     async def _stop(self, action):
         lease = self._leases.get(action.worker)
+        worker = self._scheduler.workers.get(action.worker)
         outcome = workflow.OrderOutcome.REFUSED
-        if lease is not None:
-            outcome = await lease.client.stop(action, self._scheduler.epoch)
+        if lease is not None and worker is not None:
+            fence = worker.fence
+            outcome = await lease.client.stop(action, fence)
+            outcome = workflow.settle_outcome(outcome, fence, worker)
         self._metrics.count("citrondeal.stops", 1, outcome=outcome.value)
         self._scheduler.on_stopped(
             action.task, action.run, action.worker, outcome, _clock.now()
--- a/src/citrondeal/workflow/__init__.py
+++ b/src/citrondeal/workflow/__init__.py
@@ -1,6 +1,7 @@
 """Scheduling of jobs with several steps: life cycle, placement, recovery."""
 
 from citrondeal.workflow import _accounts
+from citrondeal.workflow import _fences
 from citrondeal.workflow import _learned
 from citrondeal.workflow import _limits
 from citrondeal.workflow import _messages
@@ -46,12 +47,14 @@
     "decode_worker",
     "encode",
     "may_access",
+    "settle_outcome",
 ]
 
 Account = _accounts.Account
 Caller = _accounts.Caller
 check_cap = _accounts.check_cap
 may_access = _accounts.may_access
+settle_outcome = _fences.settle
 LimitError = _limits.LimitError
 MAX_DEPENDENCIES = _limits.MAX_DEPENDENCIES
 MAX_STEPS = _limits.MAX_STEPS
--- a/src/citrondeal/workflow/_incarnations.py
+++ b/src/citrondeal/workflow/_incarnations.py
@@ -75,7 +75,8 @@
         Returns
         -------
         bool
-            False if the report is a late one of an earlier incarnation.
+            False if the report is a late one of an earlier incarnation, or
+            shows a later one that earlier orders may still reach.
         """
         born_ms = report.born_ms or _assumed_born_ms(worker, sent_at)
         if born_ms < worker.info.born_ms:
@@ -83,7 +84,13 @@
                 return False
             self._correct(worker, born_ms, now)
         elif born_ms > worker.info.born_ms:
+            if not worker.is_fenced(sent_at):
+                self._state.raise_fence(worker, now)
+                self._log_fenced(worker, born_ms)
+                return False
             self._state.on_worker_restart(worker, born_ms, now)
+        if sent_at >= worker.fence_raised_at:
+            worker.is_proven = True
         worker.has_reported = True
         if _is_ahead(worker.info, report.clock_s, sent_at, now):
             self._refute(worker, worker.info, now)
@@ -100,11 +107,23 @@
         known = worker.unconfirmed
         if known is None or known.born_ms != info.born_ms:
             worker.unconfirmed_since = now
+            if info.born_ms != worker.info.born_ms:
+                self._state.raise_fence(worker, now)
             self._log_unconfirmed(worker, info, now)
         elif _is_older(info, known):
             return
         worker.unconfirmed = info
 
+    def _log_fenced(self, worker, born_ms):
+        _events.log(
+            logging.INFO,
+            "worker has started again, its fence is raised",
+            worker=worker.id,
+            born_ms=born_ms,
+            known_born_ms=worker.info.born_ms,
+            fence=worker.fence,
+        )
+
     def _log_unconfirmed(self, worker, info, now):
         if info.born_ms == worker.info.born_ms:
             return
--- a/src/citrondeal/workflow/_reports.py
+++ b/src/citrondeal/workflow/_reports.py
@@ -88,6 +88,7 @@
             # Its record says that its leases may be renewed at any time.
             self._state.changed_workers[worker.id] = worker
         if worker is not None and worker.reachable:
+            self._state.raise_fence(worker, now)
             self._state.set_reachable(worker, False)
             _events.log(
                 logging.WARNING,
@@ -96,6 +97,23 @@
                 reason=reason,
             )
 
+    def on_connection_lost(self, worker_id, now):
+        """Raise the fence of a worker, because its connection has ended.
+
+        It may have started again. Until a report shows that it has not, no
+        ends are acknowledged and no tasks started there.
+        """
+        worker = self._state.workers.get(worker_id)
+        if worker is None:
+            return
+        self._state.raise_fence(worker, now)
+        _events.log(
+            logging.INFO,
+            "connection to a worker has ended, its fence is raised",
+            worker=worker_id,
+            fence=worker.fence,
+        )
+
     def _has_open_lease(self, worker):
         """Return whether the end of an earlier owner's lease can be stored."""
         return (
--- a/src/citrondeal/workflow/_state.py
+++ b/src/citrondeal/workflow/_state.py
@@ -7,6 +7,7 @@
 from citrondeal.workflow import _anomalies
 from citrondeal.workflow import _crashes
 from citrondeal.workflow import _events
+from citrondeal.workflow import _fences
 from citrondeal.workflow import _incarnations
 from citrondeal.workflow import _jobs
 from citrondeal.workflow import _learning
@@ -78,6 +79,7 @@
     def __init__(self, config, epoch):
         self.config = config
         self.epoch = epoch
+        self._next_fence = _fences.first_fence(epoch)
         self.run_numbers = _run_numbers.RunNumbers(epoch)
         self.jobs = {}
         self.active = {}
@@ -142,7 +144,11 @@
         expires_at = now + self.config.lease_s * _workers.CLOCK_DRIFT_FACTOR
         expires_at += RECOVERY_MARGIN_S
         worker = _workers.WorkerState(
-            info, now, expires_at + _workers.LEASE_MARGIN_S, self.usage
+            info,
+            now,
+            expires_at + _workers.LEASE_MARGIN_S,
+            self.usage,
+            self._next_fence,
         )
         self.workers[info.worker] = worker
         self.changed_workers[info.worker] = worker
@@ -152,6 +158,10 @@
         self.learning.forget_worker(worker.id)
         self.release_all_runs(worker)
         del self.workers[worker.id]
+        # It may be listed again, and has seen this fence.
+        self._next_fence = max(
+            self._next_fence, _fences.raise_fence(worker.fence)
+        )
         self.changed_workers[worker.id] = worker
         self.mark_resolved(worker, now)
 
@@ -184,6 +194,10 @@
         while worker.runs:
             self.release_run(worker, next(iter(worker.runs.values())))
 
+    def raise_fence(self, worker, now):
+        """Raise the fence of a worker that may be a new incarnation."""
+        worker.raise_fence(now)
+
     def set_reachable(self, worker, reachable):
         # The record of an unreachable worker lists the tasks that may run on
         # it, for a next owner that cannot reach it either.  Until the change
@@ -198,6 +212,8 @@
         A start that was sent before the new incarnation was known may have
         been carried out by it, since orders name no incarnation.  Its run is
         kept until a report of the new incarnation shows whether it has it.
+        The report that shows the restart is under a fence that voids all
+        earlier orders.
         """
         lost = [run for run in worker.runs.values() if self._is_lost(run)]
         _events.log(
@@ -222,13 +238,15 @@
         worker.ends_known_at = -math.inf
         for run in worker.runs.values():
             run.missing_at = None
+            # What the earlier incarnation confirmed does not count, but the
+            # next report does: no order of this run can take effect after.
+            run.confirmed_at = run.ordered_at
         for run in lost:
             # The release of one member of a gang may release others.
             if worker.runs.get(run.task.id) is run:
                 self.release_run(worker, run)
-        if worker.runs:
-            # A start gives an incarnation a lease like a renewal.
-            worker.extend_lease(now, self.config.lease_s)
+        # Any order or renewal that was late may have given it a lease.
+        worker.extend_lease(now, self.config.lease_s)
         worker.unrecognized_runs.clear()
         worker.unaccounted_tasks.clear()
         worker.phase = None
--- a/src/citrondeal/workflow/_workers.py
+++ b/src/citrondeal/workflow/_workers.py
@@ -2,6 +2,7 @@
 
 import math
 
+from citrondeal.workflow import _fences
 from citrondeal.workflow import _model
 
 # A worker's clock may be 2 % slow, so its leases may last longer than granted.
@@ -27,9 +28,18 @@
         Time from which no task can run there unless a lease is renewed.
     usage : Usage
         Counts the runs of all workers by client account.
+    fence : int
+        Of the first orders.
 
     Attributes
     ----------
+    fence : int
+        Of the orders that are sent to it now, see `_fences`.
+    fence_raised_at : float
+        When the fence was last raised.
+    is_proven : bool
+        Whether it has answered a renewal under the present fence, so that it
+        is known which incarnation the orders reach.
     listed : bool
         Whether its own entry was read and its capacity may be used.
     unconfirmed : WorkerInfo or None
@@ -71,7 +81,7 @@
         one has not read.
     """
 
-    def __init__(self, info, now, lease_expires_at, usage):
+    def __init__(self, info, now, lease_expires_at, usage, fence):
         self._info = info
         self._usage = usage
         self.largest_capacity = info.capacity
@@ -84,6 +94,9 @@
         self.unconfirmed_since = -math.inf
         self.refuted_born_ms = 0
         self.has_reported = False
+        self.fence = fence
+        self.fence_raised_at = -math.inf
+        self.is_proven = False
         self.stored = False
         self.reachable = False
         self.reported_at = None
@@ -140,7 +153,9 @@
         started again, may be a new incarnation whose ends have the same
         numbers, and would forget them unread.
         """
-        is_certain = self.reachable and self.unconfirmed is None
+        is_certain = (
+            self.reachable and self.is_proven and self.unconfirmed is None
+        )
         return self.acknowledged if is_certain else 0
 
     @property
@@ -160,6 +175,7 @@
             and not self.lease_is_stored
             and self.listed
             and self.reachable
+            and self.is_proven
             and self.unconfirmed is None
             and not self._info.draining
             and not self.unrecognized_runs
@@ -206,6 +222,25 @@
         if size is not None:
             self._free = self._free.plus(size)
 
+    def raise_fence(self, now):
+        """Void the orders sent so far for an incarnation that comes next."""
+        self.fence = _fences.raise_fence(self.fence)
+        self.fence_raised_at = now
+        self.is_proven = False
+
+    def is_fenced(self, sent_at):
+        """Return whether an answer proves that earlier orders are void.
+
+        It does if the renewal that it answers was sent under the present
+        fence, and no start since the fence was raised.
+
+        Parameters
+        ----------
+        sent_at : float
+            When the renewal was sent.
+        """
+        return not self.is_proven and sent_at >= self.fence_raised_at
+
     def extend_lease(self, now, lease_s):
         """Allow for a renewal by `lease_s`, which may reach the worker."""
         self.has_renewed = True
--- a/src/citrondeal/workflow/tests/incarnations.feature
+++ b/src/citrondeal/workflow/tests/incarnations.feature
@@ -52,3 +52,33 @@
     Given a workflow cell whose two workers are filled by a job
     When another writer names a later incarnation of a workflow worker
     Then workflow no crash is counted once the worker has reported
+
+  # Guards against a task that runs twice: a start for the earlier incarnation
+  # that the new one carries out after its report has released the run.
+  Scenario: workflow a restart counts only once earlier orders are void
+    Given a workflow worker with a listed run and an end that is stored
+    When a report under the earlier fence shows that the worker started again
+    Then workflow the run stays, no end is acknowledged and the fence is higher
+    And workflow a report that was sent before changes nothing
+    And workflow a report under the higher fence releases the run
+
+  # Guards against a run that stays for ever, and against one that counts as
+  # ended because the earlier incarnation has confirmed its stop.
+  Scenario Outline: workflow a start without an answer is settled by a restart
+    Given a workflow worker whose start got no answer and whose stop <stop>
+    When the workflow worker starts again and <has> the run
+    Then workflow the run is kept only if the new incarnation has it
+
+    Examples:
+      | stop          | has           |
+      | was confirmed | has           |
+      | was confirmed | does not have |
+      | was lost      | has           |
+      | was lost      | does not have |
+
+  # Guards against an owner that takes the answer to its own late order for the
+  # sign of a newer owner, and against fences that fall.
+  Scenario: workflow fences of a worker only rise
+    Then workflow a refusal under a fence that was raised shows no newer owner
+    And workflow a worker that is removed and listed again has a higher fence
+    And workflow the fence of a worker stays below those of the next epoch
--- a/src/citrondeal/workflow/tests/simulated_orders.py
+++ b/src/citrondeal/workflow/tests/simulated_orders.py
@@ -1,8 +1,9 @@
 """Orders of owners to simulated workers, which may get lost or be late."""
 
 from citrondeal import workflow
+from citrondeal.workflow.tests import simulated_late_calls
 
-MAX_DELAY_S = 8.0
+MAX_DELAY_S = simulated_late_calls.MAX_DELAY_S
 LATE_SHARE = 0.03
 UNANSWERED_SHARE = 0.02
 TICKETS_VALID_S = 2.5
@@ -18,13 +19,6 @@
 
     def __init__(self, simulation):
         self._simulation = simulation
-        self._late = []  # of time and the function that carries it out
-
-    def tick(self, now):
-        """Carry out the late orders that are due."""
-        for _, carry_out in [x for x in self._late if x[0] <= now]:
-            carry_out()
-        self._late = [x for x in self._late if x[0] > now]
 
     def deliver(self, owner, action):
         """Deliver an order, or answer a call for tickets."""
@@ -43,6 +37,9 @@
         worker = worker or self._simulation.replaced[action.worker]
         is_start = isinstance(action, workflow.Start)
         outcome = self._send(owner, worker, action, now)
+        if is_start and outcome is workflow.OrderOutcome.UNKNOWN:
+            second = self._send(owner, worker, action, now)
+            outcome = simulated_late_calls.after_repeat(outcome, second)
         if is_start and outcome is workflow.OrderOutcome.UNKNOWN:
             task = self._simulation.accounting_task(action.task)
             worker.unanswered.add((task, action.run))
@@ -51,6 +48,12 @@
 
     def _send(self, owner, worker, action, now):
         """Return the outcome of an order as its owner sees it."""
+        fence = owner.fence(worker)
+        known = owner.scheduler.workers.get(worker.name)
+        outcome = self._send_once(owner, worker, action, now)
+        return workflow.settle_outcome(outcome, fence, known)
+
+    def _send_once(self, owner, worker, action, now):
         carry_out = self._order(owner, worker, action, now)
         rng = self._simulation.random
         roll = rng.random()
@@ -63,7 +66,7 @@
             return workflow.OrderOutcome.UNKNOWN
         if roll < LATE_SHARE and may_fail:
             delay_s = rng.uniform(0.5, MAX_DELAY_S)
-            self._late.append((now + delay_s, carry_out))
+            self._simulation.late_calls.add(worker, now + delay_s, carry_out)
             return workflow.OrderOutcome.UNKNOWN
         outcome = carry_out()
         if roll < LATE_SHARE + UNANSWERED_SHARE and may_fail:
@@ -72,15 +75,20 @@
 
     def _order(self, owner, worker, action, now):
         """Return a function that carries out an order on its worker."""
-        epoch, born_ms = owner.epoch, worker.born_ms
+        fence, born_ms = owner.fence(worker), worker.born_ms
+        late_calls = self._simulation.late_calls
 
         def carry_out():
-            # An order that is delayed ends with the connection to its worker.
-            if self._is_gone(worker) or worker.born_ms != born_ms:
+            if self._is_gone(worker):
                 return workflow.OrderOutcome.UNKNOWN
-            if isinstance(action, workflow.Start):
-                return worker.start(action, epoch, action.valid_until)
-            return worker.stop(action, epoch)
+            if not isinstance(action, workflow.Start):
+                return worker.stop(action, fence)
+            if worker.born_ms != born_ms and not late_calls.may_reach(worker):
+                return workflow.OrderOutcome.UNKNOWN
+            limit = simulated_late_calls.start_limit(
+                worker, action, now, self._simulation.now
+            )
+            return worker.start(action, fence, limit)
 
         return carry_out
 
--- a/src/citrondeal/workflow/tests/simulated_renewals.py
+++ b/src/citrondeal/workflow/tests/simulated_renewals.py
@@ -4,12 +4,13 @@
 import random
 
 from citrondeal import workflow
+from citrondeal.workflow.tests import simulated_late_calls
 
 LEASE_S = 10.0
 ANSWER_S = 0.01
 LOST_SHARE = 0.05
 LATE_SHARE = 0.1
-BROKEN_SHARE = 0.5  # of the calls that meet a new incarnation
+BROKEN_SHARE = 0.8  # of the connections to an earlier incarnation
 LATE_S = (0.1, 0.6)
 
 
@@ -19,7 +20,7 @@
 
     arrives_at: float
     sent_at: float
-    report: workflow.Report
+    report: workflow.Report | None  # None if the call has timed out
 
 
 class Renewals:
@@ -45,6 +46,9 @@
         if state is None or self._is_awaited(owner, key, now):
             return
         is_cut = self._is_cut(owner, worker, now)
+        if not is_cut and self._has_lost_connection(owner, worker):
+            owner.scheduler.on_connection_lost(worker.name, now)
+            return
         if is_cut or self._simulation.random.random() < LOST_SHARE:
             if is_cut:
                 owner.scheduler.on_renewal_failed(worker.name, "cut", now)
@@ -53,7 +57,11 @@
         if state.may_renew:
             state.extend_lease(now, LEASE_S)
             until = now + LEASE_S
-        report = worker.renew(owner.epoch, state.acknowledgement, until)
+        call = (state.fence, state.acknowledgement, until)
+        if self._simulation.late_calls.loses_renewal():
+            self._lose(key, worker, call)
+            return
+        report = worker.renew(*call)
         if report is None:
             owner.scheduler.on_newer_owner()
         elif self._rng.random() < LATE_SHARE:
@@ -72,20 +80,37 @@
             return False
         if now >= late.arrives_at:
             del self._late[key]
+            if late.report is None:
+                owner.scheduler.on_renewal_failed(key[1], "timeout", now)
+                return True
             owner.scheduler.on_report(key[1], late.report, late.sent_at, now)
         return True
 
+    def _lose(self, key, worker, call):
+        """Let a call time out, and be carried out late."""
+        now, late_calls = self._simulation.now, self._simulation.late_calls
+        arrives_at = now + simulated_late_calls.RENEWAL_TIMEOUT_S
+        self._late[key] = _LateAnswer(arrives_at, now, None)
+
+        def carry_out():
+            if not worker.down and worker.name in self._simulation.workers:
+                worker.renew(*call)
+
+        late_calls.add(worker, now + late_calls.delay_s(), carry_out)
+
     def _is_cut(self, owner, worker, now):
-        born_ms = owner.connected_to.get(worker.name, worker.born_ms)
-        owner.connected_to[worker.name] = worker.born_ms
-        # The connection to an earlier incarnation ends with it.  A call on an
-        # idle one is repeated, and answered by the present incarnation.
-        is_broken = (
-            born_ms != worker.born_ms and self._rng.random() < BROKEN_SHARE
-        )
         return (
             worker.unreachable
             or worker.down
             or now < owner.unreachable_until.get(worker.name, 0.0)
-            or is_broken
         )
+
+    def _has_lost_connection(self, owner, worker):
+        """Return whether the connection has ended with an incarnation.
+
+        A worker may have closed it before, so that the call opens another
+        one, which leads to the present incarnation.
+        """
+        born_ms = owner.connected_to.get(worker.name, worker.born_ms)
+        owner.connected_to[worker.name] = worker.born_ms
+        return born_ms != worker.born_ms and self._rng.random() < BROKEN_SHARE
--- a/src/citrondeal/workflow/tests/simulated_workers.py
+++ b/src/citrondeal/workflow/tests/simulated_workers.py
@@ -10,6 +10,7 @@
 
 from citrondeal import workflow
 from citrondeal.workflow.tests import capacities
+from citrondeal.workflow.tests import simulated_late_calls
 
 STOP_DURATION_S = 0.2
 CLOCK_RATES = (0.98, 1.02)
@@ -135,7 +136,8 @@
             return None
         self.fence = fence
         if until is not None:
-            self.lease_until = max(self.lease_until, until)
+            longest = self.simulation.now + simulated_late_calls.HOLD_MAX_S
+            self.lease_until = max(self.lease_until, min(until, longest))
         for end in self.unacknowledged_ends:
             if end.number <= acknowledged:
                 self.simulation.on_acknowledged(self, end)
--- a/src/citrondeal/workflow/tests/simulation.py
+++ b/src/citrondeal/workflow/tests/simulation.py
@@ -16,6 +16,7 @@
 from citrondeal.workflow.tests import odd_entries
 from citrondeal.workflow.tests import random_faults
 from citrondeal.workflow.tests import random_jobs
+from citrondeal.workflow.tests import simulated_late_calls
 from citrondeal.workflow.tests import simulated_orders
 from citrondeal.workflow.tests import simulated_renewals
 from citrondeal.workflow.tests import simulated_workers
@@ -47,6 +48,11 @@
     unreachable_until: dict = dataclasses.field(default_factory=dict)
     connected_to: dict = dataclasses.field(default_factory=dict)
 
+    def fence(self, worker):
+        """Return the fence of orders to a worker, None if it is unknown."""
+        known = self.scheduler.workers.get(worker.name)
+        return None if known is None else known.fence
+
 
 class Simulation:
     """Workers, a sequence of owners, and checks of the invariants.
@@ -57,9 +63,16 @@
         Seed of the random jobs, faults and times.
     scheduler_class : type
         `workflow.Scheduler`, or a subclass with a fault.
+    late_starts_reach_unheard : bool
+        See `simulated_late_calls.LateCalls`.
     """
 
-    def __init__(self, seed, scheduler_class=workflow.Scheduler):
+    def __init__(
+        self,
+        seed,
+        scheduler_class=workflow.Scheduler,
+        late_starts_reach_unheard=False,
+    ):
         self.random = random.Random(seed)
         # Its own generator keeps the other draws of a seed.
         self.deadly_random = random.Random(~seed)
@@ -77,6 +90,9 @@
         self.stored_jobs = {}
         self.stored_workers = {}
         self.orders = simulated_orders.Orders(self)
+        self.late_calls = simulated_late_calls.LateCalls(
+            self, seed, late_starts_reach_unheard
+        )
         self.epoch = 0
         self.owner = None
         self.superseded_owners = []
@@ -434,7 +450,7 @@
     def tick(self):
         """Advance the time by `TICK_S`."""
         self.now += TICK_S
-        self.orders.tick(self.now)
+        self.late_calls.tick(self.now)
         for worker in list(self.workers.values()):
             worker.tick(self.now)
         self.worker_list.tick(
--- a/src/citrondeal/workflow/tests/steps.py
+++ b/src/citrondeal/workflow/tests/steps.py
@@ -122,6 +122,12 @@
         self.release_all_runs(worker)
 
 
+class _KeepsFences(_state.State):
+    def raise_fence(self, worker, now):
+        worker.fence_raised_at = now
+        worker.is_proven = False
+
+
 class _BelievesEntries(_incarnations.Incarnations):
     def _keep(self, worker, info, now):
         if info.born_ms > worker.info.born_ms:
@@ -172,6 +178,7 @@
         "state",
         _ReleasesAllAtRestart,
     ),
+    "fences stay after a restart": ("state", _KeepsFences),
     "entries prove an incarnation": ("state", _StateThatBelievesEntries),
     "crashes are not counted": ("state", _StateWithoutCrashes),
     "crash counts are not stored": ("state", _StateWithoutStoredCrashes),
--- a/src/citrondeal/workflow/tests/steps_capacity.py
+++ b/src/citrondeal/workflow/tests/steps_capacity.py
@@ -29,6 +29,14 @@
     harness.scheduler.on_worker(info, harness.now)
 
 
+def _restart(harness, clock_s):
+    """Let a new incarnation report until the owner has taken it over."""
+    for _ in range(2):
+        report = workflow.Report(clock_s, 2, [], [])
+        harness.scheduler.on_report("w0", report, harness.now, harness.now)
+    harness.store()
+
+
 def _submit(harness, job, size=HALF_TASK):
     step = workflow.Step(1, size, 1.0)
     policy = workflow.Policy("queue", "service", 1, 3, 10.0)
@@ -169,9 +177,7 @@
 @then("workflow a worker with a new incarnation is used only by its new entry")
 def _(context):
     harness = harnesses.Harness()
-    report = workflow.Report(harness.now, 2, [], [])
-    harness.scheduler.on_report("w0", report, harness.now, harness.now)
-    harness.store()
+    _restart(harness, harness.now)
     harness.submit("large", 4.0)
     harness.submit("small", 2.0)
     assert harness.plan() == []
@@ -183,9 +189,7 @@
 def _(context):
     harness = harnesses.Harness()
     _report_capacity(harness, FULL, clock_s=harness.now)
-    report = workflow.Report(0.5, 2, [], [])
-    harness.scheduler.on_report("w0", report, harness.now, harness.now)
-    harness.store()
+    _restart(harness, 0.5)
     harness.submit("a", 1.0)
     _report_capacity(harness, FULL, born_ms=2, clock_s=0.5)
     assert harness.plan() == ["a"]
--- a/src/citrondeal/workflow/tests/workflow.feature
+++ b/src/citrondeal/workflow/tests/workflow.feature
@@ -27,6 +27,7 @@
       | capacity changes are ignored            |
       | restarted workers are used at once      |
       | runs of a new incarnation are released  |
+      | fences stay after a restart             |
       | entries prove an incarnation            |
       | crashes are not counted                 |
       | crash counts are not stored             |
