Send a renewal of leases once only

Callers saw a task run twice (TWICE).

Cause: the HTTP client repeats a call on a new connection when a reused one ends before the answer. A renewal that acknowledges ends by their numbers was so sent again to the next incarnation of a worker, whose numbers begin anew, and which then forgets ends that the owner has never read. By reading; no play has shown it.

Change: `web.Client.request` can be told not to repeat; the failure is then a `ConnectionEnded`. Renewals use this, on a connection of their own, so that no renewal opens another one because an order has taken it. The owner raises the fence of the worker and renews at once, without acknowledging or extending anything. A second failure in a row counts as silence. One reset connection neither writes the record of the worker nor takes it out of use for longer than that call. Other callers of the client keep its behaviour.

Not covered: a server that closes the connection after an answer and says so gets the next renewal on a new connection without a failure; then the report of a later incarnation still counts only under a raised fence, but an acknowledgement may have reached it.

--- a/src/citrondeal/cell/_leases.py
+++ b/src/citrondeal/cell/_leases.py
@@ -9,6 +9,7 @@
 from citrondeal import errors
 from citrondeal import platform
 from citrondeal import telemetry
+from citrondeal import web
 
 # A worker may hold a renewal for this long until a run ends, so a report is
 # requested at least this often.
@@ -53,6 +54,7 @@
         self._renewal_scope = None
         self._renewal_sent_at = -math.inf
         self._tries_unconfirmed = False
+        self._connection_lost = False  # by the last renewal
         self._failures = 0  # since the last report or entry
         self._entry_read = anyio.Event()
         self._client = platform.RunnerClient(worker.id, worker.info.address)
@@ -158,6 +160,7 @@
         if (
             self.worker_clock_known
             and worker.may_renew
+            and not self._connection_lost
             and self._may_renew(sent_at)
         ):
             until_s = self.worker_clock_s(sent_at) + self._lease_s
@@ -185,8 +188,8 @@
             return True  # the entry is to be settled without a pause
         now = _clock.now()
         if outcome.is_err():
-            self._on_failure(outcome.err_value, renewal.fence, now)
-            return False
+            return self._on_failure(outcome.err_value, renewal.fence, now)
+        self._connection_lost = False
         report = outcome.ok_value
         self._worker_clock_offset_s = report.clock_s - now
         self._scheduler.on_report(worker.id, report, sent_at, now)
@@ -194,6 +197,13 @@
         return True
 
     def _on_failure(self, failure, fence, now):
+        """Learn from a failure, and return whether to try again at once."""
+        was_lost, self._connection_lost = self._connection_lost, False
+        if isinstance(failure, web.ConnectionEnded) and not was_lost:
+            # The next incarnation may be up; silence follows if it is not.
+            self._connection_lost = True
+            self._scheduler.on_connection_lost(self.worker_id, now)
+            return True
         self._failures += 1
         # The incarnation that an entry names may have another address.
         self._tries_unconfirmed = not self._tries_unconfirmed
@@ -207,3 +217,4 @@
             self._scheduler.on_newer_owner()
         self._scheduler.on_renewal_failed(self.worker_id, failure.message, now)
         self._on_report()
+        return False
--- a/src/citrondeal/platform/_runners.py
+++ b/src/citrondeal/platform/_runners.py
@@ -58,7 +58,7 @@
     Attributes
     ----------
     fence : int
-        Epoch of the owner that sends the renewal.
+        Present fence of the owner for the runner.
     acknowledged : int
         Number up to which the runner may forget ends.
     until_s : float or None
@@ -87,6 +87,8 @@
 
     def __init__(self, worker, address):
         self._client = web.Client(address, MAX_CONNECTIONS)
+        # While its connection lasts, renewals reach the same incarnation.
+        self._renewal_client = web.Client(address, 1)
         self._headers = (("X-Expect-Instance", worker),)
 
     @property
@@ -134,19 +136,21 @@
         -------
         result.Result
             ``Ok(workflow.Report)``; kind ``barred`` if the runner knows a
-            newer owner.
+            higher fence; a `web.ConnectionEnded` if the runner may have
+            started again since the last renewal.
         """
         value = {"fence": renewal.fence, "seen-upto": renewal.acknowledged}
         if renewal.until_s is not None:
             value["until-ms"] = int(renewal.until_s * 1000)
         if renewal.wait_s > 0:
             value["wait-ms"] = int(renewal.wait_s * 1000)
-        outcome = await self._client.request(
+        outcome = await self._renewal_client.request(
             "POST",
             "/v1/hold",
             msgspec.json.encode(value),
             renewal.wait_s + RENEWAL_TIMEOUT_MARGIN_S,
             self._headers,
+            repeat=False,
         )
         if outcome.is_err():
             return outcome
@@ -191,6 +195,7 @@
     async def aclose(self):
         """Close idle connections."""
         await self._client.aclose()
+        await self._renewal_client.aclose()
 
 
 def outcome_after_repeat(outcome):
--- a/src/citrondeal/platform/tests/steps_limits.py
+++ b/src/citrondeal/platform/tests/steps_limits.py
@@ -216,7 +216,7 @@
         ends = [[n, "a.0.0.0", n, "done", ""] for n in range(1, listed + 1)]
         body = json.dumps({"clock-ms": 0, "ended": ends}).encode()
         client = platform.RunnerClient("w", "127.0.0.1:1")
-        client._client = steps_fuzz._FixedAnswer(body)
+        client._renewal_client = steps_fuzz._FixedAnswer(body)
         renewal = platform.LeaseRenewal(1, 0, None, 0.0)
         report = anyio.run(client.renew_leases, renewal).unwrap()
         assert report.truncated is (listed == count), listed
--- a/src/citrondeal/web/__init__.py
+++ b/src/citrondeal/web/__init__.py
@@ -10,6 +10,7 @@
     "App",
     "Budget",
     "Client",
+    "ConnectionEnded",
     "ConnectionTable",
     "Guard",
     "Limits",
@@ -26,6 +27,7 @@
 App = _app.App
 Budget = _limits.Budget
 Client = _client.Client
+ConnectionEnded = _client.ConnectionEnded
 ConnectionTable = _limits.ConnectionTable
 Guard = _guard.Guard
 Limits = _limits.Limits
--- a/src/citrondeal/web/_client.py
+++ b/src/citrondeal/web/_client.py
@@ -52,6 +52,13 @@
     repeated: bool = False
 
 
+class ConnectionEnded(errors.Failure):
+    """A reused connection ended before the answer, and nothing is repeated.
+
+    The server may have started again, or closed the connection when idle.
+    """
+
+
 class _RequestNotSent(Exception):
     """No byte of the request can have reached the server."""
 
@@ -167,12 +174,14 @@
         timeout_s=1.0,
         headers=(),
         extension_s=0.0,
+        repeat=True,
     ):
         """Send one request and read its answer.
 
         If a reused connection ends before the first byte of the answer, the
         request is repeated on another connection.  The server may then run
-        it twice, so only requests that may be repeated must be sent.
+        it twice, so only requests that may be repeated must be sent, or with
+        `repeat` False.
 
         Parameters
         ----------
@@ -189,6 +198,8 @@
             Seconds that remain at least after each part of the answer, within
             `MAX_EXTENSION_S`, so that a long answer on a slow link is not
             given up and requested again.
+        repeat : bool
+            False to fail with a `ConnectionEnded` instead of a repeat.
 
         Returns
         -------
@@ -207,12 +218,19 @@
             with anyio.move_on_after(timeout_s) as scope:
                 async with self._connection_semaphore:
                     return result.Ok(
-                        await self._send_with_repeat(
-                            data, _make_deadline_extender(scope, extension_s)
+                        await self._send(
+                            data,
+                            _make_deadline_extender(scope, extension_s),
+                            repeat,
                         )
                     )
         except _RequestNotSent as exc:
             return _failure(errors.Kind.UNAVAILABLE, exc)
+        except _StaleConnection as exc:
+            text = str(exc.__cause__) or type(exc.__cause__).__name__
+            return result.Err(
+                ConnectionEnded(errors.Kind.UNKNOWN_OUTCOME, text)
+            )
         except _CONNECTION_ERRORS as exc:
             return _failure(errors.Kind.UNKNOWN_OUTCOME, exc)
         except (httptools.HttpParserError, _AnswerTooLarge) as exc:
@@ -229,7 +247,7 @@
         header_text = "\r\n".join(lines) + "\r\n\r\n"
         return header_text.encode("latin-1") + body
 
-    async def _send_with_repeat(self, data, on_chunk):
+    async def _send(self, data, on_chunk, repeat):
         is_repeat = False
         while True:
             connection = await self._take_idle_connection()
@@ -240,6 +258,8 @@
                 reply = await connection.exchange(data, on_chunk)
             except _StaleConnection:
                 await _close_connection(connection)
+                if not repeat:
+                    raise
                 is_repeat = True
                 continue
             except BaseException:
--- a/src/citrondeal/web/tests/steps.py
+++ b/src/citrondeal/web/tests/steps.py
@@ -186,6 +186,24 @@
     assert outcome.err_value.message != "timeout", outcome
 
 
+@then("web a call without repeats fails if the server closed its connection")
+def _(context):
+    listener = socket.create_server(("127.0.0.1", 0))
+    client = web.Client("127.0.0.1:{}".format(listener.getsockname()[1]))
+    server = threading.Thread(target=_answer_once, args=[listener])
+    server.start()
+
+    async def call_twice():
+        await client.request("POST", "/x", b"{}", repeat=False)
+        return await client.request("POST", "/x", b"{}", repeat=False)
+
+    outcome = anyio.run(call_twice)
+    server.join()
+    assert isinstance(outcome.err_value, web.ConnectionEnded), outcome
+    assert outcome.err_value.kind is errors.Kind.UNKNOWN_OUTCOME, outcome
+    assert client.requests_sent == 2, client.requests_sent
+
+
 PARTS = 4
 PART_INTERVAL_S = 0.1
 
--- a/src/citrondeal/web/tests/web.feature
+++ b/src/citrondeal/web/tests/web.feature
@@ -8,6 +8,11 @@
   Scenario: web the client repeats a call on a connection that was closed
     Then web a call after the server closed its connections succeeds
 
+  # Guards against calls that a server carries out twice although their caller
+  # must know whether they were sent again.
+  Scenario: web a call that must not be repeated is sent once
+    Then web a call without repeats fails if the server closed its connection
+
   # Guards against errors that report a call as not run although the server
   # may have run it.
   Scenario: web the client reports unavailable only for calls not sent
