--- a/src/citrondeal/workflow/tests/simulated_renewals.py
+++ b/src/citrondeal/workflow/tests/simulated_renewals.py
@@ -4,17 +4,17 @@
 import random
 
 from citrondeal import workflow
+from citrondeal.workflow.tests import simulated_late_calls
 
 LEASE_S = 10.0
 ANSWER_S = 0.01
 LOST_SHARE = 0.05
 LATE_SHARE = 0.1
-BROKEN_SHARE = 0.5  # of the calls that meet a new incarnation
+BROKEN_SHARE = 0.8  # of the connections to an earlier incarnation
 LATE_S = (0.1, 0.6)
 TIMEOUT_SHARE = 0.02  # of the calls that are carried out
 # The same of those that follow the first answer of a worker that was silent.
 NEXT_TIMEOUT_SHARE = 0.3
-TIMEOUT_S = 0.9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,6 +58,9 @@
         if state is None or self._is_awaited(owner, key, now):
             return
         is_cut = self._is_cut(owner, worker, now)
+        if not is_cut and self._has_lost_connection(owner, worker):
+            owner.scheduler.on_connection_lost(worker.name, now)
+            return
         if is_cut or self._simulation.random.random() < LOST_SHARE:
             if is_cut:
                 owner.scheduler.on_renewal_failed(worker.name, "cut", now)
@@ -66,7 +69,11 @@
         if state.may_renew:
             state.extend_lease(now, LEASE_S)
             until = now + LEASE_S
-        report = worker.renew(owner.epoch, state.acknowledgement, until)
+        call = (state.fence, state.acknowledgement, until)
+        if self._simulation.late_calls.loses_renewal():
+            self._lose(key, worker, call)
+            return
+        report = worker.renew(*call)
         if report is None:
             owner.scheduler.on_newer_owner()
         else:
@@ -76,7 +83,9 @@
         """Deliver an answer, later or not at all for some calls."""
         roll = self._rng.random()
         if self._rng.random() < self._timeout_share(owner, key):
-            self._late[key] = _LateAnswer(now + TIMEOUT_S, now, None)
+            self._late[key] = _LateAnswer(
+                now + simulated_late_calls.RENEWAL_TIMEOUT_S, now, None
+            )
         elif roll < LATE_SHARE:
             arrives_at = now + self._rng.uniform(*LATE_S)
             self._late[key] = _LateAnswer(arrives_at, now, report)
@@ -113,17 +122,31 @@
         else:
             scheduler.on_report(name, late.report, late.sent_at, now)
 
+    def _lose(self, key, worker, call):
+        """Let a call time out, and be carried out late."""
+        now, late_calls = self._simulation.now, self._simulation.late_calls
+        arrives_at = now + simulated_late_calls.RENEWAL_TIMEOUT_S
+        self._late[key] = _LateAnswer(arrives_at, now, None)
+
+        def carry_out():
+            if not worker.down and worker.name in self._simulation.workers:
+                worker.renew(*call)
+
+        late_calls.add(worker, now + late_calls.delay_s(), carry_out)
+
     def _is_cut(self, owner, worker, now):
-        born_ms = owner.connected_to.get(worker.name, worker.born_ms)
-        owner.connected_to[worker.name] = worker.born_ms
-        # The connection to an earlier incarnation ends with it.  A call on an
-        # idle one is repeated, and answered by the present incarnation.
-        is_broken = (
-            born_ms != worker.born_ms and self._rng.random() < BROKEN_SHARE
-        )
         return (
             worker.unreachable
             or worker.down
             or now < owner.unreachable_until.get(worker.name, 0.0)
-            or is_broken
         )
+
+    def _has_lost_connection(self, owner, worker):
+        """Return whether the connection has ended with an incarnation.
+
+        A worker may have closed it before, so that the call opens another
+        one, which leads to the present incarnation.
+        """
+        born_ms = owner.connected_to.get(worker.name, worker.born_ms)
+        owner.connected_to[worker.name] = worker.born_ms
+        return born_ms != worker.born_ms and self._rng.random() < BROKEN_SHARE
