Revert "Count crashes of a task that changes of the owner hide"

Cause: after three changes of the owner with an unseen restart, two counted crashes end a task. The changes are those of the whole zone, so they may have nothing to do with the task; and a start that was lost before its worker restarted is counted as a crash, so two counted ones prove only one. With three counted ones there is room for that. Losing a job without fault is worse for its caller than a sixth crash.

--- a/src/citrondeal/jobs/_budget.py
+++ b/src/citrondeal/jobs/_budget.py
@@ -13,10 +13,6 @@
 # another task or a power failure may have been the cause.  With more, a task
 # that does crash its workers would start too often.
 MAX_EXCUSED = 1
-# Before the first counted crash of a task, its workers may have crashed unseen
-# at changes of the owner.  After more of these, one counted crash less is
-# allowed.
-MAX_UNSEEN = 2
 # A service has no end, so that unrelated crashes of its workers add up over
 # months.  Those before a run of this length are not counted any more.
 LONG_RUN_S = 3600.0
@@ -32,30 +28,26 @@
         Those that count against the budget.
     excused : int
         Those that another cause may explain.
-    unseen : int
-        Runs before the first counted crash that may have crashed unseen.
-        There is no excuse if there is one.
+    has_unseen : bool
+        Whether a run before the first counted crash may have crashed unseen.
+        There is no excuse then.
     """
 
     counted: int = 0
     excused: int = 0
-    unseen: int = 0
+    has_unseen: bool = False
 
     @property
     def spent(self):
         """Whether the task is given up."""
-        return self.counted >= self._limit
+        return self.counted >= MAX_CRASHES
 
     @property
     def suspect(self):
         """Whether the task is started apart from others."""
         return self.counted >= SUSPECT_CRASHES
 
-    @property
-    def _limit(self):
-        return MAX_CRASHES - (self.unseen > MAX_UNSEEN)
-
-    def add(self, entry, is_service, unseen_changes):
+    def add(self, entry, is_service):
         """Count one crash.
 
         Parameters
@@ -66,19 +58,15 @@
             ``unseen`` an earlier run may have crashed unseen.
         is_service : bool
             Whether the job is a service.
-        unseen_changes : int
-            Changes of the owner since the job was submitted at which a worker
-            restarted unseen.
         """
         ran_s = entry.get("ran_s", 0.0)
         is_long = numbers.is_finite(ran_s) and ran_s >= LONG_RUN_S
         if is_service and is_long:
             self.counted = self.excused = 0
-            self.unseen = 0
-        if entry.get("unseen") is True:
-            self.unseen = max(self.unseen, unseen_changes, 1)
-        is_last = self.counted + 1 >= self._limit
-        may_excuse = entry.get("alone") is not True and not self.unseen
+            self.has_unseen = False
+        self.has_unseen = self.has_unseen or entry.get("unseen") is True
+        is_last = self.counted + 1 >= MAX_CRASHES
+        may_excuse = entry.get("alone") is not True and not self.has_unseen
         if is_last and may_excuse and self.excused < MAX_EXCUSED:
             self.excused += 1
         else:
@@ -94,7 +82,8 @@
 def to_state(crashes):
     """Return the crashes of a job's tasks for a snapshot."""
     return {
-        str(k): [v.counted, v.excused, v.unseen] for k, v in crashes.items()
+        str(k): [v.counted, v.excused, int(v.has_unseen)]
+        for k, v in crashes.items()
     }
 
 
@@ -107,6 +96,6 @@
         If the state is malformed.
     """
     return {
-        int(index): TaskCrashes(int(counted), int(excused), int(unseen))
-        for index, (counted, excused, unseen) in state.items()
+        int(index): TaskCrashes(int(counted), int(excused), bool(has_unseen))
+        for index, (counted, excused, has_unseen) in state.items()
     }
--- a/src/citrondeal/jobs/_job_table.py
+++ b/src/citrondeal/jobs/_job_table.py
@@ -11,7 +11,6 @@
 
 from citrondeal import errors
 from citrondeal.jobs import _budget
-from citrondeal.jobs import _incarnations
 from citrondeal.jobs import _starts
 from citrondeal import numbers
 from citrondeal import placement
@@ -122,7 +121,6 @@
         "outcomes",
         "path",
         "tasks",
-        "unseen_before",
         "work",
     )
 
@@ -152,8 +150,6 @@
         # send time of a read that reached the end of the stream without it.
         # None if unknown.
         self.appended_after = None
-        # `Incarnations.unseen_changes` when the job was submitted.
-        self.unseen_before = 0
 
     @property
     def once(self):
@@ -212,7 +208,6 @@
         self._open = {}
         self._history = collections.OrderedDict()
         self._starts = _starts.Starts()
-        self._incarnations = _incarnations.Incarnations()
         self._malformed = 0
         self._offset = -1
 
@@ -236,11 +231,6 @@
         """Recorded starts of tasks under which workers have crashed."""
         return self._starts
 
-    @property
-    def incarnations(self):
-        """Recorded incarnations of the workers."""
-        return self._incarnations
-
     @property
     def open_jobs(self):
         """Mapping of ids to jobs that have not ended; not a copy."""
@@ -280,7 +270,6 @@
             "cancel": self._apply_cancel,
             "intent": self._apply_intent,
             "finished": self._apply_finished,
-            "incarnations": self._apply_incarnations,
         }
         handler = handlers.get(kind) if isinstance(kind, str) else None
         if handler is None:
@@ -297,7 +286,6 @@
         if self.get(job.id) is not None:
             return None
         job.appended_after = appended_after
-        job.unseen_before = self._incarnations.unseen_changes
         self._open[job.id] = job
         return Change("submit", job.id)
 
@@ -403,10 +391,6 @@
             self._starts.add((job.id, index), task, worker, boot_id)
         return Change("intent", job.id, (task,))
 
-    def _apply_incarnations(self, record, _appended_after):
-        self._incarnations.apply(record)
-        return Change("incarnations")
-
     def _apply_finished(self, record, _appended_after):
         entries = record.get("tasks")
         if not isinstance(entries, list):
@@ -480,8 +464,7 @@
         if job.crashes is _EMPTY:
             job.crashes = {}
         crashes = job.crashes.setdefault(index, _budget.TaskCrashes())
-        unseen = self._incarnations.unseen_changes - job.unseen_before
-        crashes.add(entry, job.work.kind == "service", unseen)
+        crashes.add(entry, job.work.kind == "service")
         if not crashes.spent:
             return False
         if job.give_up_reason is None:
@@ -573,7 +556,6 @@
                 "open": [_job_to_state(j) for j in self._open.values()],
                 "history": [_job_to_state(j) for j in self._history.values()],
                 "starts": self._starts.to_state(),
-                "incarnations": self._incarnations.to_state(),
             },
         }
 
@@ -589,13 +571,6 @@
         job_table = cls(config)
         try:
             state = record["state"]
-            # Snapshots of earlier versions have no incarnations and no starts.
-            if "incarnations" in state:
-                job_table._incarnations = (
-                    _incarnations.Incarnations.from_state(
-                        state["incarnations"]
-                    )
-                )
             for name, table in (
                 ("open", job_table._open),
                 ("history", job_table._history),
@@ -603,6 +578,7 @@
                 for raw in state[name]:
                     job = job_table._job_from_state(raw)
                     table[job.id] = job
+            # Snapshots of earlier versions have no starts.
             job_table._starts = _starts.Starts.from_state(
                 state.get("starts", [])
             )
@@ -628,7 +604,6 @@
         # Snapshots of earlier versions have no crashes.
         job.give_up_reason = raw.get("give_up")
         job.crashes = _budget.from_state(raw.get("crashes", {})) or _EMPTY
-        job.unseen_before = raw.get("unseen_before", 0)
         job.finishes = raw["finishes"]
         attempts = {int(k): list(v) for k, v in raw["attempts"].items()}
         failures = {int(k): v for k, v in raw["failures"].items()}
@@ -729,7 +704,6 @@
         "cancelled": job.cancelled,
         "hold": job.hold_reason,
         "give_up": job.give_up_reason,
-        "unseen_before": job.unseen_before,
         "finishes": job.finishes,
         "failures": {str(k): v for k, v in job.failures.items()},
         "crashes": _budget.to_state(job.crashes),
--- a/src/citrondeal/jobs/_owner.py
+++ b/src/citrondeal/jobs/_owner.py
@@ -9,7 +9,6 @@
 
 from citrondeal.jobs import _assignments
 from citrondeal.jobs import _crashes
-from citrondeal.jobs import _incarnations
 from citrondeal.jobs import _isolation
 from citrondeal.jobs import _job_table
 from citrondeal import numbers
@@ -89,9 +88,6 @@
         self._delayed = []
         self._sequence = itertools.count()
         self._crashes.reset()
-        self._incarnations = _incarnations.Recorder(
-            self._config.append_retry_s
-        )
         self._isolation = _isolation.Isolation(
             self._pool,
             self._workers,
@@ -1191,11 +1187,6 @@
                 self._intent_append_at[task] = (now + retry, assignment)
                 record = _intent_record(assignment)
                 actions.append(_assignments.AppendRecord(record))
-        record = self._incarnations.due_record(
-            self._job_table.incarnations, self._workers, self._epoch, now
-        )
-        if record is not None:
-            actions.append(_assignments.AppendRecord(record))
         return actions
 
     # Queries
