--- a/src/citrondeal/cell/tests/simple_worker.py
+++ b/src/citrondeal/cell/tests/simple_worker.py
@@ -9,6 +9,7 @@
 from citrondeal.cell.tests import paged_store
 from citrondeal import errors
 from citrondeal import workflow
+from citrondeal.workflow import _fences
 
 CAPACITY = 12  # runs
 MAX_LISTED_ENDS = 3  # in one report
@@ -107,7 +108,7 @@
         now = anyio.current_time()
         if until_s < now:
             return workflow.OrderOutcome.LATE
-        self._on_start(self, order.task, fence)
+        self._on_start(self, order.task, _epoch(fence))
         self.runs[order.task] = _Run(
             order.run, now + self._rng.choice((0.05, 0.1, 0.3, 1.5))
         )
@@ -135,7 +136,9 @@
         if renewal.until_s is not None:
             self._until_s = max(self._until_s, renewal.until_s)
         while self._ends and self._ends[0].number <= renewal.acknowledged:
-            self._on_acknowledged(self._ends.pop(0), renewal.fence)
+            self._on_acknowledged(
+                self._ends.pop(0), _epoch(renewal.fence)
+            )
         limit = anyio.current_time() + renewal.wait_s
         while not self._ends and anyio.current_time() < limit:
             await anyio.sleep(POLL_S)
@@ -175,7 +178,7 @@
 
     async def start(self, order, fence, until_s):
         """Send a start."""
-        self._on_order(order.task, fence)
+        self._on_order(order.task, _epoch(fence))
         return await self._send(
             lambda: self._worker.start(order, fence, until_s)
         )
@@ -212,3 +215,8 @@
 
     async def aclose(self):
         """Close nothing."""
+
+
+def _epoch(fence):
+    """Return the epoch of the owner that has sent an order."""
+    return fence // _fences.FENCES_PER_EPOCH
