Join the division of the owner with its check of barriers

A read that brings no record while newer ones are known counts as failed now, so that a load is tried again after a pause instead of at once.

--- a/src/citrondeal/cell/_follower.py
+++ b/src/citrondeal/cell/_follower.py
@@ -141,6 +141,12 @@
             outcome = await self._store.read(self._topic, end, 0.0)
             if outcome.is_err():
                 return outcome
+            if outcome.ok_value.next_offset == end:
+                return result.Err(
+                    errors.Failure(
+                        errors.Kind.UNAVAILABLE, "read has no records"
+                    )
+                )
             end = outcome.ok_value.next_offset
             newer += outcome.ok_value.records
         return result.Ok((end, newer))
--- a/src/citrondeal/cell/_job_records.py
+++ b/src/citrondeal/cell/_job_records.py
@@ -37,14 +37,21 @@
 def _deliver_one(scheduler, record, recovered, now, unix):
     kind, name = _records.split_key(record.key)
     if record.key == _records.BARRIER_KEY:
-        _deliver_barrier(scheduler, record)
+        deliver_barrier(scheduler, record)
     elif kind == "cancel" and record.value:
         _deliver_cancellation(scheduler, record, name, now)
     elif kind == "job" and record.value:
         _deliver_submission(scheduler, record, recovered, now, unix)
 
 
-def _deliver_barrier(scheduler, record):
+def deliver_barrier(scheduler, record):
+    """Pass the barrier of an owner on to the scheduler.
+
+    Parameters
+    ----------
+    scheduler : citrondeal.workflow.Scheduler
+    record : citrondeal.platform.Record
+    """
     if record.value.isdigit():
         scheduler.on_barrier(int(record.value))
 
--- a/src/citrondeal/cell/_owner.py
+++ b/src/citrondeal/cell/_owner.py
@@ -240,7 +240,7 @@
         """Give up if a later owner may have stored what was read."""
         for record in records:
             if record.key == _records.BARRIER_KEY:
-                self._on_barrier(record)
+                _job_records.deliver_barrier(self._scheduler, record)
 
     # Events
 
--- a/src/citrondeal/cell/tests/simple_worker.py
+++ b/src/citrondeal/cell/tests/simple_worker.py
@@ -136,9 +136,7 @@
         if renewal.until_s is not None:
             self._until_s = max(self._until_s, renewal.until_s)
         while self._ends and self._ends[0].number <= renewal.acknowledged:
-            self._on_acknowledged(
-                self._ends.pop(0), _epoch(renewal.fence)
-            )
+            self._on_acknowledged(self._ends.pop(0), _epoch(renewal.fence))
         limit = anyio.current_time() + renewal.wait_s
         while not self._ends and anyio.current_time() < limit:
             await anyio.sleep(POLL_S)
