Show each half of the lease that a start gives

A reviewer undid the fix of by halves, and five such halves passed all tests that he ran: a limit that counts from sending, a withheld start that extends nothing when it is sent, no allowance for a slow clock, a stored end that shortens the lease again under a new owner, and an order that is valid for longer than is counted. Three scenarios of leases.feature and a step of the cell fail for them now, one or two each; with the whole fix undone all three fail.

--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -202,6 +202,7 @@
   Scenario: cell renewals and starts without an answer
     Then cell renewals to a worker that does not answer do not extend its leases
     And cell a start sent twice is unknown unless it is done or fenced
+    And cell a start is void 2.5 s after its decision, whenever it is sent
     And cell a renewal to an earlier incarnation ends when the next is known
     And cell an unconfirmed incarnation is looked for at its own address too
 
--- a/src/citrondeal/cell/tests/steps_leases.py
+++ b/src/citrondeal/cell/tests/steps_leases.py
@@ -73,6 +73,7 @@
 
     async def start(self, action, epoch, until_s):
         self.sent += 1
+        self.until_s = until_s
         return self._outcome
 
 
@@ -108,6 +109,15 @@
     assert lease.sent == 1, lease.sent
 
 
+@then("cell a start is void 2.5 s after its decision, whenever it is sent")
+def _(context):
+    lease = _RecordingLease(OUTCOMES.OK)
+    orders, harness, start = _orders_with_start(lease, lambda now: True)
+    assert start.valid_until <= harness.now + 2.5, start.valid_until
+    anyio.run(orders.send_start, start)
+    assert lease.until_s == start.valid_until, lease.until_s
+
+
 @then("cell a renewal to an earlier incarnation ends when the next is known")
 def _(context):
     with socket.create_server(("127.0.0.1", 0)) as silent:
--- a/src/citrondeal/workflow/tests/leases.feature
+++ b/src/citrondeal/workflow/tests/leases.feature
@@ -6,3 +6,17 @@
     Given a workflow worker that was cut off until its leases had lapsed
     When the workflow worker gets a start and is cut off before a renewal
     Then the workflow task starts elsewhere once the lease of its start is over
+
+  # Guards against a task in two places under a new owner, which has read from
+  # the record of the worker that its earlier leases end at once.
+  Scenario: workflow a start outlasts a stored end of the earlier leases
+    Given a workflow owner that has read when the leases of a worker end
+    When the workflow worker gets a start and another one becomes free before a renewal
+    Then the workflow task starts elsewhere once the lease of its start is over
+
+  # Guards against a lease that counts from the decision of a start, although
+  # its order waits until it is stored.
+  Scenario: workflow a start that was withheld gives a lease when it is sent
+    Given a workflow task with a crash and workers whose leases are over
+    When its next workflow start is stored 2 s after its decision
+    Then the workflow task starts elsewhere once the lease of its start is over
