Log a run beside an assumed one, and no age that misleads

`expired_ago_s` and `lease_left_s` tell what is needed, so the age goes. And since a run that is found beside an assumed one was not logged at all, although it can be a real second run across owners; now it is, with `assumed`, and still not counted.

--- a/src/citrondeal/workflow/_anomalies.py
+++ b/src/citrondeal/workflow/_anomalies.py
@@ -28,7 +28,7 @@
         """Record a run that is found although its task needs none.
 
         An assumed run, of which only an earlier owner has known, is no proof
-        of another one.
+        of another one, so it is logged and not counted.
 
         Parameters
         ----------
@@ -37,16 +37,18 @@
         number : int
             Number of the run that was found.
         """
-        self.repeated_runs += 1
         other = task.run
+        assumed = not task.done and not other.number
+        self.repeated_runs += not assumed
         _events.log(
-            logging.WARNING,
+            logging.INFO if assumed else logging.WARNING,
             "task has more than one run",
             job=task.id.job,
             task=_events.task_name(task.id),
             run=number,
             worker=worker.id,
             born_ms=worker.info.born_ms,
+            assumed=assumed,
             done=task.done,
             other_run=other.number if other else None,
             other_worker=other.worker if other else None,
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -156,9 +156,6 @@
                     worker=worker.id,
                     born_ms=worker.info.born_ms,
                     expired_ago_s=round(now - worker.lease_expires_at, 3),
-                    newest_start_ago_s=round(
-                        _newest_start_age_s(worker, now), 3
-                    ),
                     lost_runs=len(worker.runs),
                 )
                 self._state.crashes.on_lapse(worker, now)
@@ -480,9 +477,5 @@
         )
 
 
-def _newest_start_age_s(worker, now):
-    return now - max(run.ordered_at for run in worker.runs.values())
-
-
 def _has_ticket(step, now):
     return lambda worker: _tickets.has_ticket_or_reservation(step, worker, now)
--- a/src/citrondeal/workflow/_reports.py
+++ b/src/citrondeal/workflow/_reports.py
@@ -273,7 +273,7 @@
             born_ms=worker.info.born_ms,
         )
         other = task.run
-        if task.done or (other is not None and other.number):
+        if task.done or other is not None:
             self._state.anomalies.on_repeated_run(worker, task, run.number)
         if task.done or (other is not None and other.number > run.number):
             self._state.stop(run, "another run of the task is kept", now)
