Log what steps wait for

Callers: gangs start late or never, and no log line or metric tells what they lack: start is decided has one figure for the whole wait, and nothing is logged of a step that never starts.

Each planning pass now notes for each ready step what it lacks (ticket calls, room, a renewal, a quota, members of an earlier run, or a pass that reaches it); gang starts logs the sums, citrondeal.wait.time exports them by queue.

--- a/src/citrondeal/cell/_scheduler_metrics.py
+++ b/src/citrondeal/cell/_scheduler_metrics.py
@@ -1,7 +1,11 @@
 """Metrics of what the scheduler of one owner counts."""
 
+import math
+
 from citrondeal.cell import _account_metrics
 
+WAITS_PERIOD_S = 1.0  # between two updates of the waits of steps
+
 
 class CounterMetrics:
     """Exports the counters of one part of a scheduler.
@@ -39,6 +43,7 @@
         self._crashes = crash_metrics(metrics)
         self._learning = CounterMetrics(metrics, _learning_counters)
         self._accounts = _account_metrics.AccountMetrics(metrics)
+        self._waits = WaitMetrics(metrics)
 
     def update(self, scheduler, now):
         """Add what was counted since the last call.
@@ -52,6 +57,43 @@
         self._crashes.update(scheduler.crashes)
         self._learning.update(scheduler.learning)
         self._accounts.update(scheduler, now)
+        self._waits.update(scheduler.waits, now)
+
+
+class WaitMetrics:
+    """Exports how long steps have waited, by queue and by what they lack.
+
+    Parameters
+    ----------
+    metrics : citrondeal.telemetry.Metrics
+    """
+
+    def __init__(self, metrics):
+        self._metrics = metrics
+        self._updated_at = -math.inf
+        self._exported = {}
+
+    def update(self, waits, now):
+        """Add the waits since the last update, if it is due.
+
+        Parameters
+        ----------
+        waits : citrondeal.workflow.Waits
+        now : float
+        """
+        if now - self._updated_at < WAITS_PERIOD_S:
+            return
+        self._updated_at = now
+        for (queue, reason), seconds in waits.seconds.items():
+            increase = seconds - self._exported.get((queue, reason), 0.0)
+            self._metrics.count(
+                "citrondeal.wait.time",
+                increase,
+                "s",
+                queue=queue,
+                reason=reason.value,
+            )
+        self._exported = dict(waits.seconds)
 
 
 def crash_metrics(metrics):
--- a/src/citrondeal/workflow/_jobs.py
+++ b/src/citrondeal/workflow/_jobs.py
@@ -8,6 +8,7 @@
 from citrondeal.workflow import _limits
 from citrondeal.workflow import _model
 from citrondeal.workflow import _record_size
+from citrondeal.workflow import _waits
 
 STATES = _model.JobState
 FINAL_STATES = (STATES.COMPLETED, STATES.FAILED, STATES.CANCELLED)
@@ -169,6 +170,7 @@
         Kind of its tasks, see `_kinds`.
     partner_costs : dict of str to float
         Costs of a place beside tasks of other kinds.
+    wait : StepWait
     """
 
     def __init__(self, job, index, spec, remaining_s):
@@ -192,6 +194,7 @@
         self.on_several_racks = False
         self.kind = _kinds.kind_of(job.policy.queue, spec.image)
         self.partner_costs = {}
+        self.wait = _waits.StepWait()
 
     @property
     def done(self):
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -12,6 +12,7 @@
 from citrondeal.workflow import _precedence
 from citrondeal.workflow import _racks
 from citrondeal.workflow import _tickets
+from citrondeal.workflow import _waits
 
 STOP_RETRY_S = 0.4
 # Resources are reserved for a gang that does not fit after it has waited this
@@ -62,6 +63,7 @@
         self._check_capacities(now)
         self._check_numbers()
         if max_starts <= 0 or not self._capacities_valid:
+            self._state.waits.end_pass(self._startable_steps(), now)
             return actions
         actions += self._state.withheld.take_due(now)
         self._renew_expired_tickets(actions, now)
@@ -77,7 +79,8 @@
         self._state.move_jobs()
         self._isolation.begin_pass(now)
         self._action_limit = len(actions) + max_starts
-        steps = self._state.quotas.begin_pass(self._ready_steps(now), now)
+        ready = self._ready_steps(now)
+        steps = self._state.quotas.begin_pass(ready, now)
         self._waiting_gangs = []
         for step in self._state.shares.arrange(
             steps,
@@ -92,6 +95,7 @@
                 self._reserve_for_waiting_gangs()
             self._plan_step(step, actions, now)
             self._state.quotas.on_planned(step, now)
+        self._state.waits.end_pass(ready, now)
         return actions
 
     def still_holds(self, start, now):
@@ -189,13 +193,16 @@
                     )
         return stops
 
-    def _ready_steps(self, now):
-        steps = [
+    def _startable_steps(self):
+        return [
             step
             for job in self._state.active.values()
             for step in job.steps
             if step.ready and self._may_start(step)
         ]
+
+    def _ready_steps(self, now):
+        steps = self._startable_steps()
         steps.sort(key=lambda step: _precedence.urgency(step, now))
         return steps
 
@@ -204,19 +211,25 @@
         return self._state.earlier_runs_known or not step.job.recovered
 
     def _plan_step(self, step, actions, now):
+        waits = self._state.waits
         waiting = step.waiting()
         if not waiting:
+            waits.note(step, None, now)
             return
         if step.spec.gang and len(waiting) < len(step.tasks):
-            return  # members of an earlier run are still ending
+            # Members of an earlier run are still ending.
+            waits.note(step, _waits.WaitReason.MEMBERS, now)
+            return
         waiting = self._state.quotas.admissible(step, waiting, now)
         if not waiting:
+            waits.note(step, _waits.WaitReason.QUOTA, now)
             if not step.open_calls:
                 self._state.reserve(step, [])
             return
         if step.spec.gang and step.reserving and step.open_calls:
             # Another choice now would take workers whose tickets are not
             # being renewed, and would have to wait for another call.
+            waits.note(step, _waits.WaitReason.RENEWAL, now)
             return
         if step.spec.same_rack:
             _racks.update(
@@ -231,10 +244,12 @@
         chosen = _placement.choose(
             step, waiting, allowed, _has_ticket(step, now), now
         )
+        waits.note(step, None, now)
         if len(chosen) < len(waiting):
             self._ask_for_tickets(
                 step, len(waiting) - len(chosen), usable, actions, now
             )
+            waits.note(step, _missing(step), now)
             if step.spec.gang:
                 chosen = []
         if chosen:
@@ -358,14 +373,19 @@
         stale = [entry for entry in ready if entry[2] is None]
         if stale:
             self._renew_tickets(step, chosen, actions, now)
+            self._state.waits.note(step, _waits.WaitReason.RENEWAL, now)
             if step.spec.gang:
                 return
         else:
             self._state.reserve(step, [])
         numbers = self._state.run_numbers
         if not numbers.left:
+            self._state.waits.note(step, _waits.WaitReason.PASS, now)
             return
-        number = numbers.take() if step.spec.gang else None
+        number = None
+        if step.spec.gang:
+            number = numbers.take()
+            self._state.waits.on_gang_started(step, number, now)
         starts = []
         for task, worker, ticket in ready:
             if number is None and (
@@ -430,6 +450,7 @@
 
     def _add_ticket_call(self, step, workers, actions, renewal=False):
         _tickets.on_call_sent(step, workers)
+        step.wait.ticket_calls += 1
         policy = step.job.policy
         actions.append(
             _messages.FetchTickets(
@@ -479,3 +500,10 @@
 
 def _has_ticket(step, now):
     return lambda worker: _tickets.has_ticket_or_reservation(step, worker, now)
+
+
+def _missing(step):
+    """Return what tasks lack that were not placed."""
+    if step.open_calls:
+        return _waits.WaitReason.TICKETS
+    return _waits.WaitReason.ROOM
--- a/src/citrondeal/workflow/_scheduler.py
+++ b/src/citrondeal/workflow/_scheduler.py
@@ -160,6 +160,11 @@
         """`Learning` about workers and queues."""
         return self._state.learning
 
+    @property
+    def waits(self):
+        """`Waits` of steps, by what they lack."""
+        return self._state.waits
+
     @property
     def wants_to_store(self):
         """Whether starts wait until the changes are stored."""
--- a/src/citrondeal/workflow/_state.py
+++ b/src/citrondeal/workflow/_state.py
@@ -19,6 +19,7 @@
 from citrondeal.workflow import _shares
 from citrondeal.workflow import _tickets
 from citrondeal.workflow import _usage
+from citrondeal.workflow import _waits
 from citrondeal.workflow import _withheld
 from citrondeal.workflow import _witnesses
 from citrondeal.workflow import _workers
@@ -104,6 +105,7 @@
         self.crashes = self.crashes_class(self)
         self.anomalies = _anomalies.Anomalies()
         self.learning = _learning.Learning()
+        self.waits = _waits.Waits()
         self.witnesses = _witnesses.Witnesses(self)
         self.incarnations = self.incarnations_class(self)
 
