Assign ticket calls at a cost that does not grow with those that wait

Cause: at each call that was sent or answered, the owner looked at every waiting call and at every member for each of them.

The calls that wait are in one queue for each kind, and a queue is looked at only as long as its kind may get a member. Nothing else changes: renewals come first, then priority and due time.

--- a/src/citrondeal/cell/_tickets.py
+++ b/src/citrondeal/cell/_tickets.py
@@ -78,7 +78,8 @@
         self._links = links
         self._members = members
         self._member_states = {LOCAL_MEMBER: _MemberState()}
-        self._queue = []
+        self._long_calls = []  # heaps of (key, call)
+        self._short_calls = []
         self._call_count = 0
 
     async def fetch(self, step, request):
@@ -112,7 +113,7 @@
             request.due_at,
             self._call_count,
         )
-        heapq.heappush(self._queue, (key, pending))
+        heapq.heappush(self._queue_of(pending), (key, pending))
         self._assign_calls(_clock.now())
         try:
             await pending.assigned.wait()
@@ -124,47 +125,69 @@
         return outcome
 
     def _assign_calls(self, now):
-        """Assign free members to the first calls of the queue."""
+        """Assign free members to the first calls that may be made.
+
+        The cost must not grow with the calls that wait: those of one kind
+        are looked at only as long as the kind may get a member.
+        """
         names = [LOCAL_MEMBER, *self._members()]
-        skipped = []
-        while self._queue:
-            key, pending = heapq.heappop(self._queue)
-            name = self._select_member(names, pending, now)
+        long_left = self._free_for_long(names)
+        free = self._free_members(names, now)
+        while True:
+            queues = [self._short_calls] if self._short_calls else []
+            if self._long_calls and long_left > 0:
+                queues.append(self._long_calls)
+            if not queues:
+                return
+            name = next(free, None)
             if name is None:
-                skipped.append((key, pending))
-                if not pending.is_long:
-                    break
-                continue
+                return
+            _, pending = heapq.heappop(min(queues, key=_first_key))
+            long_left -= pending.is_long
             state = self._member_states[name]
             state.busy, state.is_long = True, pending.is_long
             pending.member = name
             pending.assigned.set()
-        for entry in skipped:
-            heapq.heappush(self._queue, entry)
 
-    def _select_member(self, names, pending, now):
-        states = [
-            self._member_states.setdefault(name, _MemberState())
+    def _free_for_long(self, names):
+        """Return how many more long calls may be made now."""
+        busy = sum(
+            1
             for name in names
-        ]
-        if pending.is_long:
-            busy = sum(1 for state in states if state.busy and state.is_long)
-            reserved = max(
-                MIN_SHORT_CALL_MEMBERS, len(states) // SHORT_CALL_DIVISOR
-            )
-            if busy >= max(1, len(states) - reserved):
-                return None
-        for name, state in zip(names, states):
+            if (state := self._state_of(name)).busy and state.is_long
+        )
+        reserved = max(
+            MIN_SHORT_CALL_MEMBERS, len(names) // SHORT_CALL_DIVISOR
+        )
+        return max(1, len(names) - reserved) - busy
+
+    def _free_members(self, names, now):
+        """Yield the names of the members that may make a call.
+
+        If none is left, this process calls even after a recent failure of its
+        own.
+        """
+        for name in names:
+            state = self._state_of(name)
             if not state.busy and now - state.failed_at >= FAILURE_PAUSE_S:
-                return name
-        # If no member qualifies, this process calls even after a recent
-        # failure of its own.
-        return None if self._member_states[LOCAL_MEMBER].busy else LOCAL_MEMBER
+                yield name
+        if not self._state_of(LOCAL_MEMBER).busy:
+            yield LOCAL_MEMBER
+
+    def _state_of(self, name):
+        state = self._member_states.get(name)
+        if state is None:
+            state = self._member_states[name] = _MemberState()
+        return state
+
+    def _queue_of(self, pending):
+        return self._long_calls if pending.is_long else self._short_calls
 
     def _release(self, pending):
         if pending.member is None:
-            self._queue = [e for e in self._queue if e[1] is not pending]
-            heapq.heapify(self._queue)
+            queue = self._queue_of(pending)
+            queue[:] = [entry for entry in queue if entry[1] is not pending]
+            heapq.heapify(queue)
         else:
             self._member_states[pending.member].busy = False
         self._assign_calls(_clock.now())
@@ -239,5 +262,9 @@
         return result.Ok(platform.TicketGrant(tickets, reply.valid_s))
 
 
+def _first_key(queue):
+    return queue[0][0]
+
+
 def _failure(message):
     return result.Err(errors.Failure(errors.Kind.UNAVAILABLE, message))
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -228,6 +228,11 @@
     Then a cell short ticket call is made at once
     And a cell ticket renewal is the next call
 
+  # Guards against an owner that spends its time on ticket calls that wait, so
+  # that it plans and starts too little, and gangs are served too seldom.
+  Scenario: cell the calls that wait do not make a ticket call dearer
+    Then a cell ticket call takes as few steps beside 400 waiting ones as beside 4
+
   # Guards against a long poll that delays noticing that the store is back.
   Scenario: cell the return of the store is noticed soon
     Then a cell follower uses no long poll until the store has answered again
--- a/src/citrondeal/cell/tests/steps_tickets.py
+++ b/src/citrondeal/cell/tests/steps_tickets.py
@@ -1,6 +1,8 @@
 """Steps for the dispatcher of ticket calls."""
 
+import collections
 import dataclasses
+import sys
 
 import anyio
 from behave import given
@@ -86,3 +88,46 @@
     first, second = anyio.run(_run, 4, requests)
     assert first == ["long-0", "long-1"], first
     assert second[0] == "renewal", second
+
+
+async def _count_steps(waiting):
+    """Return how many functions the dispatcher runs for a short call.
+
+    Parameters
+    ----------
+    waiting : int
+        Number of long calls that wait for a member.
+    """
+    service = _Service()
+    others = {f"m{i}": _Member(f"m{i}:1") for i in range(96)}
+    dispatcher = _tickets.TicketDispatcher(service, service, lambda: others)
+    counter = collections.Counter()
+
+    def count(frame, event, argument):
+        if frame.f_code.co_filename == _tickets.__file__:
+            counter[event] += 1
+
+    async with anyio.create_task_group() as task_group:
+        for index in range(72 + waiting):
+            request = _request(f"long-{index}", LONG_S)
+            task_group.start_soon(dispatcher.fetch, request.step.job, request)
+        await anyio.wait_all_tasks_blocked()
+        task_group.start_soon(
+            dispatcher.fetch, "short", _request("short", SHORT_S)
+        )
+        sys.setprofile(count)
+        try:
+            await anyio.wait_all_tasks_blocked()
+        finally:
+            sys.setprofile(None)
+        assert service.calls[-1] == "short", service.calls
+        task_group.cancel_scope.cancel()
+    return counter["call"]
+
+
+@then(
+    "a cell ticket call takes as few steps beside 400 waiting ones as beside 4"
+)
+def _(context):
+    few, many = (anyio.run(_count_steps, count) for count in (4, 400))
+    assert many <= 1.2 * few, (few, many)
