Renew the tickets of a gang beside other calls about it

Cause: a gang that fits where its tickets have lapsed has to renew them, and the planner sent a renewal only if no call about further workers was open. Such a call takes 1.6 s, and the next was sent as soon as it was answered, with the room reserved and idle meanwhile.

Open renewals are known by the workers that they name, and a renewal waits for another renewal of its step only. Same cause elsewhere: the place of a task that has crashed workers, and a step that its quota stops, kept their reservations for any open call, not only for a renewal; changed too.

The new test failed before (no renewal).

--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -223,10 +223,10 @@
         waiting = self._state.quotas.admissible(step, waiting, now)
         if not waiting:
             waits.note(step, _waits.WaitReason.QUOTA, now)
-            if not step.open_calls:
+            if not step.renewing:
                 self._state.reserve(step, [])
             return
-        if step.spec.gang and step.reserving and step.open_calls:
+        if step.spec.gang and step.reserving and step.renewing:
             # Another choice now would take workers whose tickets are not
             # being renewed, and would have to wait for another call.
             waits.note(step, _waits.WaitReason.RENEWAL, now)
@@ -303,7 +303,7 @@
             self._start_or_renew_tickets(step, chosen, actions, now)
             return
         self._isolation.on_not_placed(task, now)
-        if not step.open_calls:
+        if not step.renewing:
             # Another task of the step may have reserved resources while its
             # ticket is renewed.
             self._state.reserve(step, [])
@@ -431,14 +431,14 @@
     def _renew_tickets(self, step, chosen, actions, now):
         """Renew the tickets of the chosen workers and reserve resources."""
         self._state.reserve(step, chosen)
-        if self._may_fetch_tickets(step, now):
+        if self._may_renew_tickets(step, now):
             needed = {worker.id: worker for _, worker in chosen}
             self._add_renewals(step, list(needed.values()), actions)
 
     def _renew_expired_tickets(self, actions, now):
         """Renew the tickets of starts that were recorded too late for them."""
         for step, workers in self._state.withheld.expired_tickets():
-            if self._may_fetch_tickets(step, now):
+            if self._may_renew_tickets(step, now):
                 self._add_renewals(step, workers, actions)
 
     def _add_renewals(self, step, workers, actions):
@@ -448,8 +448,13 @@
     def _may_fetch_tickets(self, step, now):
         return not step.open_calls and now >= step.ask_again_at
 
+    def _may_renew_tickets(self, step, now):
+        # Resources are reserved meanwhile, so a renewal does not wait for the
+        # answers about further workers.
+        return not step.renewing and now >= step.ask_again_at
+
     def _add_ticket_call(self, step, workers, actions, renewal=False):
-        _tickets.on_call_sent(step, workers)
+        _tickets.on_call_sent(step, workers, renewal)
         step.wait.ticket_calls += 1
         policy = step.job.policy
         actions.append(
--- a/src/citrondeal/workflow/_tickets.py
+++ b/src/citrondeal/workflow/_tickets.py
@@ -93,7 +93,7 @@
 def is_refused(step, worker):
     """Return whether the service has refused a ticket for a worker."""
     return (
-        step.asked_incarnations.get(worker.id) == worker.info.born_ms
+        _is_asked(step, worker)
         and not step.open_calls
         and not is_allowed(step, worker)
     )
@@ -130,6 +130,10 @@
     )
 
 
+def _is_asked(step, worker):
+    return step.asked_incarnations.get(worker.id) == worker.info.born_ms
+
+
 def workers_to_ask(step, workers, unplaced, expected_share):
     """Return the workers to ask about next, as one list for each call.
 
@@ -151,11 +155,7 @@
     -------
     list of list of WorkerState
     """
-    unasked = [
-        w
-        for w in workers
-        if step.asked_incarnations.get(w.id) != w.info.born_ms
-    ]
+    unasked = [w for w in workers if not _is_asked(step, w)]
     unasked.sort(key=lambda w: (-w.available(step).millicores, w.id))
     if step.spec.gang:
         unplaced *= GANG_FIT_MARGIN
@@ -193,7 +193,11 @@
         min(math.ceil(len(workers) / WORKERS_PER_CALL), CALLS_PER_ROUND),
         math.ceil(len(workers) / MAX_WORKERS_PER_CALL),
     )
-    size = math.ceil(len(workers) / max(1, calls))
+    return _split(workers, math.ceil(len(workers) / max(1, calls)))
+
+
+def _split(workers, size):
+    """Return lists of at most `size` workers in their order."""
     return [
         workers[start : start + size]
         for start in range(0, len(workers), max(1, size))
@@ -218,9 +222,11 @@
     return sum(size.count_in(worker.info.capacity) for worker in workers)
 
 
-def on_call_sent(step, workers):
+def on_call_sent(step, workers, renewal):
     """Record that a call about these workers was sent."""
     step.open_calls += 1
+    if renewal:
+        step.renewing.update(worker.id for worker in workers)
     for worker in workers:
         step.asked_incarnations[worker.id] = worker.info.born_ms
 
@@ -240,6 +246,7 @@
     now : float
     """
     step.open_calls -= 1
+    step.renewing.difference_update(worker.id for worker in asked)
     if granted is None:
         step.ask_again_at = now + RETRY_S
         for worker in asked:
--- a/src/citrondeal/workflow/tests/steps_tickets.py
+++ b/src/citrondeal/workflow/tests/steps_tickets.py
@@ -177,3 +177,38 @@
     while harness.ticket_calls:
         harness.grant(harness.ticket_calls[0], VALID_S)
     assert set(harness.plan()) == {"gang"}
+
+
+def _create_waiting_gang(count):
+    """Return a cell with a gang that does not fit, after its first round."""
+    harness = harnesses.Harness(workers=[f"w{i:03d}" for i in range(count)])
+    harness.submit("batch", 4.0, tasks=count)
+    assert len(harness.plan()) == count
+    harness.submit("gang", 4.0, tasks=2, ticketed=True, gang=True)
+    assert harness.plan() == []
+    for call in list(harness.ticket_calls):
+        harness.grant(call, VALID_S)
+    assert harness.plan() == []
+    return harness
+
+
+@given("a workflow gang that asks about further workers")
+def _(context):
+    context.harness = _create_waiting_gang(70)
+    assert len(context.harness.ticket_calls) == 1
+
+
+@when("workflow enough allowed workers become free")
+def _(context):
+    harness = context.harness
+    harness.now += 2 * VALID_S
+    harness.end_one("w000")
+    harness.end_one("w001")
+
+
+@then("the workflow gang renews its tickets at once")
+def _(context):
+    renewals = [c for c in context.harness.ticket_calls if c.renewal]
+    assert [set(c.workers) for c in renewals] == [{"w000", "w001"}], renewals
+    context.harness.grant(renewals[0], VALID_S)
+    assert context.harness.plan() == ["gang"] * 2
--- a/src/citrondeal/workflow/tests/tickets.feature
+++ b/src/citrondeal/workflow/tests/tickets.feature
@@ -45,6 +45,14 @@
     Given a workflow gang of 30 tasks and 90 full workers
     Then workflow 90 workers are asked about in 3 calls at once
 
+  # Guards against gangs that are served too seldom: one whose tickets have
+  # expired and that fits now would wait for calls about further workers before
+  # it renews them.
+  Scenario: workflow tickets a renewal does not wait for other calls
+    Given a workflow gang that asks about further workers
+    When workflow enough allowed workers become free
+    Then the workflow gang renews its tickets at once
+
   # Guards against a large gang that never starts, because the service rejects
   # the one call that renews all its tickets.
   Scenario Outline: workflow tickets a gang of <tasks> tasks renews in several calls
