Ask about all other workers once a gang does not fit

Cause: a gang whose first answers did not suffice asked about 30 more workers, then about 30 more, up to nine rounds of 1.6 s each. Tickets are valid for 1.1 s after they arrive, so those of each round had lapsed before the next one was answered, and the gang paid one more round for their renewal. Class of fault: permissions that expire, collected one after the other.

The second round now asks about all other workers at once, in parallel calls of 30 as the first one does. The rounds of steps without gang stay: each of their tasks starts with the ticket that it has.

The new test failed before (30 workers in one call).

--- a/src/citrondeal/workflow/_tickets.py
+++ b/src/citrondeal/workflow/_tickets.py
@@ -157,6 +157,11 @@
     """
     unasked = [w for w in workers if not _is_asked(step, w)]
     unasked.sort(key=lambda w: (-w.available(step).millicores, w.id))
+    if step.spec.gang and step.asked_incarnations:
+        # It has not fitted on those allowed so far. If it asked about a few
+        # more in each round, the tickets of a round would expire before the
+        # next one is answered.
+        return _split(unasked, WORKERS_PER_CALL)[:CALLS_PER_ROUND]
     if step.spec.gang:
         unplaced *= GANG_FIT_MARGIN
     gang_shortfall = _gang_shortfall(step, workers)
--- a/src/citrondeal/workflow/tests/steps_tickets.py
+++ b/src/citrondeal/workflow/tests/steps_tickets.py
@@ -212,3 +212,16 @@
     assert [set(c.workers) for c in renewals] == [{"w000", "w001"}], renewals
     context.harness.grant(renewals[0], VALID_S)
     assert context.harness.plan() == ["gang"] * 2
+
+
+@given("a workflow gang that does not fit on the workers of its first round")
+def _(context):
+    context.harness = _create_waiting_gang(200)
+
+
+@then("workflow all other workers are asked about at once")
+def _(context):
+    calls = context.harness.ticket_calls
+    names = [worker for call in calls for worker in call.workers]
+    assert len(set(names)) == len(names) == 140, len(names)
+    assert len(calls) == 5, [len(call.workers) for call in calls]
--- a/src/citrondeal/workflow/tests/tickets.feature
+++ b/src/citrondeal/workflow/tests/tickets.feature
@@ -53,6 +53,12 @@
     When workflow enough allowed workers become free
     Then the workflow gang renews its tickets at once
 
+  # Guards against gangs that are served too seldom: with a few workers a round,
+  # the tickets of each round would expire before the next one is answered.
+  Scenario: workflow tickets a gang that still does not fit asks about all others
+    Given a workflow gang that does not fit on the workers of its first round
+    Then workflow all other workers are asked about at once
+
   # Guards against a large gang that never starts, because the service rejects
   # the one call that renews all its tickets.
   Scenario Outline: workflow tickets a gang of <tasks> tasks renews in several calls
