Look at all workers once in a pass for the room of waiting gangs

Callers of large cells: work starts late while the owner plans.

Cause: for each gang that waits, a pass summed up the use of all workers anew before it kept room from late jobs, and looked for workers that could be asked about after all had been asked. The sums are now made once a service and pass, as nothing starts between them, and a step that has asked about all workers is not looked at further.

--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -330,8 +330,10 @@
         Otherwise a backlog of these jobs would take each small part of the
         room that becomes free, and no gang could start in time.
         """
+        services = {step.job.service for step, _, _ in self._waiting_gangs}
+        busy = {service for service in services if self._is_half_used(service)}
         for step, waiting, allowed in self._waiting_gangs:
-            if not self._is_half_used(step.job.service):
+            if step.job.service not in busy:
                 continue
             for _, worker in _placement.choose_to_reserve(
                 step, waiting, allowed
@@ -417,6 +419,8 @@
             step, now
         ):
             return
+        if not _tickets.has_unasked(step, usable.values()):
+            return
         eligible = [
             w for w in usable.values() if _placement.is_eligible(step, w)
         ]
--- a/src/citrondeal/workflow/_tickets.py
+++ b/src/citrondeal/workflow/_tickets.py
@@ -130,6 +130,11 @@
     )
 
 
+def has_unasked(step, workers):
+    """Return whether a step has not asked about some of the workers yet."""
+    return not all(_is_asked(step, worker) for worker in workers)
+
+
 def _is_asked(step, worker):
     return step.asked_incarnations.get(worker.id) == worker.info.born_ms
 
