--- a/bench/orders.py
+++ b/bench/orders.py
@@ -96,6 +96,7 @@
         self._submissions = random.Random(seed)
         super().__init__(WORKERS, MEMBERS, factor, seed)
         self._load = factor
+        self._load_random = self._submissions
 
     def _add_worker(self, name, index):
         super()._add_worker(name, index)
@@ -110,30 +111,20 @@
         )
         self._scheduler.on_worker(info, self._now)
 
-    def _submit_jobs(self):
-        shared, self._random = self._random, self._submissions
-        second = self._now - self._began
+    def _submit_jobs(self, elapsed_s):
         for kind in self._kind_load.kinds:
-            rate = kind.rate * self._load * _burst_factor(kind.name, second)
-            expected = rate * bench.STEP_S
-            count = int(expected)
-            count += self._random.random() < expected - count
-            for _ in range(count):
-                self._submit(kind)
-        self._random = shared
-
-    def _submit(self, kind):
-        super()._submit(kind)
+            burst = _burst_factor(kind.name, elapsed_s)
+            rate = kind.rate * self._load * burst
+            self._submit_some(kind, rate * bench.STEP_S, "")
+
+    def _submit(self, kind, account):
+        super()._submit(kind, account)
         job = next(reversed(self._jobs.values()))
         for index in range(len(job.run_s)):
             if self._submissions.random() < self._kind_load.long_share:
                 job.objective_s += (LONG_FACTOR - 1) * job.run_s[index]
                 job.run_s[index] *= LONG_FACTOR
 
-    def run(self, seconds):
-        self._began = self._now
-        super().run(seconds)
-
 
 def _burst_factor(name, second):
     for kind, factor, first, last in BURSTS:
@@ -201,7 +192,7 @@
 }
 
 
-def run(load="scarce", factor=1.0, seed=1):
+def run(load="scarce", factor=1.0, seed=1, seconds=SECONDS):
     """Compare the orders under one load.
 
     Parameters
@@ -211,12 +202,14 @@
     factor : float
         Factor of all rates.
     seed : int
+    seconds : float
+        Time in which jobs are submitted.
     """
     logging.disable(logging.CRITICAL)
     for name, order in ORDERS.items():
         _precedence.urgency = order
         cell = _Cell(LOADS[load], factor, seed)
-        cell.run(SECONDS)
+        cell.run(seconds)
         times = cell.pass_times_s
         figures = {
             "order": name,
