Order ticket calls as the steps are planned

Cause: calls were ordered by the priority of the queue and then by due time. The planner puts late jobs after all that are in time, the ticket calls did not.

A call now carries the sort key of its step in the planner, so that there is one order. Renewals, for which room is reserved, still come first. Seen as the same class: two definitions of one order, of which only one followed the change from priority to precedence.

The new test failed before in the order of the two calls (due time).

--- a/bench/workflow.py
+++ b/bench/workflow.py
@@ -224,7 +224,7 @@
         for action in actions:
             if isinstance(action, workflow.FetchTickets):
                 self._count += 1
-                order = (not action.renewal, action.priority, action.due_at)
+                order = (not action.renewal, action.urgency)
                 entry = (order, self._count, action)
                 heapq.heappush(self._waiting_calls, entry)
             elif isinstance(action, workflow.Start):
--- a/src/citrondeal/cell/_tickets.py
+++ b/src/citrondeal/cell/_tickets.py
@@ -62,7 +62,8 @@
     """Fetches tickets through members that are free.
 
     Renewals come first, because resources are reserved until their answer.
-    Other calls are ordered by priority and then by due time.
+    Other calls are made in the order in which the steps are planned, so that
+    those of late jobs do not keep jobs in time from the members.
 
     Parameters
     ----------
@@ -109,8 +110,7 @@
         self._call_count += 1
         key = (
             not request.renewal,
-            request.priority,
-            request.due_at,
+            request.urgency,
             self._call_count,
         )
         heapq.heappush(self._queue_of(pending), (key, pending))
--- a/src/citrondeal/cell/tests/steps_tickets.py
+++ b/src/citrondeal/cell/tests/steps_tickets.py
@@ -13,6 +13,7 @@
 from citrondeal.peers.gen.peers import ttypes
 from citrondeal import platform
 from citrondeal import workflow
+from citrondeal.workflow import _precedence
 
 LONG_S = 2.0
 SHORT_S = 0.02
@@ -50,7 +51,8 @@
 
 def _request(name, expected_s, renewal=False):
     step = workflow.StepId(name, 0, 0)
-    return workflow.FetchTickets(step, ("w",), expected_s, 1, 1.0, renewal)
+    urgency = (_precedence.Precedence.IN_TIME, 1, 1.0)
+    return workflow.FetchTickets(step, ("w",), expected_s, urgency, renewal)
 
 
 async def _run(members, requests):
--- a/src/citrondeal/workflow/_messages.py
+++ b/src/citrondeal/workflow/_messages.py
@@ -157,10 +157,9 @@
     workers : tuple of str
     expected_s : float
         Expected time of the call.
-    priority : int
-        Priority of the job's queue; 0 is the most urgent.
-    due_at : float
-        Scheduler time at which the job should be completed.
+    urgency : tuple
+        Sort key of the step when the call was decided; the lowest one is the
+        most urgent. See `_precedence.urgency`.
     renewal : bool
         Whether tickets are renewed, with resources reserved until the
         answer.
@@ -169,6 +168,5 @@
     step: _model.StepId
     workers: tuple[str, ...]
     expected_s: float
-    priority: int
-    due_at: float
+    urgency: tuple
     renewal: bool = False
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -430,24 +430,24 @@
         for group in _tickets.workers_to_ask(
             step, eligible, unplaced, expected_share
         ):
-            self._add_ticket_call(step, group, actions)
+            self._add_ticket_call(step, group, actions, now)
 
     def _renew_tickets(self, step, chosen, actions, now):
         """Renew the tickets of the chosen workers and reserve resources."""
         self._state.reserve(step, chosen)
         if self._may_renew_tickets(step, now):
             needed = {worker.id: worker for _, worker in chosen}
-            self._add_renewals(step, list(needed.values()), actions)
+            self._add_renewals(step, list(needed.values()), actions, now)
 
     def _renew_expired_tickets(self, actions, now):
         """Renew the tickets of starts that were recorded too late for them."""
         for step, workers in self._state.withheld.expired_tickets():
             if self._may_renew_tickets(step, now):
-                self._add_renewals(step, workers, actions)
+                self._add_renewals(step, workers, actions, now)
 
-    def _add_renewals(self, step, workers, actions):
+    def _add_renewals(self, step, workers, actions, now):
         for group in _tickets.renewal_groups(workers):
-            self._add_ticket_call(step, group, actions, renewal=True)
+            self._add_ticket_call(step, group, actions, now, renewal=True)
 
     def _may_fetch_tickets(self, step, now):
         return not step.open_calls and now >= step.ask_again_at
@@ -457,7 +457,7 @@
         # answers about further workers.
         return not step.renewing and now >= step.ask_again_at
 
-    def _add_ticket_call(self, step, workers, actions, renewal=False):
+    def _add_ticket_call(self, step, workers, actions, now, renewal=False):
         _tickets.on_call_sent(step, workers, renewal)
         step.wait.ticket_calls += 1
         policy = step.job.policy
@@ -466,8 +466,7 @@
                 step.id,
                 tuple(w.id for w in workers),
                 policy.ticket_base_s + policy.ticket_each_s * len(workers),
-                policy.priority,
-                step.job.due_at,
+                _precedence.urgency(step, now),
                 renewal,
             )
         )
--- a/src/citrondeal/workflow/tests/steps_tickets.py
+++ b/src/citrondeal/workflow/tests/steps_tickets.py
@@ -225,3 +225,15 @@
     names = [worker for call in calls for worker in call.workers]
     assert len(set(names)) == len(names) == 140, len(names)
     assert len(calls) == 5, [len(call.workers) for call in calls]
+
+
+@then("workflow the calls of a job in time come before those of a late one")
+def _(context):
+    harness = harnesses.Harness()
+    harness.submit("late", 4.0, run_s=1.0, ticketed=True)
+    (job,) = harness.scheduler.jobs.values()
+    harness.now = job.due_at
+    harness.submit("later", 4.0, run_s=1.0, priority=2, ticketed=True)
+    harness.plan()
+    calls = {call.step.job: call for call in harness.ticket_calls}
+    assert calls["later"].urgency < calls["late"].urgency, calls
--- a/src/citrondeal/workflow/tests/tickets.feature
+++ b/src/citrondeal/workflow/tests/tickets.feature
@@ -59,6 +59,11 @@
     Given a workflow gang that does not fit on the workers of its first round
     Then workflow all other workers are asked about at once
 
+  # Guards against jobs in time that get no tickets and never start, because
+  # the calls of late jobs, which are due before them, take all members.
+  Scenario: workflow tickets late jobs ask after those in time
+    Then workflow the calls of a job in time come before those of a late one
+
   # Guards against a large gang that never starts, because the service rejects
   # the one call that renews all its tickets.
   Scenario Outline: workflow tickets a gang of <tasks> tasks renews in several calls
