Decide on ticket calls in a module of their own

The calls to the ticket service that a pass decides on are now in workflow/_ticket_calls.py; nothing else changes.

--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -11,6 +11,7 @@
 from citrondeal.workflow import _placement
 from citrondeal.workflow import _precedence
 from citrondeal.workflow import _racks
+from citrondeal.workflow import _ticket_calls
 from citrondeal.workflow import _tickets
 from citrondeal.workflow import _waits
 
@@ -40,6 +41,7 @@
         self._usable_workers = {}  # by service, then by worker id
         self._action_limit = math.inf  # of the current pass
         self._isolation = _isolation.Isolation(state)
+        self._ticket_calls = _ticket_calls.TicketCalls(state)
 
     def plan(self, now, max_starts=math.inf):
         """Return the orders that are due.
@@ -66,7 +68,7 @@
             self._state.waits.end_pass(self._startable_steps(), now)
             return actions
         actions += self._state.withheld.take_due(now)
-        self._renew_expired_tickets(actions, now)
+        self._ticket_calls.renew_expired(actions, now)
         kept, self._reserving_gang = self._reserving_gang, None
         self._usable_workers = {}
         for worker in self._state.workers.values():
@@ -246,7 +248,7 @@
         )
         waits.note(step, None, now)
         if len(chosen) < len(waiting):
-            self._ask_for_tickets(
+            self._ticket_calls.ask(
                 step, len(waiting) - len(chosen), usable, actions, now
             )
             waits.note(step, _missing(step), now)
@@ -307,7 +309,7 @@
             # Another task of the step may have reserved resources while its
             # ticket is renewed.
             self._state.reserve(step, [])
-        self._ask_for_tickets(step, len(tasks), usable, actions, now)
+        self._ticket_calls.ask(step, len(tasks), usable, actions, now)
         if not self._isolation.waits(task, now):
             awaited = self._reserve_for_pass(step, tasks, allowed, now)
             self._isolation.on_reserved(task, awaited)
@@ -374,7 +376,7 @@
         ]
         stale = [entry for entry in ready if entry[2] is None]
         if stale:
-            self._renew_tickets(step, chosen, actions, now)
+            self._ticket_calls.renew(step, chosen, actions, now)
             self._state.waits.note(step, _waits.WaitReason.RENEWAL, now)
             if step.spec.gang:
                 return
@@ -413,64 +415,6 @@
             starts and task.crashes
         ) and self._state.open_starts.make_room(task.step.job, len(starts))
 
-    def _ask_for_tickets(self, step, unplaced, usable, actions, now):
-        """Request tickets for workers that were not asked about yet."""
-        if not step.job.policy.ticketed or not self._may_fetch_tickets(
-            step, now
-        ):
-            return
-        if not _tickets.has_unasked(step, usable.values()):
-            return
-        eligible = [
-            w for w in usable.values() if _placement.is_eligible(step, w)
-        ]
-        expected_share = self._state.allowed_shares.expected(
-            step.job.policy.queue
-        )
-        for group in _tickets.workers_to_ask(
-            step, eligible, unplaced, expected_share
-        ):
-            self._add_ticket_call(step, group, actions, now)
-
-    def _renew_tickets(self, step, chosen, actions, now):
-        """Renew the tickets of the chosen workers and reserve resources."""
-        self._state.reserve(step, chosen)
-        if self._may_renew_tickets(step, now):
-            needed = {worker.id: worker for _, worker in chosen}
-            self._add_renewals(step, list(needed.values()), actions, now)
-
-    def _renew_expired_tickets(self, actions, now):
-        """Renew the tickets of starts that were recorded too late for them."""
-        for step, workers in self._state.withheld.expired_tickets():
-            if self._may_renew_tickets(step, now):
-                self._add_renewals(step, workers, actions, now)
-
-    def _add_renewals(self, step, workers, actions, now):
-        for group in _tickets.renewal_groups(workers):
-            self._add_ticket_call(step, group, actions, now, renewal=True)
-
-    def _may_fetch_tickets(self, step, now):
-        return not step.open_calls and now >= step.ask_again_at
-
-    def _may_renew_tickets(self, step, now):
-        # Resources are reserved meanwhile, so a renewal does not wait for the
-        # answers about further workers.
-        return not step.renewing and now >= step.ask_again_at
-
-    def _add_ticket_call(self, step, workers, actions, now, renewal=False):
-        _tickets.on_call_sent(step, workers, renewal)
-        step.wait.ticket_calls += 1
-        policy = step.job.policy
-        actions.append(
-            _messages.FetchTickets(
-                step.id,
-                tuple(w.id for w in workers),
-                policy.ticket_base_s + policy.ticket_each_s * len(workers),
-                _precedence.urgency(step, now),
-                renewal,
-            )
-        )
-
     def _start(self, task, worker, ticket, number, now):
         if number is None:
             number = self._state.run_numbers.take()
