Take the answer of a renewal for that renewal, whoever has left

Cause: open renewals were known by the ids of their workers, and the answer took back only those of workers that are still known. After one had been removed while the call was open, the renewal counted as open for ever and no other was sent.

A renewal is now known by the call itself.

--- a/src/citrondeal/workflow/_answers.py
+++ b/src/citrondeal/workflow/_answers.py
@@ -94,6 +94,8 @@
         step = self._state.step(step_id)
         if step is None:
             return
+        # Some of the workers may have been removed meanwhile.
+        step.open_renewals.discard(tuple(asked))
         workers = [
             self._state.workers[i] for i in asked if i in self._state.workers
         ]
--- a/src/citrondeal/workflow/_jobs.py
+++ b/src/citrondeal/workflow/_jobs.py
@@ -186,7 +186,7 @@
         self.asked_incarnations = {}  # by id of a worker asked about
         self.tickets = {}
         self.open_calls = 0  # requests for tickets without an answer
-        self.renewing = set()  # ids of workers that open renewals name
+        self.open_renewals = set()  # tuples of the ids that each one names
         self.ask_again_at = 0.0
         self.reserving = False
         self.wants_fast = False
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -225,10 +225,10 @@
         waiting = self._state.quotas.admissible(step, waiting, now)
         if not waiting:
             waits.note(step, _waits.WaitReason.QUOTA, now)
-            if not step.renewing:
+            if not step.open_renewals:
                 self._state.reserve(step, [])
             return
-        if step.spec.gang and step.reserving and step.renewing:
+        if step.spec.gang and step.reserving and step.open_renewals:
             # Another choice now would take workers whose tickets are not
             # being renewed, and would have to wait for another call.
             waits.note(step, _waits.WaitReason.RENEWAL, now)
@@ -305,7 +305,7 @@
             self._start_or_renew_tickets(step, chosen, actions, now)
             return
         self._isolation.on_not_placed(task, now)
-        if not step.renewing:
+        if not step.open_renewals:
             # Another task of the step may have reserved resources while its
             # ticket is renewed.
             self._state.reserve(step, [])
--- a/src/citrondeal/workflow/_ticket_calls.py
+++ b/src/citrondeal/workflow/_ticket_calls.py
@@ -57,7 +57,7 @@
     def _may_renew(self, step, now):
         # Resources are reserved meanwhile, so a renewal does not wait for the
         # answers about further workers.
-        return not step.renewing and now >= step.ask_again_at
+        return not step.open_renewals and now >= step.ask_again_at
 
     def _add_call(self, step, workers, actions, now, renewal=False):
         _tickets.on_call_sent(step, workers, renewal)
--- a/src/citrondeal/workflow/_tickets.py
+++ b/src/citrondeal/workflow/_tickets.py
@@ -236,7 +236,7 @@
     """Record that a call about these workers was sent."""
     step.open_calls += 1
     if renewal:
-        step.renewing.update(worker.id for worker in workers)
+        step.open_renewals.add(tuple(worker.id for worker in workers))
     for worker in workers:
         step.asked_incarnations[worker.id] = worker.info.born_ms
 
@@ -256,7 +256,6 @@
     now : float
     """
     step.open_calls -= 1
-    step.renewing.difference_update(worker.id for worker in asked)
     if granted is None:
         step.ask_again_at = now + RETRY_S
         for worker in asked:
--- a/src/citrondeal/workflow/tests/steps_tickets.py
+++ b/src/citrondeal/workflow/tests/steps_tickets.py
@@ -237,3 +237,29 @@
     harness.plan()
     calls = {call.step.job: call for call in harness.ticket_calls}
     assert calls["later"].urgency < calls["late"].urgency, calls
+
+
+@when("a workflow worker of the renewal is removed before its answer")
+def _(context):
+    harness = context.harness
+    harness.scheduler.on_worker_unlisted("w1", harness.now)
+    harness.scheduler.on_renewal_failed("w1", "no answer", harness.now)
+    del harness.infos["w1"], harness.running["w1"], harness.ends["w1"]
+    harness.now += harnesses.LEASE_S * 2
+    harness.report_all()
+    harness.plan()
+    assert "w1" not in harness.scheduler.workers
+    harness.grant(context.renewal, VALID_S)
+    harness.add_worker("w2")
+
+
+@then("the workflow gang starts on another worker")
+def _(context):
+    harness = context.harness
+    started = []
+    for _ in range(3):
+        started += harness.plan()
+        for call in list(harness.ticket_calls):
+            harness.grant(call, VALID_S)
+    started += harness.plan()
+    assert started == ["gang"] * 2, (started, harness.ticket_calls)
--- a/src/citrondeal/workflow/tests/tickets.feature
+++ b/src/citrondeal/workflow/tests/tickets.feature
@@ -59,6 +59,13 @@
     Given a workflow gang that does not fit on the workers of its first round
     Then workflow all other workers are asked about at once
 
+  # Guards against a gang that never starts, because the answer to its renewal
+  # is not recognized after one of the workers has been removed.
+  Scenario: workflow tickets a gang renews again after a worker has been removed
+    Given a workflow gang whose tickets are renewed on the only two workers
+    When a workflow worker of the renewal is removed before its answer
+    Then the workflow gang starts on another worker
+
   # Guards against jobs in time that get no tickets and never start, because
   # the calls of late jobs, which are due before them, take all members.
   Scenario: workflow tickets late jobs ask after those in time
