--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -8,8 +8,10 @@
 
 import asyncio
 import base64
+import bisect
 import collections
 import contextlib
+import itertools
 import json
 import os
 import pathlib
@@ -255,6 +257,7 @@
     def __init__(self):
         self.records = []
         self.newest = {}  # key -> (offset, value)
+        self._sorted_keys = None
         self.producers = {}  # name -> [epoch, seq, deque of (seq, answer)]
         self.lock = asyncio.Lock()
         self.changed = asyncio.Event()
@@ -262,6 +265,8 @@
     def append(self, key, value):
         offset = len(self.records)
         self.records.append((key, value))
+        if (key in self.newest) != bool(value):
+            self._sorted_keys = None
         if value:
             self.newest[key] = (offset, value)
         else:
@@ -270,6 +275,13 @@
         self.changed = asyncio.Event()
         return offset
 
+    def keys_after(self, after):
+        """Yield the keys after one, in order."""
+        if self._sorted_keys is None:
+            self._sorted_keys = sorted(self.newest)
+        begin = bisect.bisect_right(self._sorted_keys, after)
+        yield from itertools.islice(self._sorted_keys, begin, None)
+
 
 class Store:
     """The platform's store: keyed topics with one partition each."""
@@ -362,9 +374,7 @@
     def _read_newest(self, request, partition):
         after = request.query.get("after", "").encode()
         items, size, more = [], 0, False
-        for key in sorted(partition.newest):
-            if key <= after and after:
-                continue
+        for key in partition.keys_after(after):
             offset, value = partition.newest[key]
             if len(items) >= MAX_PAGE_ITEMS or (
                 items and size + len(value) > MAX_PAGE_BYTES
@@ -825,6 +835,28 @@
             await asyncio.sleep(0.5 * (attempt + 1))
         return False
 
+    async def wait_completed(self, jobs, limit_s):
+        """Ask for jobs until all are completed; return those that are not."""
+        states = {}
+
+        async def ask(job):
+            for member in self.members:
+                answer = await self.client(member, "GET", job, limit_s=1.0)
+                if answer is not None and answer[0] == 200:
+                    states[job] = answer[1]["state"]
+                    return
+
+        open_jobs = jobs
+        until = time.monotonic() + limit_s
+        while open_jobs and time.monotonic() < until:
+            await asyncio.gather(*(ask(job) for job in open_jobs))
+            open_jobs = [j for j in jobs if states.get(j) != "completed"]
+            await asyncio.sleep(1.0)
+        self.record.add(
+            f"not completed: {[(j, states.get(j)) for j in open_jobs]}"
+        )
+        return open_jobs
+
     async def stop(self):
         """End all processes that were started."""
         for task in self._tasks:
@@ -833,6 +865,49 @@
             await member.kill()
 
 
+class Memory:
+    """Kills members beyond their memory and restarts them, as the platform."""
+
+    def __init__(self, world, limit_mb):
+        self._world = world
+        self._limit_mb = limit_mb
+        self.killed = []
+        self.largest_mb = 0.0
+
+    async def run(self):
+        """Watch until cancelled."""
+        while True:
+            for member in self._world.members:
+                size = member.rss_mb()
+                self.largest_mb = max(self.largest_mb, size)
+                if size > self._limit_mb:
+                    self.killed.append(member.name)
+                    self._world.record.add(
+                        f"{member.name} uses {size:.0f} MB of {self._limit_mb}"
+                    )
+                    await member.kill()
+                    asyncio.create_task(self._restart(member))
+            await asyncio.sleep(0.05)
+
+    async def _restart(self, member):
+        await asyncio.sleep(RESTART_DELAY_S)
+        await member.start()
+
+    def summary(self):
+        """Return how many processes were killed."""
+        return (
+            f"{len(self.killed)} processes on {len(set(self.killed))} of"
+            f" {len(self._world.members)} machines were killed beyond"
+            f" {self._limit_mb} MB"
+        )
+
+    def report(self):
+        """Record the largest process and those that were killed."""
+        self._world.record.add(
+            f"largest process: {self.largest_mb:.0f} MB; {self.summary()}"
+        )
+
+
 class CannotRun(Exception):
     """The case could not be played."""
 
