--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -428,13 +428,15 @@
         self.up = False
         self.life = 0
         self.removed_at = None
-        self.wall_offset_s = 0.0  # of its time of day
+        # Seconds after which starts are carried out that get no answer.
+        self.late_s = None
+        self.late_starts = 0
 
     async def start(self):
         """Begin a life, which knows nothing of earlier ones."""
         self.life += 1
         self.began_at = time.monotonic()
-        self.born_ms = int((time.time() + self.wall_offset_s) * 1000)
+        self.born_ms = int(time.time() * 1000)
         self.fence = 0
         self.lease_until_ms = 0.0
         self.running = {}
@@ -495,13 +497,29 @@
             "/v1/hold",
         ):
             return 404, {}
+        if request.path == "/v1/run-start" and self.late_s is not None:
+            self.late_starts += 1
+            self.world.record.add(
+                f"start {order['run']} of {order['task']} on {self.name} gets"
+                f" no answer and is carried out {self.late_s} s later"
+            )
+            await asyncio.sleep(self.late_s)
+            status, answer = await self._carry_out(request.path, order)
+            self.world.record.add(
+                f"late start {order['run']} of {order['task']} on"
+                f" {self.name}, life {self.life}: {status} {answer}"
+            )
+            await asyncio.sleep(3600)
+        return await self._carry_out(request.path, order)
+
+    async def _carry_out(self, path, order):
         fence = order.get("fence", 0)
         if fence < self.fence:
             return 409, {"clock-ms": self.clock_ms(), "reason": "fence"}
         self.fence = fence
-        if request.path == "/v1/run-start":
+        if path == "/v1/run-start":
             return self._start(order)
-        if request.path == "/v1/run-stop":
+        if path == "/v1/run-stop":
             return self._stop(order)
         return await self._hold(order)
 
@@ -685,7 +703,7 @@
         members=6,
         runners=24,
         memory_mb=300,
-        route=None,
+        queues=({},),
     ):
         self.folder = pathlib.Path(folder)
         self.record = record
@@ -715,23 +733,26 @@
         self.runs = collections.defaultdict(list)  # by task
         self.on_run = lambda run: None
         self._tasks = []
-        self._route = {
-            "name": "holds",
-            "host": HOST,
-            "path-prefix": PREFIX,
-            "service": SERVICE,
-            "priority": 0,
-            "max-attempts": 3,
-            "stretch": 1.5,
-            "target-latency-ms": 500,
-            **(route or {}),
-        }
+        self._routes = [
+            {
+                "name": f"holds-{number}",
+                "host": HOST,
+                "path-prefix": f"/holds-{number}/" if number else PREFIX,
+                "service": SERVICE,
+                "priority": 0,
+                "max-attempts": 3,
+                "stretch": 1.5,
+                "target-latency-ms": 500,
+                **queue,
+            }
+            for number, queue in enumerate(queues)
+        ]
 
     async def start(self):
         """Start everything; wait until all members are ready."""
         config = {
             "version": 1,
-            "routes": [self._route],
+            "routes": self._routes,
             "services": [{"name": SERVICE}],
             "limits": {},
         }
@@ -806,16 +827,19 @@
         )
         self.on_run(run)
 
-    async def submit(self, member, job, steps, work_s, limit_s=3.0):
-        """Hand in a job; return the status or None."""
+    async def submit(self, member, job, steps, work_s, limit_s=3.0, queue=0):
+        """Hand in a job; return like `call`."""
         body = {"spec": json.dumps({"work_s": work_s}), "steps": steps}
-        return await self.client(member, "POST", job, body, limit_s)
+        return await self.client(member, "POST", job, body, limit_s, queue)
 
-    async def client(self, member, method, job, body=None, limit_s=3.0):
+    async def client(
+        self, member, method, job, body=None, limit_s=3.0, queue=0
+    ):
         """Send a client's request; return like `call`, and record it."""
         headers = (("Host", HOST), ("X-Deadline-Ms", str(int(limit_s * 1000))))
+        path = self._routes[queue]["path-prefix"] + job
         answer = await call(
-            member.front, method, PREFIX + job, body, headers, limit_s + 0.5
+            member.front, method, path, body, headers, limit_s + 0.5
         )
         steps = len(body["steps"]) if body else 0
         self.record.add(
@@ -825,11 +849,11 @@
         )
         return answer
 
-    async def submit_anywhere(self, job, steps, work_s, attempts=5):
+    async def submit_anywhere(self, job, steps, work_s, attempts=5, queue=0):
         """Hand in a job like a client that retries; return if accepted."""
         for attempt in range(attempts):
             member = random.choice(self.members)
-            answer = await self.submit(member, job, steps, work_s)
+            answer = await self.submit(member, job, steps, work_s, queue=queue)
             if answer is not None and 200 <= answer[0] < 300:
                 return True
             await asyncio.sleep(0.5 * (attempt + 1))
