Log what a new owner assumes of silent workers

A line for each such worker now counts the runs that are assumed and the tasks that stay unaccounted for, and gives the lease that is left.

--- a/src/citrondeal/workflow/_recovery.py
+++ b/src/citrondeal/workflow/_recovery.py
@@ -71,6 +71,15 @@
                 stored_number=number,
             )
             worker.add(task.run)
+        _events.log(
+            logging.INFO,
+            "runs on a silent worker are assumed",
+            worker=worker.id,
+            born_ms=worker.info.born_ms,
+            assumed_runs=len(worker.runs),
+            unaccounted_tasks=len(worker.unaccounted_tasks),
+            lease_left_s=round(worker.lease_expires_at - now, 3),
+        )
 
     def recover_run_limit(self, limit):
         """Begin above the limit of run numbers that is stored."""
