Start no task that an unheard worker may still run

Cause: a task has one place for a run, but the records of several workers may list it. Worker A falls silent and its leases lapse, so the task starts on B, which is cut off as well. The next owner reads both records. It takes the first for the run of the task and notes the task as unaccounted for on the other one. The note counted for quotas and for the record of the worker, and barred no start: when A answered that its run had lapsed, the task was free, and started while B ran it with 12.5 s of its lease left.

Ruled out: that the next owner had not read the record of B, and that it took its lease as over.

Change: the planner starts no task that a worker may run beside its known runs, until a report accounts for it or the leases of the worker have lapsed. The same holds for a run that a worker reports and its owner does not know: with the run that was ordered refused, its task started elsewhere while it was being stopped. No second belief is kept; the tasks are found anew in each pass.

The three new scenarios of leases.feature fail without the change. The harness of crashes now ends runs whose leases are over, and fails at each start of a task that runs elsewhere.

--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -13,6 +13,7 @@
 from citrondeal.workflow import _racks
 from citrondeal.workflow import _ticket_calls
 from citrondeal.workflow import _tickets
+from citrondeal.workflow import _uncertain_tasks
 from citrondeal.workflow import _waits
 
 STOP_RETRY_S = 0.4
@@ -39,6 +40,7 @@
         self._reserving_gang = None
         self._waiting_gangs = []  # step, tasks and workers, in this pass
         self._usable_workers = {}  # by service, then by worker id
+        self._uncertain_tasks = frozenset()  # in this pass
         self._action_limit = math.inf  # of the current pass
         self._isolation = _isolation.Isolation(state)
         self._ticket_calls = _ticket_calls.TicketCalls(state)
@@ -71,6 +73,9 @@
         self._ticket_calls.renew_expired(actions, now)
         kept, self._reserving_gang = self._reserving_gang, None
         self._usable_workers = {}
+        self._uncertain_tasks = _uncertain_tasks.find(
+            self._state.workers.values()
+        )
         for worker in self._state.workers.values():
             worker.clear_pass_reservations()
             if worker.usable:
@@ -218,6 +223,10 @@
         if not waiting:
             waits.note(step, None, now)
             return
+        waiting = [t for t in waiting if t.id not in self._uncertain_tasks]
+        if not waiting:
+            waits.note(step, _waits.WaitReason.UNCERTAIN, now)
+            return
         if step.spec.gang and len(waiting) < len(step.tasks):
             # Members of an earlier run are still ending.
             waits.note(step, _waits.WaitReason.MEMBERS, now)
--- a/src/citrondeal/workflow/_waits.py
+++ b/src/citrondeal/workflow/_waits.py
@@ -16,6 +16,7 @@
     ROOM = "room"  # its tasks do not fit on the workers that it may use
     RENEWAL = "renewal"  # room is reserved until its tickets are valid again
     QUOTA = "quota"  # its account may use no more
+    UNCERTAIN = "uncertain"  # earlier runs may go on, see `_uncertain_tasks`
     MEMBERS = "members"  # members of an earlier run of the gang still end
     PASS = "pass"  # the pass has ended before its turn, or started nothing
 
--- a/src/citrondeal/workflow/tests/crash_harness.py
+++ b/src/citrondeal/workflow/tests/crash_harness.py
@@ -7,6 +7,7 @@
 
 TICK_S = 0.1
 LEASE_S = 10.0
+START_LEASE_S = 2.5
 CRASH_AFTER_S = 0.5  # from the start of a task that crashes its worker
 DOWN_S = 2.0
 
@@ -18,6 +19,7 @@
     info: workflow.WorkerInfo
     runs: dict = dataclasses.field(default_factory=dict)
     ends: list = dataclasses.field(default_factory=list)
+    lease_ends_at: float = 0.0
     silent_until: float = 0.0
     back_as: workflow.WorkerInfo | None = None
     listed: bool = True
@@ -126,6 +128,11 @@
         worker = self.workers[name]
         worker.info = dataclasses.replace(worker.info, draining=True)
 
+    def admit(self, name):
+        """Let a worker that drained get tasks again."""
+        worker = self.workers[name]
+        worker.info = dataclasses.replace(worker.info, draining=False)
+
     def run(self, seconds):
         """Advance the time."""
         end = self.now + seconds
@@ -183,6 +190,9 @@
 
     def _work(self, name):
         worker = self.workers[name]
+        if self.now >= worker.lease_ends_at:
+            for task in list(worker.runs):
+                self._end(worker, task, workflow.RunOutcome.LAPSED)
         if self.now < worker.silent_until:
             return
         if worker.back_as is not None:
@@ -241,6 +251,7 @@
             return
         if self.scheduler.workers[name].may_renew:
             self.scheduler.workers[name].extend_lease(self.now, LEASE_S)
+            worker.lease_ends_at = self.now + LEASE_S
         running = [
             workflow.ReportedRun(task, number, "", 0.0)
             for task, (number, _) in worker.runs.items()
@@ -257,6 +268,15 @@
             self.now + 0.01,
         )
 
+    def _start(self, worker, start):
+        places = [w for w in self.workers.values() if start.task in w.runs]
+        assert not places, f"{start} although {places} run it"
+        worker.runs[start.task] = (start.run, self.now)
+        worker.lease_ends_at = max(
+            worker.lease_ends_at, self.now + START_LEASE_S
+        )
+        self.starts.append((start.task, start.run, start.worker))
+
     def _deliver(self, action):
         worker = self.workers.get(action.worker)
         outcome = workflow.OrderOutcome.UNKNOWN
@@ -269,7 +289,6 @@
         else:
             if worker is not None and self.now >= worker.silent_until:
                 outcome = workflow.OrderOutcome.OK
-                worker.runs[action.task] = (action.run, self.now)
-                self.starts.append((action.task, action.run, action.worker))
+                self._start(worker, action)
             callback = self.scheduler.on_started
         callback(action.task, action.run, action.worker, outcome, self.now)
--- a/src/citrondeal/workflow/tests/leases.feature
+++ b/src/citrondeal/workflow/tests/leases.feature
@@ -20,3 +20,23 @@
     Given a workflow task with a crash and workers whose leases are over
     When its next workflow start is stored 2 s after its decision
     Then the workflow task starts elsewhere once the lease of its start is over
+
+  # Guards against a task in two places: the next owner read it from the records
+  # of two silent workers, took it as running on the one whose leases were over,
+  # and started it again once that one answered.
+  Scenario Outline: workflow a task of two silent workers waits for both
+    Given a workflow task that was started again after its worker <first> was lost
+    When its next worker is cut off, too, and the workflow owner changes
+    Then the workflow task runs on until it is heard from, and starts nowhere else
+
+    Examples:
+      | first |
+      | w0    |
+      | w2    |
+
+  # Guards against a task in two places: its worker reports a run that the owner
+  # took as over, and refuses the one that the owner has ordered.
+  Scenario: workflow a task waits for a run that its owner does not know
+    Given a workflow worker that reports another run than the one ordered
+    When the workflow worker refuses the order
+    Then the workflow task starts once the worker reports the other run no more
