Assume the newest run of a task that several records list

Cause: a new owner took the first record that lists a task for its run, in the order of the ids. That may be the older one, whose leases have lapsed. If the worker of the newer run crashed meanwhile, the owner knew no run there and counted no crash, although the record of the worker names the run.

Change: the records are read first, and the runs assumed by their numbers, the highest first. Run numbers rise over owners, and a task is started again only after the leases of its earlier worker have lapsed.

Before: both new scenarios of leases.feature fail, no crash is counted. After: one, whichever of the two workers comes first.

--- a/src/citrondeal/workflow/_recovery.py
+++ b/src/citrondeal/workflow/_recovery.py
@@ -2,6 +2,7 @@
 
 import itertools
 import logging
+import operator
 
 from citrondeal.workflow import _events
 from citrondeal.workflow import _jobs
@@ -29,6 +30,7 @@
         stored : list of StoredWorker
         now : float
         """
+        silent = []
         for stored_worker in stored:
             worker = self._state.add_worker(stored_worker.info, now)
             worker.stored = stored_worker.runs is None
@@ -46,40 +48,47 @@
             if stored_worker.runs is None:
                 self._state.unresolved_workers.add(worker.id)
             else:
-                self._assume_runs(worker, stored_worker, now)
-
-    def _assume_runs(self, worker, stored_worker, now):
-        """Assume that the tasks run on a worker that could not be reached."""
-        runs = itertools.zip_longest(
-            stored_worker.runs,
-            stored_worker.numbers[: len(stored_worker.runs)],
-            fillvalue=_jobs.UNKNOWN_RUN_NUMBER,
-        )
-        for task_id, number in runs:
-            task = self._state.task(task_id)
-            if task is None or task.done or task.run is not None:
-                worker.unaccounted_tasks.append(task_id)
-                continue
-            task.run = _jobs.Run(
-                task,
-                _jobs.UNKNOWN_RUN_NUMBER,
-                worker.id,
-                _jobs.RunState.RUNNING,
-                now,
-                now,
-                progress_at=now,
-                stored_number=number,
-            )
-            worker.add(task.run)
-        _events.log(
-            logging.INFO,
-            "runs on a silent worker are assumed",
-            worker=worker.id,
-            born_ms=worker.info.born_ms,
-            assumed_runs=len(worker.runs),
-            unaccounted_tasks=len(worker.unaccounted_tasks),
-            lease_left_s=round(worker.lease_expires_at - now, 3),
+                silent.append((worker, stored_worker))
+        self._assume_runs(silent, now)
+
+    def _assume_runs(self, silent, now):
+        """Assume that the tasks run on workers that could not be reached.
+
+        If several records list a task, its newest run is assumed: the leases
+        of the others had lapsed before it was started.
+
+        Parameters
+        ----------
+        silent : list of (WorkerState, StoredWorker)
+        now : float
+        """
+        listed = [
+            (number, worker, task_id)
+            for worker, stored_worker in silent
+            for task_id, number in _listed_runs(stored_worker)
+        ]
+        listed.sort(key=operator.itemgetter(0), reverse=True)
+        for number, worker, task_id in listed:
+            self._assume_run(worker, task_id, number, now)
+        for worker, _ in silent:
+            _log_assumed(worker, now)
+
+    def _assume_run(self, worker, task_id, number, now):
+        task = self._state.task(task_id)
+        if task is None or task.done or task.run is not None:
+            worker.unaccounted_tasks.append(task_id)
+            return
+        task.run = _jobs.Run(
+            task,
+            _jobs.UNKNOWN_RUN_NUMBER,
+            worker.id,
+            _jobs.RunState.RUNNING,
+            now,
+            now,
+            progress_at=now,
+            stored_number=number,
         )
+        worker.add(task.run)
 
     def recover_run_limit(self, limit):
         """Begin above the limit of run numbers that is stored."""
@@ -161,6 +170,27 @@
         self._state.jobs[job_id] = job
 
 
+def _listed_runs(stored_worker):
+    """Return the task and the number of each run that a record lists."""
+    return itertools.zip_longest(
+        stored_worker.runs,
+        stored_worker.numbers[: len(stored_worker.runs)],
+        fillvalue=_jobs.UNKNOWN_RUN_NUMBER,
+    )
+
+
+def _log_assumed(worker, now):
+    _events.log(
+        logging.INFO,
+        "runs on a silent worker are assumed",
+        worker=worker.id,
+        born_ms=worker.info.born_ms,
+        assumed_runs=len(worker.runs),
+        unaccounted_tasks=len(worker.unaccounted_tasks),
+        lease_left_s=round(worker.lease_expires_at - now, 3),
+    )
+
+
 def _highest_run(progress):
     """Return the highest number of a run in stored progress."""
     runs = [
--- a/src/citrondeal/workflow/tests/leases.feature
+++ b/src/citrondeal/workflow/tests/leases.feature
@@ -34,6 +34,19 @@
       | w0    |
       | w2    |
 
+  # Guards against a task that crashes one worker more than allowed: the next
+  # owner took it as running on the worker whose leases were over.
+  Scenario Outline: workflow a crash of the newest of two silent workers counts
+    Given a workflow task that was started again after its worker <first> was lost
+    When its next worker is cut off, too, and the workflow owner changes
+    And that worker has crashed meanwhile
+    Then one crash of the workflow task is counted
+
+    Examples:
+      | first |
+      | w0    |
+      | w2    |
+
   # Guards against a task in two places: its worker reports a run that the owner
   # took as over, and refuses the one that the owner has ordered.
   Scenario: workflow a task waits for a run that its owner does not know
--- a/src/citrondeal/workflow/tests/steps_uncertain_tasks.py
+++ b/src/citrondeal/workflow/tests/steps_uncertain_tasks.py
@@ -50,6 +50,20 @@
     cell.take_over()
 
 
+@when("that worker has crashed meanwhile")
+def _(context):
+    cell = context.cell
+    cell.leave(cell.worker_of(JOB), SECOND_CUT_S)
+
+
+@then("one crash of the workflow task is counted")
+def _(context):
+    cell = context.cell
+    cell.run(SECOND_CUT_S + 1.0)
+    [task] = cell.scheduler.jobs[JOB].tasks()
+    assert len(task.crashes) == 1, task.crashes
+
+
 @then(
     "the workflow task runs on until it is heard from, and starts nowhere else"
 )
