Replace the record of a worker whose leases have lapsed

What callers would see: after a change of the owner, tasks count as running on a worker that has been lost for long: they use the quota of their account, and the next owner starts none of them elsewhere before the worker is heard or its leases are over once more.

Cause: when leases lapse, the runs are released in memory only. The stored record of the worker goes on listing them, or says that anything may run there, until the worker answers again, which a lost one never does.

Change: the record is replaced when leases lapse, if anything may have run on the worker. That is one write for each worker that is lost, together with those of its tasks.

Before: both new scenarios fail, the record lists the task or None. After: it lists nothing, with and without a change of the owner in between.

--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -170,13 +170,7 @@
                     lost_runs=len(worker.runs),
                 )
                 self._state.crashes.on_lapse(worker, now)
-                self._state.release_all_runs(worker)
-            worker.unrecognized_runs.clear()
-            worker.unaccounted_tasks.clear()
-            if worker.has_entry:
-                self._state.mark_resolved(worker, now)
-            else:
-                self._state.remove_worker(worker, now)
+            self._state.on_leases_lapsed(worker, now)
 
     def _due_stops(self, now):
         stops = []
--- a/src/citrondeal/workflow/_state.py
+++ b/src/citrondeal/workflow/_state.py
@@ -191,6 +191,22 @@
                 self.remove_worker(other, now)
         self.crashes.on_incarnation(info.address, info.born_ms, now)
 
+    def on_leases_lapsed(self, worker, now):
+        """Forget what may have run on a worker whose leases are over.
+
+        Its stored record is replaced, since the tasks may start elsewhere and
+        a next owner would take them as running here.
+        """
+        if worker.may_have_runs or worker.id in self.unresolved_workers:
+            self.changed_workers[worker.id] = worker
+        self.release_all_runs(worker)
+        worker.unrecognized_runs.clear()
+        worker.unaccounted_tasks.clear()
+        if worker.has_entry:
+            self.mark_resolved(worker, now)
+        else:
+            self.remove_worker(worker, now)
+
     def release_all_runs(self, worker):
         # The release of one member of a gang may release others.
         while worker.runs:
--- a/src/citrondeal/workflow/_workers.py
+++ b/src/citrondeal/workflow/_workers.py
@@ -144,6 +144,13 @@
         """Whether the list of workers has an entry of it."""
         return self.listed or self.unconfirmed is not None
 
+    @property
+    def may_have_runs(self):
+        """Whether a known or an uncertain run may be on it."""
+        return bool(
+            self.runs or self.unrecognized_runs or self.unaccounted_tasks
+        )
+
     @property
     def used(self):
         """Sum of the sizes of all runs on it."""
--- a/src/citrondeal/workflow/tests/leases.feature
+++ b/src/citrondeal/workflow/tests/leases.feature
@@ -47,6 +47,18 @@
       | w0    |
       | w2    |
 
+  # Guards against owner after owner that takes tasks as running on a lost
+  # worker, since its record is never replaced.
+  Scenario Outline: workflow the record of a worker whose leases are over is empty
+    Given a workflow cell with a task on a worker that is cut off for good
+    When the workflow owner changes <changes> times and the leases lapse
+    Then the workflow record of the worker shows that nothing runs there
+
+    Examples:
+      | changes |
+      | 0       |
+      | 1       |
+
   # Guards against a task in two places: its worker reports a run that the owner
   # took as over, and refuses the one that the owner has ordered.
   Scenario: workflow a task waits for a run that its owner does not know
--- a/src/citrondeal/workflow/tests/steps_uncertain_tasks.py
+++ b/src/citrondeal/workflow/tests/steps_uncertain_tasks.py
@@ -75,6 +75,30 @@
     assert task.job == JOB
 
 
+@given("a workflow cell with a task on a worker that is cut off for good")
+def _(context):
+    context.cell = cell = crash_harness.Cell(3)
+    cell.submit(JOB, run_s=LONG_S)
+    cell.run(1.0)
+    context.lost = cell.worker_of(JOB)
+    cell.silence(context.lost, LONG_S)
+
+
+@when("the workflow owner changes {count:d} times and the leases lapse")
+def _(context, count):
+    for _ in range(count):
+        context.cell.take_over()
+    context.cell.run(LIMIT_S)
+
+
+@then("the workflow record of the worker shows that nothing runs there")
+def _(context):
+    cell = context.cell
+    assert cell.start_count(JOB) == 2, cell.starts
+    stored = workflow.decode_worker(cell.stored_workers[context.lost])
+    assert stored.runs == (), stored
+
+
 @given("a workflow worker that reports another run than the one ordered")
 def _(context):
     context.harness = harness = harnesses.Harness()
