--- a/src/citrondeal/workflow/tests/leases.feature
+++ b/src/citrondeal/workflow/tests/leases.feature
@@ -65,3 +65,8 @@
     Given a workflow worker that reports another run than the one ordered
     When the workflow worker refuses the order
     Then the workflow task starts once the worker reports the other run no more
+
+  # Guards against a task in two places while one worker after the other falls
+  # silent and the owner changes.
+  Scenario: workflow no task runs twice in an outage that spreads
+    Then workflow 60 random histories of silent workers start no task twice
--- a/src/citrondeal/workflow/tests/steps_uncertain_tasks.py
+++ b/src/citrondeal/workflow/tests/steps_uncertain_tasks.py
@@ -7,6 +7,7 @@
 from citrondeal import workflow
 from citrondeal.workflow.tests import crash_harness
 from citrondeal.workflow.tests import harness as harnesses
+from citrondeal.workflow.tests import random_silences
 
 JOB = "00000000000000aa"
 LONG_S = 300.0
@@ -132,3 +133,11 @@
     harness.report_all()
     harness.store()
     assert harness.plan() == ["batch"]
+
+
+@then(
+    "workflow {count:d} random histories of silent workers start no task twice"
+)
+def _(context, count):
+    for seed in range(count):
+        random_silences.play(seed)
