Let short tasks use the room that is kept for a gang

Cause: a gang that has waited for 1 s keeps room on all workers that it needs from the steps after it, however long it will have to wait.

Ruled out: the tickets and the quotas of the small job; without the gang it starts at once.

Change: EASY backfilling. A step whose tasks end, by twice their estimate, before the last place of the gang can be free uses the room meanwhile. That time is taken from the estimates and the progress of the runs there, whichever is sooner; without an estimate nothing changes.

--- a/src/citrondeal/workflow/_jobs.py
+++ b/src/citrondeal/workflow/_jobs.py
@@ -166,6 +166,8 @@
     ----------
     wants_fast : bool
         Whether its tasks go to fast workers first.
+    ends_by : float
+        Time by which its tasks end if they start now; infinite if unknown.
     kind : str
         Kind of its tasks, see `_kinds`.
     partner_costs : dict of str to float
@@ -189,6 +191,7 @@
         self.open_renewals = set()  # tuples of the ids that each one names
         self.ask_again_at = 0.0
         self.reserving = False
+        self.ends_by = math.inf
         self.wants_fast = False
         # Until when tasks are only placed in a single rack, see `_racks`.
         self.rack_wait_until = None
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -3,6 +3,7 @@
 import logging
 import math
 
+from citrondeal.workflow import _backfill
 from citrondeal.workflow import _crashes
 from citrondeal.workflow import _events
 from citrondeal.workflow import _isolation
@@ -99,7 +100,7 @@
             if len(actions) >= self._action_limit:
                 break
             if _precedence.is_low(step, now):
-                self._reserve_for_waiting_gangs()
+                self._reserve_for_waiting_gangs(now)
             self._plan_step(step, actions, now)
             self._state.quotas.on_planned(step, now)
         self._state.waits.end_pass(ready, now)
@@ -236,6 +237,7 @@
             # being renewed, and would have to wait for another call.
             waits.note(step, _waits.WaitReason.RENEWAL, now)
             return
+        step.ends_by = _backfill.latest_end(step, now)
         if step.spec.same_rack:
             _racks.update(
                 step, self._state.workers, self._state.config.far_factor, now
@@ -324,12 +326,18 @@
                 return []
             self._waiting_gangs.append((step, waiting, allowed))
             return allowed
+        return self._keep_room(step, waiting, allowed, now)
+
+    def _keep_room(self, step, waiting, allowed, now):
         chosen = _placement.choose_to_reserve(step, waiting, allowed)
+        usable_at = now
+        if step.spec.gang:
+            usable_at = _backfill.earliest_start(step, chosen, now)
         for _, worker in chosen:
-            worker.reserve_for_pass(step.spec.size)
+            worker.reserve_for_pass(step.spec.size, usable_at)
         return list({worker.id: worker for _, worker in chosen}.values())
 
-    def _reserve_for_waiting_gangs(self):
+    def _reserve_for_waiting_gangs(self, now):
         """Keep room for all waiting gangs from jobs of low precedence.
 
         Otherwise a backlog of these jobs would take each small part of the
@@ -338,12 +346,8 @@
         services = {step.job.service for step, _, _ in self._waiting_gangs}
         busy = {service for service in services if self._is_half_used(service)}
         for step, waiting, allowed in self._waiting_gangs:
-            if step.job.service not in busy:
-                continue
-            for _, worker in _placement.choose_to_reserve(
-                step, waiting, allowed
-            ):
-                worker.reserve_for_pass(step.spec.size)
+            if step.job.service in busy:
+                self._keep_room(step, waiting, allowed, now)
         self._waiting_gangs = []
 
     def _is_half_used(self, service):
--- a/src/citrondeal/workflow/_workers.py
+++ b/src/citrondeal/workflow/_workers.py
@@ -91,6 +91,7 @@
         self.claimed_capacity = _ZERO
         self._used = _ZERO
         self._pass_reserved = _ZERO
+        self._pass_reserved_until = -math.inf
         self._reserved = {}
         self._free = info.capacity
         self.listed = True
@@ -197,17 +198,31 @@
 
         They are neither used by runs nor reserved for other steps. What is
         reserved for the step itself remains available to it, even if a more
-        urgent step has reserved the worker for this pass.
+        urgent step has reserved the worker for this pass.  What is reserved
+        for others in this pass is available to a step that ends before they
+        can use it.
         """
         reserved = self._reserved.get(step.id)
         if reserved is None:
+            if step.ends_by <= self._pass_reserved_until:
+                return self._free.plus(self._pass_reserved)
             return self._free
         # Runs that were taken over may use more than the worker has free.
         overdrawn = self._free.plus(self._pass_reserved).minimum(_ZERO)
         return reserved.plus(self._free.maximum(overdrawn))
 
-    def reserve_for_pass(self, size):
-        """Reserve resources for a more urgent step in this planning pass."""
+    def reserve_for_pass(self, size, usable_at):
+        """Reserve resources for a more urgent step in this planning pass.
+
+        Parameters
+        ----------
+        size : Size
+        usable_at : float
+            Time before which that step cannot use them.
+        """
+        if self._pass_reserved != _ZERO:
+            usable_at = min(usable_at, self._pass_reserved_until)
+        self._pass_reserved_until = usable_at
         self._pass_reserved = self._pass_reserved.plus(size)
         self._free = self._free.minus(size)
 
@@ -216,6 +231,7 @@
         if self._pass_reserved != _ZERO:
             self._free = self._free.plus(self._pass_reserved)
             self._pass_reserved = _ZERO
+            self._pass_reserved_until = -math.inf
 
     def has_reservation(self, step):
         """Return whether resources are reserved for a step."""
