Move the room that is kept for waiting steps out of the planner

The planner decided which steps have room kept, for which gangs, and where, beside everything else of a pass. No decision changes: the scenarios of backfill, leases, tickets and isolation pass as before.

--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -8,6 +8,7 @@
 from citrondeal.workflow import _events
 from citrondeal.workflow import _isolation
 from citrondeal.workflow import _jobs
+from citrondeal.workflow import _kept_room
 from citrondeal.workflow import _messages
 from citrondeal.workflow import _placement
 from citrondeal.workflow import _precedence
@@ -18,12 +19,6 @@
 from citrondeal.workflow import _waits
 
 STOP_RETRY_S = 0.4
-# Resources are reserved for a gang that does not fit after it has waited this
-# long.
-GANG_RESERVE_AFTER_S = 1.0
-# Room is kept from jobs of low precedence only while at least this share of
-# the cores of a service is in use.
-MIN_USED_SHARE = 0.5
 
 
 class Planner:
@@ -38,8 +33,7 @@
         self._state = state
         self._capacities_valid = True
         self._numbers_left = True
-        self._reserving_gang = None
-        self._waiting_gangs = []  # step, tasks and workers, in this pass
+        self._kept_room = _kept_room.KeptRoom()
         self._usable_workers = {}  # by service, then by worker id
         self._uncertain_tasks = frozenset()  # in this pass
         self._action_limit = math.inf  # of the current pass
@@ -72,40 +66,43 @@
             return actions
         actions += self._state.withheld.take_due(now)
         self._ticket_calls.renew_expired(actions, now)
-        kept, self._reserving_gang = self._reserving_gang, None
-        self._usable_workers = {}
-        self._uncertain_tasks = _uncertain_tasks.find(
-            self._state.workers.values()
-        )
-        for worker in self._state.workers.values():
-            worker.clear_pass_reservations()
-            if worker.usable:
-                service = self._usable_workers.setdefault(
-                    worker.info.service, {}
-                )
-                service[worker.id] = worker
+        kept_gang = self._kept_room.gang
+        self._look_at_workers()
         self._state.move_jobs()
         self._isolation.begin_pass(now)
         self._action_limit = len(actions) + max_starts
         ready = self._ready_steps(now)
         steps = self._state.quotas.begin_pass(ready, now)
-        self._waiting_gangs = []
+        self._kept_room.begin_pass(self._usable_workers)
         for step in self._state.shares.arrange(
             steps,
             self._usable_workers,
-            kept,
+            kept_gang,
             lambda step: _precedence.urgency(step, now)[:2],
             now,
         ):
             if len(actions) >= self._action_limit:
                 break
             if _precedence.is_low(step, now):
-                self._reserve_for_waiting_gangs(now)
+                self._kept_room.keep_for_waiting_gangs(now)
             self._plan_step(step, actions, now)
             self._state.quotas.on_planned(step, now)
         self._state.waits.end_pass(ready, now)
         return actions
 
+    def _look_at_workers(self):
+        """Begin a pass with all workers as they are now."""
+        workers = self._state.workers.values()
+        self._uncertain_tasks = _uncertain_tasks.find(workers)
+        self._usable_workers = {}
+        for worker in workers:
+            worker.clear_pass_reservations()
+            if worker.usable:
+                service = self._usable_workers.setdefault(
+                    worker.info.service, {}
+                )
+                service[worker.id] = worker
+
     def still_holds(self, start, now):
         """Return whether a start that was decided may be sent now.
 
@@ -263,7 +260,7 @@
             self._start_or_renew_tickets(step, chosen, actions, now)
             return
         self._state.reserve(step, [])
-        self._reserve_for_pass(step, waiting, allowed, now)
+        self._kept_room.keep(step, waiting, allowed, now)
 
     def _candidates(self, step, task=None):
         """Return the open workers, and those of them that may run a step.
@@ -295,7 +292,7 @@
                 self._place_crashed(step, tasks, task, actions, now)
             elif workers := self._isolation.awaited_workers(task):
                 # Otherwise other tasks would take the room between attempts.
-                self._reserve_for_pass(step, tasks, workers, now)
+                self._kept_room.keep(step, tasks, workers, now)
         return others
 
     def _may_place_crashed(self, task):
@@ -316,66 +313,9 @@
             self._state.reserve(step, [])
         self._ticket_calls.ask(step, len(tasks), usable, actions, now)
         if not self._isolation.waits(task, now):
-            awaited = self._reserve_for_pass(step, tasks, allowed, now)
+            awaited = self._kept_room.keep(step, tasks, allowed, now)
             self._isolation.on_reserved(task, awaited)
 
-    def _reserve_for_pass(self, step, waiting, allowed, now):
-        """Keep room for tasks that do not fit, and return its workers."""
-        if not self._may_reserve(step, now):
-            if not step.spec.gang or _precedence.is_low(step, now):
-                return []
-            self._waiting_gangs.append((step, waiting, allowed))
-            return allowed
-        return self._keep_room(step, waiting, allowed, now)
-
-    def _keep_room(self, step, waiting, allowed, now):
-        chosen = _placement.choose_to_reserve(step, waiting, allowed)
-        usable_at = now
-        if step.spec.gang:
-            usable_at = _backfill.earliest_start(step, chosen, now)
-        for _, worker in chosen:
-            worker.reserve_for_pass(step.spec.size, usable_at)
-        return list({worker.id: worker for _, worker in chosen}.values())
-
-    def _reserve_for_waiting_gangs(self, now):
-        """Keep room for all waiting gangs from jobs of low precedence.
-
-        Otherwise a backlog of these jobs would take each small part of the
-        room that becomes free, and no gang could start in time.
-        """
-        services = {step.job.service for step, _, _ in self._waiting_gangs}
-        busy = {service for service in services if self._is_half_used(service)}
-        for step, waiting, allowed in self._waiting_gangs:
-            if step.job.service in busy:
-                self._keep_room(step, waiting, allowed, now)
-        self._waiting_gangs = []
-
-    def _is_half_used(self, service):
-        workers = self._usable_workers.get(service, {}).values()
-        used = sum(worker.used.millicores for worker in workers)
-        total = sum(worker.info.capacity.millicores for worker in workers)
-        return used >= MIN_USED_SHARE * total
-
-    def _may_reserve(self, step, now):
-        """Return whether to reserve resources for a step that does not fit.
-
-        They are always reserved for urgent steps, unless of low precedence.
-        Of the other gangs, only the first one gets a reservation, because
-        reserved resources stay idle while it waits.
-        """
-        low = _precedence.is_low(step, now)
-        if step.job.policy.priority == 0 and not low:
-            return True
-        if (
-            not step.spec.gang
-            or now - step.job.accepted_at < GANG_RESERVE_AFTER_S
-        ):
-            return False
-        if self._reserving_gang not in (None, step):
-            return False
-        self._reserving_gang = step
-        return True
-
     def _start_or_renew_tickets(self, step, chosen, actions, now):
         ready = [
             (task, worker, _tickets.valid_ticket(step, worker, now))
