Ask for uncertain tasks in one place

The quotas and the planner each put together which tasks a worker may run beside its known runs. Both ask _uncertain_tasks now. No decision changes; the order of the tasks is as before.

--- a/src/citrondeal/workflow/_uncertain_tasks.py
+++ b/src/citrondeal/workflow/_uncertain_tasks.py
@@ -6,9 +6,11 @@
 a run that the owner does not know.
 """
 
+import itertools
+
 
 def find(workers):
-    """Return the tasks that a worker may run beside its known runs.
+    """Return the tasks that any of the workers may run beside its known runs.
 
     Such a task is certain again once a report of the worker accounts for it,
     or once its leases have lapsed.
@@ -21,8 +23,18 @@
     -------
     set of TaskId
     """
-    tasks = set()
-    for worker in workers:
-        tasks.update(worker.unaccounted_tasks)
-        tasks.update(worker.unrecognized_runs)
-    return tasks
+    return set().union(*(of_worker(worker) for worker in workers))
+
+
+def of_worker(worker):
+    """Return the tasks that one worker may run beside its known runs.
+
+    Returns
+    -------
+    list of TaskId
+        Each task once.
+    """
+    if not (worker.unrecognized_runs or worker.unaccounted_tasks):
+        return []
+    both = itertools.chain(worker.unrecognized_runs, worker.unaccounted_tasks)
+    return list(dict.fromkeys(both))
--- a/src/citrondeal/workflow/_usage.py
+++ b/src/citrondeal/workflow/_usage.py
@@ -1,9 +1,9 @@
 """What the runs of each client account use on all workers together."""
 
 import collections
-import itertools
 
 from citrondeal.workflow import _model
+from citrondeal.workflow import _uncertain_tasks
 
 _ZERO = _model.Size()
 # Amounts of the three resources, and the number of runs.
@@ -107,7 +107,7 @@
             if worker.id in state.unresolved_workers:
                 rest = _rest(worker)
                 self.any_account = self.any_account.plus(rest)
-            elif worker.unrecognized_runs or worker.unaccounted_tasks:
+            else:
                 self._add_unknown_runs(state, worker)
 
     def of(self, account):
@@ -118,15 +118,10 @@
     def _add_unknown_runs(self, state, worker):
         # A worker has one run of a task at a time, and may list another one
         # than that which was ordered.
-        ids = {
-            task_id: None
-            for task_id in itertools.chain(
-                worker.unrecognized_runs, worker.unaccounted_tasks
-            )
-            if task_id not in worker.runs
-        }
         accounts = {}
-        for task_id in ids:
+        for task_id in _uncertain_tasks.of_worker(worker):
+            if task_id in worker.runs:
+                continue
             job = state.jobs.get(task_id.job)
             if job is None:
                 self.any_account = self.any_account.plus(_rest(worker))
