Give up reserved room while earlier runs of a step may go on

A step that waits since silent workers may run its tasks kept the room that was reserved while its tickets were fetched, unlike one that waits for its quota. Both give it up now, in one function. Found while the diff was read; no run has shown it.

--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -217,7 +217,7 @@
             return
         waiting = [t for t in waiting if t.id not in self._uncertain_tasks]
         if not waiting:
-            waits.note(step, _waits.WaitReason.UNCERTAIN, now)
+            self._wait_without_room(step, _waits.WaitReason.UNCERTAIN, now)
             return
         if step.spec.gang and len(waiting) < len(step.tasks):
             # Members of an earlier run are still ending.
@@ -225,9 +225,7 @@
             return
         waiting = self._state.quotas.admissible(step, waiting, now)
         if not waiting:
-            waits.note(step, _waits.WaitReason.QUOTA, now)
-            if not step.open_renewals:
-                self._state.reserve(step, [])
+            self._wait_without_room(step, _waits.WaitReason.QUOTA, now)
             return
         if step.spec.gang and step.reserving and step.open_renewals:
             # Another choice now would take workers whose tickets are not
@@ -262,6 +260,11 @@
         self._state.reserve(step, [])
         self._kept_room.keep(step, waiting, allowed, now)
 
+    def _wait_without_room(self, step, reason, now):
+        self._state.waits.note(step, reason, now)
+        if not step.open_renewals:
+            self._state.reserve(step, [])
+
     def _candidates(self, step, task=None):
         """Return the open workers, and those of them that may run a step.
 
