--- a/src/citrondeal/workflow/tests/simulation.py
+++ b/src/citrondeal/workflow/tests/simulation.py
@@ -5,7 +5,6 @@
 """
 
 import collections
-import dataclasses
 import math
 import random
 
@@ -18,6 +17,7 @@
 from citrondeal.workflow.tests import random_jobs
 from citrondeal.workflow.tests import simulated_late_calls
 from citrondeal.workflow.tests import simulated_orders
+from citrondeal.workflow.tests import simulated_owner
 from citrondeal.workflow.tests import simulated_renewals
 from citrondeal.workflow.tests import simulated_workers
 
@@ -36,27 +36,6 @@
 DEADLY_SHARE = 0.06
 
 
-@dataclasses.dataclass(eq=False)
-class Owner:
-    """One owner and its position in the log."""
-
-    scheduler: workflow.Scheduler
-    epoch: int
-    position: int
-    workers_position: int = 0
-    workers_due_at: float = 0.0
-    # Time until which it continues without knowing of the next owner.
-    ends_at: float = float("inf")
-    # Time until which it cannot reach a worker, by worker.
-    unreachable_until: dict = dataclasses.field(default_factory=dict)
-    connected_to: dict = dataclasses.field(default_factory=dict)
-
-    def fence(self, worker):
-        """Return the fence of orders to a worker, None if it is unknown."""
-        known = self.scheduler.workers.get(worker.name)
-        return None if known is None else known.fence
-
-
 class Simulation:
     """Workers, a sequence of owners, and checks of the invariants.
 
@@ -377,7 +356,9 @@
             simulated_renewals.LEASE_S, capacities_valid_s=CAPACITIES_VALID_S
         )
         scheduler = self.scheduler_class(config, self.epoch)
-        self.owner = Owner(scheduler, self.epoch, len(self.log))
+        self.owner = simulated_owner.Owner(
+            scheduler, self.epoch, len(self.log)
+        )
         self.owner.unreachable_until = self.next_unreachable_until
         self.next_unreachable_until = {}
         if self.epoch > 1:
