Give each cell of the tests ports that are all free

Cause: a stand-in and a proxy could not bind their ports (address already in use). A cell asks for as many free ports as it needs, which passes over ports in use, and then takes consecutive numbers from the lowest, so a port that was passed over is used all the same. Which one depends on the process ids, so a run that is repeated later passes. No check is changed.

Change: the ports asked for are consecutive, or others are taken.

Before: the new scenario fails with the old way of asking. After: it passes.

--- a/features/package.feature
+++ b/features/package.feature
@@ -4,3 +4,8 @@
 
   Scenario: package steps of every package are loaded
     Then package steps are loaded for every package with scenarios
+
+  # Guards against cells of the tests whose processes can't start, because one
+  # of the ports that they share out is used by another run.
+  Scenario: package the ports of a cell of the tests are all free
+    Then package a port in use is not among consecutive free ports
--- a/features/steps/package.py
+++ b/features/steps/package.py
@@ -1,11 +1,15 @@
 """Steps that check that the steps of all packages are loaded."""
 
 import pathlib
+import socket
 import sys
 
 from behave import then
 
 import citrondeal
+from tests import cell as cells
+
+COUNT = 20  # of ports that a cell uses
 
 
 @then("package steps are loaded for every package with scenarios")
@@ -15,3 +19,12 @@
         name = feature.parent.parent.name
         prefix = f"citrondeal.{name}.tests.steps"
         assert any(module.startswith(prefix) for module in sys.modules), name
+
+
+@then("package a port in use is not among consecutive free ports")
+def ports_are_free(context):
+    busy = cells.first_of_free_ports(1) + COUNT // 2
+    with socket.socket() as sock:
+        sock.bind((cells.HOST, busy))
+        first = cells.first_of_free_ports(COUNT)
+    assert busy not in range(first, first + COUNT), (busy, first)
--- a/src/citrondeal/cell/tests/processes.py
+++ b/src/citrondeal/cell/tests/processes.py
@@ -98,8 +98,7 @@
         self._folder = tempfile.TemporaryDirectory()
         self._runners = runners
         folder = pathlib.Path(self._folder.name)
-        ports = cells.free_ports(runners + 10)
-        self.store = min(ports)
+        self.store = cells.first_of_free_ports(runners + 10)
         self.control = f"http://127.0.0.1:{self.store + 1}"
         self._platform = subprocess.Popen(
             [
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -96,6 +96,25 @@
     return ports
 
 
+def first_of_free_ports(count):
+    """Return the first of so many consecutive ports that are free.
+
+    Ports in use by other runs on the machine are passed over as a whole.
+
+    Parameters
+    ----------
+    count : int
+
+    Returns
+    -------
+    int
+    """
+    while True:
+        ports = free_ports(count)
+        if ports[-1] - ports[0] == count - 1:
+            return ports[0]
+
+
 @dataclasses.dataclass
 class Daemon:
     """One daemon of the cell.
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -33,8 +33,9 @@
         self._folder = tempfile.TemporaryDirectory()
         self._runners = runners
         folder = pathlib.Path(self._folder.name)
-        ports = cells.free_ports(2 * runners + 2 * members + 12)
-        self._store_port = min(ports)
+        self._store_port = cells.first_of_free_ports(
+            2 * runners + 2 * members + 12
+        )
         self._first_advertised_port = self._store_port + runners + 2
         first_store_proxy = self._first_advertised_port + runners
         targets = {
