Log what the end of a worker's leases was counted from, and answers of another incarnation

The record of the incident doesn't tell whether a start or a renewal gave the longer lease, nor which incarnation carried it out. The line for lapsed leases now says when the owner last sent a renewal and a start, and an order that is answered with a clock behind an earlier report is logged.

--- a/src/citrondeal/platform/_runners.py
+++ b/src/citrondeal/platform/_runners.py
@@ -1,6 +1,7 @@
 """Client of the runners, which are the workers of the platform."""
 
 import dataclasses
+import logging
 from typing import Annotated
 
 import msgspec
@@ -10,6 +11,7 @@
 from citrondeal import numbers
 from citrondeal.platform import _names
 from citrondeal.platform import _records
+from citrondeal import telemetry
 from citrondeal import web
 from citrondeal import workflow
 
@@ -47,6 +49,7 @@
 _RUNNING_TYPES = (str, int, str, int | float)
 _END_TYPES = (int, str, int, str, str)
 
+_LOG = logging.getLogger(__name__)
 _ORDER_REPLY_DECODER = msgspec.json.Decoder(_OrderReply)
 _RENEWAL_REPLY_DECODER = msgspec.json.Decoder(_RenewalReply)
 
@@ -89,7 +92,9 @@
         self._client = web.Client(address, MAX_CONNECTIONS)
         # While its connection lasts, renewals reach the same incarnation.
         self._renewal_client = web.Client(address, 1)
+        self._worker = worker
         self._headers = (("X-Expect-Instance", worker),)
+        self._newest_clock_ms = 0.0
 
     @property
     def address(self):
@@ -166,9 +171,9 @@
                 f"runner answered {reply.status} to a renewal of its leases",
             )
         try:
-            return result.Ok(
-                _build_report(_RENEWAL_REPLY_DECODER.decode(reply.body))
-            )
+            decoded = _RENEWAL_REPLY_DECODER.decode(reply.body)
+            self._newest_clock_ms = decoded.clock_ms
+            return result.Ok(_build_report(decoded))
         except (msgspec.DecodeError, RecursionError, ValueError) as exc:
             return _failure(
                 errors.Kind.UNKNOWN_OUTCOME,
@@ -176,6 +181,7 @@
             )
 
     async def _send_order(self, path, value):
+        reported_clock_ms = self._newest_clock_ms
         outcome = await self._client.request(
             "POST",
             path,
@@ -188,10 +194,40 @@
                 return workflow.OrderOutcome.REFUSED
             return workflow.OrderOutcome.UNKNOWN
         reply = outcome.ok_value
+        self._check_clock(path, reply, reported_clock_ms)
         if reply.repeated:
             return outcome_after_repeat(_order_outcome(reply))
         return _order_outcome(reply)
 
+    def _check_clock(self, path, reply, reported_clock_ms):
+        """Log an answer whose clock is behind that of an earlier report.
+
+        The clock of one incarnation only rises, so another one has answered.
+
+        Parameters
+        ----------
+        path : str
+        reply : web.Reply
+        reported_clock_ms : float
+            Clock in the newest report when the order was sent.
+        """
+        try:
+            clock_ms = _ORDER_REPLY_DECODER.decode(reply.body).clock_ms
+        except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
+            return
+        if not 0.0 < clock_ms < reported_clock_ms:
+            return
+        telemetry.event(
+            _LOG,
+            logging.WARNING,
+            "order is answered by another incarnation",
+            worker=self._worker,
+            path=path,
+            status=reply.status,
+            clock_ms=clock_ms,
+            reported_clock_ms=reported_clock_ms,
+        )
+
     async def aclose(self):
         """Close idle connections."""
         await self._client.aclose()
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -165,6 +165,8 @@
                     worker=worker.id,
                     born_ms=worker.info.born_ms,
                     expired_ago_s=round(now - worker.lease_expires_at, 3),
+                    renewed_ago_s=_age_s(worker.renewed_at, now),
+                    started_ago_s=_age_s(worker.started_at, now),
                     lost_runs=len(worker.runs),
                 )
                 self._state.crashes.on_lapse(worker, now)
@@ -401,6 +403,10 @@
         )
 
 
+def _age_s(time_s, now):
+    return None if time_s is None else round(now - time_s, 3)
+
+
 def _has_ticket(step, now):
     return lambda worker: _tickets.has_ticket_or_reservation(step, worker, now)
 
--- a/src/citrondeal/workflow/_workers.py
+++ b/src/citrondeal/workflow/_workers.py
@@ -79,6 +79,9 @@
         renewed before the record is replaced.
     has_given_lease : bool
         Whether this owner has given it a lease.
+    renewed_at, started_at : float or None
+        When this owner last sent it a renewal that extends its leases, or
+        assumed one, and a start; None if it has not.
     reads_all_ends : bool
         Whether no earlier owner may have acknowledged ends of runs that this
         one has not read.
@@ -111,6 +114,8 @@
         self.first_report_at = None
         self.lease_is_stored = False
         self.has_given_lease = False
+        self.renewed_at = None
+        self.started_at = None
         self.reads_all_ends = False
         self.lease_expires_at = lease_expires_at
         self.runs = {}
@@ -270,6 +275,10 @@
 
     def extend_lease(self, now, lease_s):
         """Allow for a renewal by `lease_s`, which may reach the worker."""
+        self.renewed_at = now
+        self._extend_lease(now, lease_s)
+
+    def _extend_lease(self, now, lease_s):
         self.has_given_lease = True
         expires_at = now + lease_s * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_S
         self.lease_expires_at = max(self.lease_expires_at, expires_at)
@@ -283,7 +292,8 @@
             Time after which the start is void, and until which its task may
             run without a renewal.
         """
-        self.extend_lease(now, START_VALID_S)
+        self.started_at = now
+        self._extend_lease(now, START_VALID_S)
         return now + START_VALID_S
 
     def add(self, run):
