Bind calls to one incarnation of a worker by their connections

Cause: a start that was meant for the earlier incarnation reached the next one over a new connection. `until-ms` is a time on the earlier clock, far ahead of the new one, so the next incarnation held its lease for hold-max-ms from the arrival of the start. The owner counted 2.5 s from the start, or 10 s from its last renewal to the earlier incarnation, and took the leases for over too early. A renewal did the same after an entry had named the next incarnation. The class: a time on the clock of one incarnation is sent to another one.

Change: a TCP connection leads to one process, so calls that depend on an incarnation travel only over connections on which it has answered. A new connection for orders is checked by a `hold` that extends nothing; the first renewal on a connection extends and acknowledges nothing. An order that meets another incarnation isn't sent, and the owner learns of the restart at once.

Why it works: it holds for whatever has sent the call, so also for earlier owners that were killed or paused, for two restarts in a row and for calls that are carried out late by the process that received them; no count of an owner has to be longer than before.

Ruled out: longer counts of the owner, see docs/design/bound-connections.md.

--- a/src/citrondeal/cell/_leases.py
+++ b/src/citrondeal/cell/_leases.py
@@ -57,7 +57,7 @@
         self._connection_lost = False  # by the last renewal
         self._failures = 0  # since the last report or entry
         self._entry_read = anyio.Event()
-        self._client = platform.RunnerClient(worker.id, worker.info.address)
+        self._client = self._connect(worker.info.address)
 
     @property
     def worker_id(self):
@@ -110,6 +110,18 @@
         ):
             self._renewal_scope.cancel()
 
+    def _on_other_incarnation(self):
+        """Renew anew, since the worker has started again.
+
+        The present renewal may wait for an earlier incarnation, which may have
+        lost power.
+        """
+        if not self._worker.is_proven:
+            return  # a renewal under the present fence settles it
+        self._scheduler.on_other_incarnation(self.worker_id, _clock.now())
+        if self._renewal_scope is not None:
+            self._renewal_scope.cancel()
+
     async def run(self, writer):
         """Renew until the worker is removed or the owner is cancelled.
 
@@ -146,7 +158,12 @@
             info = entry
         if self._client.address != info.address:
             await self._client.aclose()
-            self._client = platform.RunnerClient(self.worker_id, info.address)
+            self._client = self._connect(info.address)
+
+    def _connect(self, address):
+        return platform.RunnerClient(
+            self.worker_id, address, self._on_other_incarnation
+        )
 
     async def _wait_stored(self):
         self._stored = anyio.Event()
--- a/src/citrondeal/cell/tests/owner_histories.py
+++ b/src/citrondeal/cell/tests/owner_histories.py
@@ -264,7 +264,7 @@
             self.counts["epochs used again"] += 1
         self._owners[epoch] = owner
 
-    def _connect(self, name, address):
+    def _connect(self, name, address, on_other_incarnation):
         return simple_worker.WorkerClient(
             self._workers[name], self.rng, self._on_order
         )
--- a/src/citrondeal/platform/_runners.py
+++ b/src/citrondeal/platform/_runners.py
@@ -10,33 +10,20 @@
 from citrondeal import errors
 from citrondeal import numbers
 from citrondeal.platform import _names
+from citrondeal.platform import _order_client
+from citrondeal.platform import _order_replies
 from citrondeal.platform import _records
 from citrondeal import telemetry
 from citrondeal import web
 from citrondeal import workflow
 
-ORDER_TIMEOUT_S = 0.7
 # Added to the time for which a runner may delay its answer to a renewal.
 RENEWAL_TIMEOUT_MARGIN_S = 0.7
-MAX_CONNECTIONS = 8
 # A runner lists at most this many ended runs in one answer, the oldest first.
 MAX_LISTED_ENDS = 500
 # The number of a run is stored; larger ones do not fit in a record.
 MAX_NUMBER = 2**63
 
-_OUTCOME_BY_REASON = {
-    "fence": workflow.OrderOutcome.FENCED,
-    "old": workflow.OrderOutcome.OLD,
-    "late": workflow.OrderOutcome.LATE,
-    "room": workflow.OrderOutcome.NO_ROOM,
-    "ticket": workflow.OrderOutcome.BAD_TICKET,
-}
-
-
-class _OrderReply(msgspec.Struct, rename="kebab"):
-    clock_ms: float = 0.0
-    reason: str = ""
-
 
 class _RenewalReply(msgspec.Struct, rename="kebab"):
     clock_ms: _records.Clock
@@ -49,8 +36,9 @@
 _RUNNING_TYPES = (str, int, str, int | float)
 _END_TYPES = (int, str, int, str, str)
 
+outcome_after_repeat = _order_replies.outcome_after_repeat
+
 _LOG = logging.getLogger(__name__)
-_ORDER_REPLY_DECODER = msgspec.json.Decoder(_OrderReply)
 _RENEWAL_REPLY_DECODER = msgspec.json.Decoder(_RenewalReply)
 
 
@@ -86,20 +74,23 @@
         Id of the runner.
     address : str
         ``host:port``.
+    on_other_incarnation : callable
+        Called without arguments when an order was kept back, because a new
+        connection has led to another incarnation than it was decided for.
     """
 
-    def __init__(self, worker, address):
-        self._client = web.Client(address, MAX_CONNECTIONS)
-        # While its connection lasts, renewals reach the same incarnation.
-        self._renewal_client = web.Client(address, 1)
+    def __init__(self, worker, address, on_other_incarnation):
         self._worker = worker
         self._headers = (("X-Expect-Instance", worker),)
+        self._on_other_incarnation = on_other_incarnation
+        self._renewal_client = web.Client(address, 1)
+        self._order_client = self._connect(0)
         self._newest_clock_ms = 0.0
 
     @property
     def address(self):
         """``host:port`` of the runner."""
-        return self._client.address
+        return self._renewal_client.address
 
     async def start(self, order, fence, until_s):
         """Send a `workflow.Start` and return its `workflow.OrderOutcome`.
@@ -123,7 +114,7 @@
             value["checkpoint"] = order.checkpoint
         if order.ticket:
             value["ticket"] = order.ticket
-        return await self._send_order("/v1/run-start", value)
+        return await self._send_order("/v1/run-start", value, order.born_ms)
 
     async def stop(self, order, fence):
         """Send a `workflow.Stop` and return its `workflow.OrderOutcome`."""
@@ -132,11 +123,14 @@
             "run": order.run,
             "fence": fence,
         }
-        return await self._send_order("/v1/run-stop", value)
+        return await self._send_order("/v1/run-stop", value, order.born_ms)
 
     async def renew_leases(self, renewal):
         """Renew the leases and return the runner's running and ended tasks.
 
+        The first request on a connection extends and acknowledges nothing,
+        since another incarnation may answer it.
+
         Returns
         -------
         result.Result
@@ -144,18 +138,14 @@
             higher fence; a `web.ConnectionEnded` if the runner may have
             started again since the last renewal.
         """
-        value = {"fence": renewal.fence, "seen-upto": renewal.acknowledged}
-        if renewal.until_s is not None:
-            value["until-ms"] = int(renewal.until_s * 1000)
-        if renewal.wait_s > 0:
-            value["wait-ms"] = int(renewal.wait_s * 1000)
         outcome = await self._renewal_client.request(
             "POST",
             "/v1/hold",
-            msgspec.json.encode(value),
+            _encode_renewal(renewal),
             renewal.wait_s + RENEWAL_TIMEOUT_MARGIN_S,
             self._headers,
             repeat=False,
+            first_body=_encode_first_renewal(renewal),
         )
         if outcome.is_err():
             return outcome
@@ -180,24 +170,27 @@
                 f"report of the runner cannot be decoded: {exc}",
             )
 
-    async def _send_order(self, path, value):
-        reported_clock_ms = self._newest_clock_ms
-        outcome = await self._client.request(
-            "POST",
-            path,
-            msgspec.json.encode(value),
-            ORDER_TIMEOUT_S,
-            self._headers,
+    def _connect(self, born_ms):
+        return _order_client.OrderClient(
+            self.address, self._headers, born_ms, self._on_other_incarnation
         )
+
+    async def _send_order(self, path, value, born_ms):
+        reported_clock_ms = self._newest_clock_ms
+        client, previous = self._order_client, None
+        if client.born_ms != born_ms:
+            client, previous = self._connect(born_ms), client
+            self._order_client = client
+        if previous is not None:
+            await previous.aclose()
+        outcome = await client.send(path, value)
         if outcome.is_err():
-            if outcome.err_value.kind is errors.Kind.UNAVAILABLE:
-                return workflow.OrderOutcome.REFUSED
-            return workflow.OrderOutcome.UNKNOWN
+            return outcome.err_value
         reply = outcome.ok_value
         self._check_clock(path, reply, reported_clock_ms)
         if reply.repeated:
-            return outcome_after_repeat(_order_outcome(reply))
-        return _order_outcome(reply)
+            return outcome_after_repeat(_order_replies.outcome(reply))
+        return _order_replies.outcome(reply)
 
     def _check_clock(self, path, reply, reported_clock_ms):
         """Log an answer whose clock is behind that of an earlier report.
@@ -211,11 +204,8 @@
         reported_clock_ms : float
             Clock in the newest report when the order was sent.
         """
-        try:
-            clock_ms = _ORDER_REPLY_DECODER.decode(reply.body).clock_ms
-        except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
-            return
-        if not 0.0 < clock_ms < reported_clock_ms:
+        clock_ms = _order_replies.clock_ms(reply)
+        if clock_ms is None or clock_ms >= reported_clock_ms:
             return
         telemetry.event(
             _LOG,
@@ -230,46 +220,21 @@
 
     async def aclose(self):
         """Close idle connections."""
-        await self._client.aclose()
+        await self._order_client.aclose()
         await self._renewal_client.aclose()
 
 
-def outcome_after_repeat(outcome):
-    """Return the outcome of an order that was sent twice.
-
-    The first attempt got no answer. It may still be carried out after the
-    second was rejected, so the rejection is certain only if the worker has a
-    newer owner.
-
-    Parameters
-    ----------
-    outcome : citrondeal.workflow.OrderOutcome
-        Outcome of the second attempt.
+def _encode_renewal(renewal):
+    value = {"fence": renewal.fence, "seen-upto": renewal.acknowledged}
+    if renewal.until_s is not None:
+        value["until-ms"] = int(renewal.until_s * 1000)
+    if renewal.wait_s > 0:
+        value["wait-ms"] = int(renewal.wait_s * 1000)
+    return msgspec.json.encode(value)
 
-    Returns
-    -------
-    citrondeal.workflow.OrderOutcome
-        ``UNKNOWN`` unless the second attempt settles it.
-    """
-    if outcome in (workflow.OrderOutcome.OK, workflow.OrderOutcome.FENCED):
-        return outcome
-    return workflow.OrderOutcome.UNKNOWN
 
-
-def _order_outcome(reply):
-    if reply.status == 200:
-        return workflow.OrderOutcome.OK
-    if reply.status == 421:
-        return workflow.OrderOutcome.OTHER_INCARNATION
-    if reply.status == 409:
-        try:
-            reason = _ORDER_REPLY_DECODER.decode(reply.body).reason
-        except (msgspec.DecodeError, RecursionError, UnicodeDecodeError):
-            return workflow.OrderOutcome.UNKNOWN
-        return _OUTCOME_BY_REASON.get(reason, workflow.OrderOutcome.REFUSED)
-    if reply.status in (400, 429, 503):
-        return workflow.OrderOutcome.REFUSED
-    return workflow.OrderOutcome.UNKNOWN
+def _encode_first_renewal(renewal):
+    return msgspec.json.encode({"fence": renewal.fence, "seen-upto": 0})
 
 
 def _build_report(reply):
--- a/src/citrondeal/platform/tests/steps_fuzz.py
+++ b/src/citrondeal/platform/tests/steps_fuzz.py
@@ -45,7 +45,7 @@
 
 
 def _renew(body):
-    client = platform.RunnerClient("w", "127.0.0.1:1")
+    client = platform.RunnerClient("w", "127.0.0.1:1", int)
     client._renewal_client = _FixedAnswer(body)
     return anyio.run(
         client.renew_leases, platform.LeaseRenewal(1, 0, None, 0.0)
--- a/src/citrondeal/platform/tests/steps_limits.py
+++ b/src/citrondeal/platform/tests/steps_limits.py
@@ -109,7 +109,7 @@
 def _store_worker(worker, record):
     """Do what an owner does with the entry of a worker."""
     info = platform.decode_worker(worker, json.dumps(record).encode())
-    platform.RunnerClient(worker, info.address)
+    platform.RunnerClient(worker, info.address, int)
     stored = workflow.encode(workflow.StoredWorker(info))
     key = _records.worker_key(worker)
     data = _store._encode_record(platform.Record(key, stored))
@@ -215,7 +215,7 @@
     for listed in (count - 1, count):
         ends = [[n, "a.0.0.0", n, "done", ""] for n in range(1, listed + 1)]
         body = json.dumps({"clock-ms": 0, "ended": ends}).encode()
-        client = platform.RunnerClient("w", "127.0.0.1:1")
+        client = platform.RunnerClient("w", "127.0.0.1:1", int)
         client._renewal_client = steps_fuzz._FixedAnswer(body)
         renewal = platform.LeaseRenewal(1, 0, None, 0.0)
         report = anyio.run(client.renew_leases, renewal).unwrap()
--- a/src/citrondeal/platform/tests/steps_repeats.py
+++ b/src/citrondeal/platform/tests/steps_repeats.py
@@ -98,7 +98,7 @@
 )
 def _(context):
     async def start_twice(address):
-        client = platform.RunnerClient("w", address)
+        client = platform.RunnerClient("w", address, int)
         first = await client.start(START, 1, 1.0)
         assert first is workflow.OrderOutcome.OK, first
         return await client.start(START, 1, 1.0)
--- a/src/citrondeal/web/_client.py
+++ b/src/citrondeal/web/_client.py
@@ -12,123 +12,101 @@
 import result
 
 from citrondeal import errors
+from citrondeal.web import _connection
 
 # Parts of an answer extend the deadline of a request to at most this time
 # after the request stopped waiting for a connection.
 MAX_EXTENSION_S = 10.0
 CONNECT_TIMEOUT_S = 0.5
-READ_SIZE_BYTES = 65536
-# Twice the largest answer that is expected, a page of 1 MB of records in
-# base64. A server that sends more must not exhaust the memory of its clients.
-MAX_ANSWER_BYTES = 3 * 1024 * 1024
 # A server may close an idle connection at any moment, so connections that were
 # idle for longer than this are not reused.
 MAX_IDLE_S = 10.0
 
-_CONNECTION_ERRORS = (
-    OSError,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    anyio.EndOfStream,
+
+_CALL_ERRORS = (
+    *_connection.CONNECTION_ERRORS,
+    _connection.AnswerTooLarge,
+    _connection.EndedUnanswered,
+    httptools.HttpParserError,
 )
 
 
-@dataclasses.dataclass(slots=True)
-class Reply:
-    """Status and body of an answer.
+class ConnectionEnded(errors.Failure):
+    """A reused connection ended before the answer, and nothing is repeated.
 
-    Attributes
+    The server may have started again, or closed the connection when idle.
+    """
+
+
+class CheckFailed(Exception):
+    """A new connection must not be used, see `Client`.
+
+    Parameters
     ----------
-    status : int
-    body : bytes
-    repeated : bool
-        Whether the request was sent before on a connection that ended without
-        an answer. The server may have carried it out then, or may still do
-        so, even if it rejects the repeat.
+    message : str
+    detail : object
+        Passed on in the `ConnectionRejected`.
     """
 
-    status: int
-    body: bytes
-    repeated: bool = False
+    def __init__(self, message, detail=None):
+        super().__init__(message)
+        self.detail = detail
 
 
-class ConnectionEnded(errors.Failure):
-    """A reused connection ended before the answer, and nothing is repeated.
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionRejected(errors.Failure):
+    """The check of a new connection has failed.
 
-    The server may have started again, or closed the connection when idle.
+    Attributes
+    ----------
+    detail : object
+        Of the `CheckFailed`.
     """
 
+    detail: object = None
+
 
 class _RequestNotSent(Exception):
     """No byte of the request can have reached the server."""
 
 
-class _AnswerTooLarge(Exception):
-    """The body of an answer exceeds `MAX_ANSWER_BYTES`."""
-
-
 class _StaleConnection(Exception):
     """A reused connection ended before the first byte of the answer."""
 
 
-class _Connection:
-    """One open connection, used by one request at a time.
+@dataclasses.dataclass(slots=True)
+class _Call:
+    """One request, until its answer has arrived.
 
-    Parameters
+    Attributes
     ----------
-    stream : anyio.abc.SocketStream
-        Connected TCP stream.
+    data : bytes
+        The encoded request.
+    first_data : bytes
+        The same for the first request on a connection.
+    repeat : bool
+        Whether to send it again if a reused connection has ended.
+    on_chunk : callable
+        Called after each part of the answer but the last.
+    sent : bool
+        Whether any byte may have reached the server.
+    repeated : bool
+        Whether it was sent before on another connection.
     """
 
-    def __init__(self, stream):
-        self.stream = stream
-        self.idle_since = 0.0
-        self.keep_alive = True
-        self._has_answered = False
-        self._complete = False
-        self._chunks = []
-        self._body_size = 0
-        self._parser = httptools.HttpResponseParser(self)
-
-    def on_headers_complete(self):
-        """Store whether the server keeps the connection open."""
-        # The parser forgets this once the message is complete.
-        self.keep_alive = self._parser.should_keep_alive()
-
-    def on_body(self, chunk):
-        """Store a part of the body."""
-        self._chunks.append(chunk)
-        self._body_size += len(chunk)
-
-    def on_message_complete(self):
-        """Mark the answer as complete."""
-        self._complete = True
-
-    async def exchange(self, data, on_chunk):
-        """Send an encoded request and return the `Reply`.
-
-        `on_chunk` is called after each part of the answer but the last.
-        """
-        self._complete = False
-        self._chunks = []
-        self._body_size = 0
-        try:
-            await self.stream.send(data)
-            chunk = await self.stream.receive(READ_SIZE_BYTES)
-        except _CONNECTION_ERRORS as exc:
-            if self._has_answered:
-                raise _StaleConnection from exc
-            raise
-        self._has_answered = True
-        self._parser.feed_data(chunk)
-        while not self._complete:
-            on_chunk()
-            self._parser.feed_data(await self.stream.receive(READ_SIZE_BYTES))
-            if self._body_size > MAX_ANSWER_BYTES:
-                raise _AnswerTooLarge(
-                    f"answer is larger than {MAX_ANSWER_BYTES} bytes"
-                )
-        return Reply(self._parser.get_status_code(), b"".join(self._chunks))
+    data: bytes
+    first_data: bytes
+    repeat: bool
+    on_chunk: object = None
+    sent: bool = False
+    repeated: bool = False
+
+    @property
+    def failure_kind(self):
+        """Kind of a failure before the answer is complete."""
+        if self.sent:
+            return errors.Kind.UNKNOWN_OUTCOME
+        return errors.Kind.UNAVAILABLE
 
 
 class Client:
@@ -140,13 +118,20 @@
         ``host:port``.
     connections : int
         Most connections open at a time; further requests wait.
+    check : callable, optional
+        ``await check(send)`` is called with each new connection before its
+        first request.  ``await send(method, path, body, headers)`` sends a
+        request on it and returns the `Reply`.  The check raises `CheckFailed`
+        if the connection must not be used.
     """
 
-    def __init__(self, address, connections=4):
+    def __init__(self, address, connections=4, check=None):
         self._address = address
+        self._check = check
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._idle = []
+        self._is_closed = False
         self._connection_semaphore = anyio.Semaphore(connections)
         self._requests_sent = 0
         self._connections_opened = 0
@@ -175,6 +160,7 @@
         headers=(),
         extension_s=0.0,
         repeat=True,
+        first_body=None,
     ):
         """Send one request and read its answer.
 
@@ -200,42 +186,48 @@
             given up and requested again.
         repeat : bool
             False to fail with a `ConnectionEnded` instead of a repeat.
+        first_body : bytes, optional
+            Sent instead of `body` if it is the first request on its
+            connection.
 
         Returns
         -------
         result.Result
             ``Ok(Reply)`` with any status; ``Err`` of kind ``unavailable`` if
             the request cannot have reached the server, else of kind
-            ``unknown_outcome``.
+            ``unknown_outcome``; a `ConnectionRejected` if the check of its
+            connection has failed.
         """
         try:
             data = self._encode_request(method, path, body, headers)
+            first_data = data
+            if first_body is not None:
+                first_data = self._encode_request(
+                    method, path, first_body, headers
+                )
         except UnicodeEncodeError as exc:
             return _failure(errors.Kind.UNAVAILABLE, exc)
+        call = _Call(data, first_data, repeat)
         try:
             # Not `anyio.fail_after`: it takes a scope whose deadline was
             # extended after its cancellation for one that has not timed out.
             with anyio.move_on_after(timeout_s) as scope:
                 async with self._connection_semaphore:
-                    return result.Ok(
-                        await self._send(
-                            data,
-                            _make_deadline_extender(scope, extension_s),
-                            repeat,
-                        )
-                    )
+                    call.on_chunk = _make_deadline_extender(scope, extension_s)
+                    return result.Ok(await self._send(call))
         except _RequestNotSent as exc:
             return _failure(errors.Kind.UNAVAILABLE, exc)
-        except _StaleConnection as exc:
-            text = str(exc.__cause__) or type(exc.__cause__).__name__
+        except CheckFailed as exc:
             return result.Err(
-                ConnectionEnded(errors.Kind.UNKNOWN_OUTCOME, text)
+                ConnectionRejected(
+                    call.failure_kind, str(exc), detail=exc.detail
+                )
             )
-        except _CONNECTION_ERRORS as exc:
-            return _failure(errors.Kind.UNKNOWN_OUTCOME, exc)
-        except (httptools.HttpParserError, _AnswerTooLarge) as exc:
-            return _failure(errors.Kind.UNKNOWN_OUTCOME, exc)
-        return _failure(errors.Kind.UNKNOWN_OUTCOME, "timeout")
+        except _StaleConnection as exc:
+            return result.Err(ConnectionEnded(call.failure_kind, str(exc)))
+        except _CALL_ERRORS as exc:
+            return _failure(call.failure_kind, exc)
+        return _failure(call.failure_kind, "timeout")
 
     def _encode_request(self, method, path, body, headers):
         lines = [f"{method} {path} HTTP/1.1", f"Host: {self._address}"]
@@ -247,58 +239,89 @@
         header_text = "\r\n".join(lines) + "\r\n\r\n"
         return header_text.encode("latin-1") + body
 
-    async def _send(self, data, on_chunk, repeat):
-        is_repeat = False
+    async def _send(self, call):
         while True:
             connection = await self._take_idle_connection()
-            if connection is None:
-                connection = await self._connect(is_repeat)
-            self._requests_sent += 1
+            is_reused = connection is not None
+            if not is_reused:
+                connection = await self._connect(call)
             try:
-                reply = await connection.exchange(data, on_chunk)
-            except _StaleConnection:
-                await _close_connection(connection)
-                if not repeat:
+                data = call.data if is_reused else call.first_data
+                reply = await self._exchange(connection, data, call)
+            except _connection.EndedUnanswered as exc:
+                await connection.aclose()
+                if not is_reused:
                     raise
-                is_repeat = True
+                if not call.repeat:
+                    raise _StaleConnection(str(exc)) from exc
+                call.repeated = True
                 continue
             except BaseException:
-                await _close_connection(connection)
+                await connection.aclose()
                 raise
-            reply.repeated = is_repeat
-            if connection.keep_alive:
+            reply.repeated = call.repeated
+            if connection.keep_alive and not self._is_closed:
                 connection.idle_since = anyio.current_time()
                 self._idle.append(connection)
             else:
-                await _close_connection(connection)
+                await connection.aclose()
             return reply
 
+    async def _exchange(self, connection, data, call):
+        self._requests_sent += 1
+        call.sent = True
+        return await connection.exchange(data, call.on_chunk)
+
     async def _take_idle_connection(self):
         now = anyio.current_time()
         while self._idle:
             connection = self._idle.pop()
             if now - connection.idle_since < MAX_IDLE_S:
                 return connection
-            await _close_connection(connection)
+            await connection.aclose()
         return None
 
-    async def _connect(self, is_repeat):
+    async def _connect(self, call):
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await anyio.connect_tcp(self._host, self._port)
         except (OSError, TimeoutError, UnicodeError) as exc:
             # UnicodeError: the host has no form in DNS.
-            if is_repeat:
+            if call.sent:
                 # The server may have acted on the request sent before.
                 raise
             raise _RequestNotSent(str(exc) or type(exc).__name__) from exc
         self._connections_opened += 1
-        return _Connection(stream)
+        connection = _connection.Connection(stream)
+        if self._check is not None:
+            await self._check_connection(connection)
+        return connection
+
+    async def _check_connection(self, connection):
+        """Check a new connection, and close it if it must not be used."""
+
+        async def send(method, path, body, headers):
+            self._requests_sent += 1
+            data = self._encode_request(method, path, body, headers)
+            return await connection.exchange(data, _ignore_chunk)
+
+        try:
+            await self._check(send)
+            if not connection.keep_alive:
+                raise CheckFailed("the server does not keep connections open")
+        except BaseException:
+            await connection.aclose()
+            raise
 
     async def aclose(self):
-        """Close all idle connections."""
+        """Close idle connections now, and the others after their requests."""
+        self._is_closed = True
         while self._idle:
-            await _close_connection(self._idle.pop())
+            await self._idle.pop().aclose()
+
+
+def _ignore_chunk():
+    """Leave the deadline of a request as it is."""
 
 
 def _make_deadline_extender(scope, extension_s):
@@ -312,11 +335,6 @@
     return extend
 
 
-async def _close_connection(connection):
-    with anyio.CancelScope(shield=True):
-        await connection.stream.aclose()
-
-
 def _failure(kind, reason):
     text = str(reason) or type(reason).__name__
     return result.Err(errors.Failure(kind, text))
--- a/src/citrondeal/web/_connection.py
+++ b/src/citrondeal/web/_connection.py
@@ -41,8 +41,8 @@
     """The body of an answer exceeds `MAX_ANSWER_BYTES`."""
 
 
-class StaleConnection(Exception):
-    """A reused connection ended before the first byte of the answer."""
+class EndedUnanswered(Exception):
+    """A connection ended before the first byte of the answer."""
 
 
 class Connection:
@@ -58,17 +58,11 @@
         self._stream = stream
         self.idle_since = 0.0
         self.keep_alive = True
-        self._has_answered = False
         self._complete = False
         self._chunks = []
         self._body_size = 0
         self._parser = httptools.HttpResponseParser(self)
 
-    @property
-    def has_answered(self):
-        """Whether an answer has begun to arrive on it."""
-        return self._has_answered
-
     def on_headers_complete(self):
         """Store whether the server keeps the connection open."""
         # The parser forgets this once the message is complete.
@@ -90,8 +84,7 @@
 
         Raises
         ------
-        StaleConnection
-            If it has answered before and ends without an answer.
+        EndedUnanswered
         AnswerTooLarge
         """
         self._complete = False
@@ -101,10 +94,7 @@
             await self._stream.send(data)
             chunk = await self._stream.receive(READ_SIZE_BYTES)
         except CONNECTION_ERRORS as exc:
-            if self._has_answered:
-                raise StaleConnection from exc
-            raise
-        self._has_answered = True
+            raise EndedUnanswered(str(exc) or type(exc).__name__) from exc
         self._parser.feed_data(chunk)
         while not self._complete:
             on_chunk()
--- a/src/citrondeal/workflow/_messages.py
+++ b/src/citrondeal/workflow/_messages.py
@@ -102,7 +102,7 @@
     LATE = "late"  # the order arrived after its time limit
     NO_ROOM = "no_room"
     BAD_TICKET = "bad_ticket"
-    OTHER_INCARNATION = "other_incarnation"
+    OTHER_INCARNATION = "other_incarnation"  # it was not carried out
     REFUSED = "refused"  # the order was not carried out
     UNKNOWN = "unknown"  # it may have been, or may still be carried out
 
@@ -139,12 +139,23 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stop:
-    """Order to a worker to stop a run."""
+    """Order to a worker to stop a run.
+
+    Attributes
+    ----------
+    worker : str
+    task : TaskId
+    run : int
+    reason : str
+    born_ms : int
+        Incarnation of the worker for which it was decided; 0 if unknown.
+    """
 
     worker: str
     task: _model.TaskId
     run: int
     reason: str
+    born_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -182,16 +182,12 @@
                 if sent is not None and now - sent < STOP_RETRY_S:
                     continue
                 run.stop_sent_at = now
-                stops.append(
-                    _messages.Stop(worker.id, run.task.id, run.number, "")
-                )
+                stops.append(_stop(worker, run.task.id, run.number, ""))
             for task_id, unrecognized in worker.unrecognized_runs.items():
                 number, sent = unrecognized
                 if sent is None or now - sent >= STOP_RETRY_S:
                     unrecognized[1] = now
-                    stops.append(
-                        _messages.Stop(worker.id, task_id, number, "unknown")
-                    )
+                    stops.append(_stop(worker, task_id, number, "unknown"))
         return stops
 
     def _startable_steps(self):
@@ -403,6 +399,11 @@
         )
 
 
+def _stop(worker, task_id, number, reason):
+    born_ms = worker.info.born_ms
+    return _messages.Stop(worker.id, task_id, number, reason, born_ms)
+
+
 def _age_s(time_s, now):
     return None if time_s is None else round(now - time_s, 3)
 
--- a/src/citrondeal/workflow/_reports.py
+++ b/src/citrondeal/workflow/_reports.py
@@ -113,6 +113,23 @@
             fence=worker.fence,
         )
 
+    def on_other_incarnation(self, worker_id, now):
+        """Raise the fence of a worker, because another incarnation answers.
+
+        A new connection to it has led to another one than its last report.
+        """
+        worker = self._state.workers.get(worker_id)
+        if worker is None:
+            return
+        self._state.raise_fence(worker, now)
+        _events.log(
+            logging.INFO,
+            "another incarnation of a worker answers, its fence is raised",
+            worker=worker_id,
+            born_ms=worker.info.born_ms,
+            fence=worker.fence,
+        )
+
     def _has_open_lease(self, worker):
         """Return whether the end of an earlier owner's lease can be stored."""
         return (
--- a/src/citrondeal/workflow/_scheduler.py
+++ b/src/citrondeal/workflow/_scheduler.py
@@ -57,6 +57,7 @@
         self.on_report = reports.on_report
         self.on_renewal_failed = reports.on_renewal_failed
         self.on_connection_lost = reports.on_connection_lost
+        self.on_other_incarnation = reports.on_other_incarnation
         answers = _answers.Answers(state)
         self.on_started = answers.on_started
         self.on_stopped = answers.on_stopped
