--- a/src/citrondeal/platform/_order_client.py
+++ b/src/citrondeal/platform/_order_client.py
@@ -7,10 +7,13 @@
 therefore checked before it carries an order.
 """
 
+import logging
+
 import msgspec
 
 from citrondeal import errors
 from citrondeal.platform import _order_replies
+from citrondeal import telemetry
 from citrondeal import web
 from citrondeal import workflow
 
@@ -18,10 +21,16 @@
 MAX_CONNECTIONS = 8
 
 
+def runner_headers(worker):
+    """Return the headers of each request to a runner, given by its id."""
+    return (("X-Expect-Instance", worker),)
+
+
 class _IncarnationReply(msgspec.Struct):
     born: int = 0
 
 
+_LOG = logging.getLogger(__name__)
 _INCARNATION_DECODER = msgspec.json.Decoder(_IncarnationReply)
 
 
@@ -30,18 +39,19 @@
 
     Parameters
     ----------
+    worker : str
+        Id of the runner.
     address : str
-        ``host:port`` of the runner.
-    headers : sequence of (str, str)
-        Of each request.
+        ``host:port``.
     born_ms : int
         The incarnation; 0 if any may carry out the orders.
     on_other : callable
         Called without arguments when a connection has led to another one.
     """
 
-    def __init__(self, address, headers, born_ms, on_other):
-        self._headers = headers
+    def __init__(self, worker, address, born_ms, on_other):
+        self._worker = worker
+        self._headers = runner_headers(worker)
         self._born_ms = born_ms
         self._on_other = on_other
         self._fence = 0
@@ -75,8 +85,20 @@
             ORDER_TIMEOUT_S,
             self._headers,
         )
+        if outcome.is_err():
+            self._log_rejection(outcome.err_value)
         return outcome.map_err(_outcome_of_failure)
 
+    def _log_rejection(self, failure):
+        if isinstance(failure, web.ConnectionRejected):
+            telemetry.event(
+                _LOG,
+                logging.INFO,
+                "connection to a worker is not used",
+                worker=self._worker,
+                reason=failure.message,
+            )
+
     async def _check(self, send):
         """Ask for the incarnation at the other end of a connection."""
         body = msgspec.json.encode({"fence": self._fence, "seen-upto": 0})
--- a/src/citrondeal/platform/_runners.py
+++ b/src/citrondeal/platform/_runners.py
@@ -81,7 +81,7 @@
 
     def __init__(self, worker, address, on_other_incarnation):
         self._worker = worker
-        self._headers = (("X-Expect-Instance", worker),)
+        self._headers = _order_client.runner_headers(worker)
         self._on_other_incarnation = on_other_incarnation
         self._renewal_client = web.Client(address, 1)
         self._order_client = self._connect(0)
@@ -172,7 +172,7 @@
 
     def _connect(self, born_ms):
         return _order_client.OrderClient(
-            self.address, self._headers, born_ms, self._on_other_incarnation
+            self._worker, self.address, born_ms, self._on_other_incarnation
         )
 
     async def _send_order(self, path, value, born_ms):
