Keep a task where it is while its unanswered start may still be carried out

A task of a queue without tickets could run on two workers at once, or start again after its success was acknowledged. A start that gets no answer may be carried out seconds later. What bars it then, the fence and the stop, is lost with the incarnation of the worker, and the time limit is far ahead of the next one's clock. The owner started the task elsewhere once the present incarnation had confirmed the stop. In the model the cause was mostly a second copy: the repeat of a start was carried out and ended, its first attempt was still open.

A ticket bars the start, since it is valid for one incarnation. So only starts without a ticket are treated differently:

- They are sent once, by the owner and by the HTTP client.
A run that a report lists, or an answer, shows that no copy is left.
- Without an answer the run stays on its worker for 12 s, the longest delay of an order that is known.
On a silent worker it stays for the longest lease beyond that; the other runs of the worker are released with its leases as before.
A confirmed stop isn't repeated meanwhile.

Tests: three scenarios about unanswered starts and two about their repeats now use a start with a ticket, for which their bounds hold as before; without one the new scenarios apply.

--- a/src/citrondeal/cell/_orders.py
+++ b/src/citrondeal/cell/_orders.py
@@ -61,6 +61,9 @@
     async def send_start(self, action):
         """Send a start, and again if it may not have arrived.
 
+        One without a ticket is sent once: the next incarnation of the worker
+        could carry out another copy after the run has ended.
+
         Returns
         -------
         citrondeal.workflow.OrderOutcome
@@ -71,8 +74,10 @@
             return workflow.OrderOutcome.REFUSED
         until_s = lease.worker_clock_s(action.valid_until)
         outcome = await self._try_start(action, lease, until_s)
-        if outcome is workflow.OrderOutcome.UNKNOWN and self._may_start(
-            action, lease, _clock.now()
+        if (
+            outcome is workflow.OrderOutcome.UNKNOWN
+            and action.ticket
+            and self._may_start(action, lease, _clock.now())
         ):
             # Sending the same run twice is safe: the worker starts it once,
             # whether one or both of the calls arrive.
--- a/src/citrondeal/cell/_scheduler_metrics.py
+++ b/src/citrondeal/cell/_scheduler_metrics.py
@@ -41,6 +41,7 @@
     def __init__(self, metrics):
         self._anomalies = CounterMetrics(metrics, _anomaly_counters)
         self._crashes = crash_metrics(metrics)
+        self._late_starts = CounterMetrics(metrics, _late_start_counters)
         self._learning = CounterMetrics(metrics, _learning_counters)
         self._accounts = _account_metrics.AccountMetrics(metrics)
         self._waits = WaitMetrics(metrics)
@@ -55,6 +56,7 @@
         """
         self._anomalies.update(scheduler.anomalies)
         self._crashes.update(scheduler.crashes)
+        self._late_starts.update(scheduler.late_starts)
         self._learning.update(scheduler.learning)
         self._accounts.update(scheduler, now)
         self._waits.update(scheduler.waits, now)
@@ -115,6 +117,10 @@
     }
 
 
+def _late_start_counters(late_starts):
+    return {"citrondeal.late_starts": late_starts.unanswered}
+
+
 def _learning_counters(learning):
     return {
         f"citrondeal.{name}": value
--- a/src/citrondeal/cell/tests/cell.feature
+++ b/src/citrondeal/cell/tests/cell.feature
@@ -211,6 +211,11 @@
     And cell a renewal to an earlier incarnation ends when the next is known
     And cell an unconfirmed incarnation is looked for at its own address too
 
+  # Guards against a second copy of a start that the next incarnation of a
+  # worker carries out after the run has ended.
+  Scenario: cell a start without a ticket is sent once
+    Then a cell owner sends a start again only if it has a ticket
+
   # Guards against starts that are sent after the owner has learned that their
   # worker has shrunk.
   Scenario: cell a start is checked again when it is sent
--- a/src/citrondeal/cell/tests/steps_leases.py
+++ b/src/citrondeal/cell/tests/steps_leases.py
@@ -92,10 +92,21 @@
 def _(context):
     lease = _RecordingLease(OUTCOMES.UNKNOWN)
     orders, _, start = _orders_with_start(lease, lambda now: not lease.sent)
+    start = dataclasses.replace(start, ticket="ticket")
     assert anyio.run(orders.send_start, start) is OUTCOMES.UNKNOWN
     assert lease.sent == 1, lease.sent
 
 
+@then("a cell owner sends a start again only if it has a ticket")
+def _(context):
+    for ticket, sent in (("", 1), ("ticket", 2)):
+        lease = _RecordingLease(OUTCOMES.UNKNOWN)
+        orders, _, start = _orders_with_start(lease, lambda now: True)
+        start = dataclasses.replace(start, ticket=ticket)
+        assert anyio.run(orders.send_start, start) is OUTCOMES.UNKNOWN
+        assert lease.sent == sent, (ticket, lease.sent)
+
+
 @then("a cell owner sends a start only while its worker has room for it")
 def _(context):
     lease = _RecordingLease(OUTCOMES.OK)
--- a/src/citrondeal/platform/_order_client.py
+++ b/src/citrondeal/platform/_order_client.py
@@ -63,7 +63,7 @@
         """The incarnation that its connections lead to; 0 if unknown."""
         return self._born_ms
 
-    async def send(self, path, value):
+    async def send(self, path, value, repeat=True):
         """Send an order.
 
         Parameters
@@ -71,6 +71,8 @@
         path : str
         value : dict
             Encoded as JSON; it has the ``fence`` of the order.
+        repeat : bool
+            Whether it may be sent again if a reused connection has ended.
 
         Returns
         -------
@@ -84,6 +86,7 @@
             msgspec.json.encode(value),
             ORDER_TIMEOUT_S,
             self._headers,
+            repeat=repeat,
         )
         if outcome.is_err():
             self._log_rejection(outcome.err_value)
--- a/src/citrondeal/platform/_runners.py
+++ b/src/citrondeal/platform/_runners.py
@@ -95,6 +95,8 @@
     async def start(self, order, fence, until_s):
         """Send a `workflow.Start` and return its `workflow.OrderOutcome`.
 
+        Without a ticket at most one copy of it is sent.
+
         Parameters
         ----------
         order : workflow.Start
@@ -114,7 +116,9 @@
             value["checkpoint"] = order.checkpoint
         if order.ticket:
             value["ticket"] = order.ticket
-        return await self._send_order("/v1/run-start", value, order.born_ms)
+        return await self._send_order(
+            "/v1/run-start", value, order.born_ms, repeat=bool(order.ticket)
+        )
 
     async def stop(self, order, fence):
         """Send a `workflow.Stop` and return its `workflow.OrderOutcome`."""
@@ -175,7 +179,7 @@
             self._worker, self.address, born_ms, self._on_other_incarnation
         )
 
-    async def _send_order(self, path, value, born_ms):
+    async def _send_order(self, path, value, born_ms, repeat=True):
         reported_clock_ms = self._newest_clock_ms
         client, previous = self._order_client, None
         if client.born_ms != born_ms:
@@ -183,7 +187,7 @@
             self._order_client = client
         if previous is not None:
             await previous.aclose()
-        outcome = await client.send(path, value)
+        outcome = await client.send(path, value, repeat)
         if outcome.is_err():
             return outcome.err_value
         reply = outcome.ok_value
--- a/src/citrondeal/platform/tests/platform.feature
+++ b/src/citrondeal/platform/tests/platform.feature
@@ -79,6 +79,11 @@
     And platform a start that was sent again and is rejected may be carried out
     And platform an append that was sent once and is rejected is not stored
 
+  # Guards against a second copy of a start that the next incarnation of a
+  # worker carries out after the run has ended.
+  Scenario: platform a start without a ticket is sent once
+    Then platform a start without a ticket is not sent again
+
   # Guards against a call that is served for a withdrawn key or a removed route,
   # and against a refusal by a member that cannot know that it is right.
   Scenario: platform keys and routes decide which calls are served
--- a/src/citrondeal/platform/tests/steps_repeats.py
+++ b/src/citrondeal/platform/tests/steps_repeats.py
@@ -1,6 +1,7 @@
 """Steps for calls that are sent again on another connection."""
 
 import contextlib
+import dataclasses
 
 import anyio
 import anyio.abc
@@ -28,15 +29,15 @@
 
     Attributes
     ----------
-    carried_out : int
-        Number of calls that were carried out.
+    carried_out, rejected : int
+        Number of calls that were carried out, and of those rejected.
     """
 
     def __init__(self, first, status):
         self._first = first
         self._status = status
         self._connections = 0
-        self.carried_out = 0
+        self.carried_out = self.rejected = 0
 
     async def handle(self, stream):
         self._connections += 1
@@ -46,6 +47,7 @@
                 return
             while True:
                 await stream.receive()
+                self.rejected += 1
                 await stream.send(_encode_answer(self._status, b"{}"))
 
     async def _lose_second_answer(self, stream):
@@ -99,17 +101,33 @@
 def _(context):
     async def start_twice(address):
         client = platform.RunnerClient("w", address, int)
-        first = await client.start(START, 1, 1.0)
+        start = dataclasses.replace(START, ticket="ticket")
+        first = await client.start(start, 1, 1.0)
         assert first is workflow.OrderOutcome.OK, first
-        return await client.start(START, 1, 1.0)
+        return await client.start(start, 1, 1.0)
 
     for status in (400, 429, 503):
         server = _Server(b"{}", status)
         outcome = _call_server(server, start_twice)
         assert server.carried_out == 2, server.carried_out
+        assert server.rejected == 1, server.rejected
         assert outcome is workflow.OrderOutcome.UNKNOWN, (status, outcome)
 
 
+@then("platform a start without a ticket is not sent again")
+def _(context):
+    async def start_twice(address):
+        client = platform.RunnerClient("w", address, int)
+        first = await client.start(START, 1, 1.0)
+        assert first is workflow.OrderOutcome.OK, first
+        return await client.start(START, 1, 1.0)
+
+    server = _Server(b"{}", 200)
+    outcome = _call_server(server, start_twice)
+    assert outcome is workflow.OrderOutcome.UNKNOWN, outcome
+    assert server.carried_out == 2 and not server.rejected
+
+
 @then("platform an append that was sent once and is rejected is not stored")
 def _(context):
     async def append_twice(address):
--- a/src/citrondeal/workflow/_answers.py
+++ b/src/citrondeal/workflow/_answers.py
@@ -4,6 +4,7 @@
 
 from citrondeal.workflow import _events
 from citrondeal.workflow import _jobs
+from citrondeal.workflow import _late_starts
 from citrondeal.workflow import _messages
 from citrondeal.workflow import _tickets
 
@@ -28,6 +29,7 @@
         step = run.task.step
         if outcome is _messages.OrderOutcome.OK:
             run.confirmed_at = now
+            _late_starts.settle(run)
             self._state.mark_running(step.job)
             if run.state is _jobs.RunState.STARTING:
                 run.state = _jobs.RunState.RUNNING
@@ -43,6 +45,7 @@
         )
         if outcome is _messages.OrderOutcome.UNKNOWN:
             run.unanswered = True
+            self._state.late_starts.on_unanswered(run, now)
             self._state.stop(run, "start got no answer", now)
             worker.failed_at = now
         else:
--- a/src/citrondeal/workflow/_crashes.py
+++ b/src/citrondeal/workflow/_crashes.py
@@ -169,14 +169,14 @@
             if place.born_ms < born_ms and not undecided:
                 self._count(task, number, _WorkerCrash(name), now)
 
-    def on_lapse(self, worker, now):
-        """Remember the runs on a worker until it is heard again.
+    def on_lapse(self, worker, runs, now):
+        """Remember lapsed runs on a worker until it is heard again.
 
         Whether the worker was only silent is not known yet.
         """
         if worker.info.draining:
             return
-        for run in list(worker.runs.values()):
+        for run in runs:
             task = _accounting(run)
             number = run.last_known_number
             if run.crash is not None:
--- a/src/citrondeal/workflow/_jobs.py
+++ b/src/citrondeal/workflow/_jobs.py
@@ -58,6 +58,9 @@
         Whether no other task is placed on its worker while it runs.
     unanswered : bool
         Whether its start got no answer and no report has listed it.
+    open_until : float or None
+        Until when a later incarnation of its worker may carry out its start,
+        infinite until the start is answered; None if none may.
     alive_at : float
         Latest time at which it is known not to have ended.
     missing_at : float or None
@@ -84,6 +87,7 @@
     stored_number: int = UNKNOWN_RUN_NUMBER
     isolated: bool = False
     unanswered: bool = False
+    open_until: float | None = None
     alive_at: float = -math.inf
     missing_at: float | None = None
     born_ms: int = 0
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -9,6 +9,7 @@
 from citrondeal.workflow import _isolation
 from citrondeal.workflow import _jobs
 from citrondeal.workflow import _kept_room
+from citrondeal.workflow import _late_starts
 from citrondeal.workflow import _messages
 from citrondeal.workflow import _placement
 from citrondeal.workflow import _precedence
@@ -88,8 +89,15 @@
             self._plan_step(step, actions, now)
             self._state.quotas.on_planned(step, now)
         self._state.waits.end_pass(ready, now)
+        self._note_starts(actions)
         return actions
 
+    def _note_starts(self, actions):
+        for action in actions:
+            if isinstance(action, _messages.Start):
+                run = self._state.workers[action.worker].runs[action.task]
+                self._state.late_starts.on_ordered(run, action.ticket)
+
     def _look_at_workers(self):
         """Begin a pass with all workers as they are now."""
         workers = self._state.workers.values()
@@ -158,7 +166,8 @@
         for worker in list(self._state.workers.values()):
             if worker.reachable or now < worker.lease_expires_at:
                 continue
-            if worker.runs:
+            over = self._state.runs_over(worker, now)
+            if over:
                 _events.log(
                     logging.WARNING,
                     "leases of a worker have lapsed",
@@ -167,9 +176,10 @@
                     expired_ago_s=round(now - worker.lease_expires_at, 3),
                     renewed_ago_s=_age_s(worker.renewed_at, now),
                     started_ago_s=_age_s(worker.started_at, now),
-                    lost_runs=len(worker.runs),
+                    lost_runs=len(over),
+                    kept_runs=len(worker.runs) - len(over),
                 )
-                self._state.crashes.on_lapse(worker, now)
+                self._state.crashes.on_lapse(worker, over, now)
             self._state.on_leases_lapsed(worker, now)
 
     def _due_stops(self, now):
@@ -181,6 +191,8 @@
                 sent = run.stop_sent_at
                 if sent is not None and now - sent < STOP_RETRY_S:
                     continue
+                if _late_starts.is_open(run) and run.confirmed_at is not None:
+                    continue  # it only waits until its start is void
                 run.stop_sent_at = now
                 stops.append(_stop(worker, run.task.id, run.number, ""))
             for task_id, unrecognized in worker.unrecognized_runs.items():
--- a/src/citrondeal/workflow/_reports.py
+++ b/src/citrondeal/workflow/_reports.py
@@ -5,6 +5,7 @@
 from citrondeal.workflow import _crashes
 from citrondeal.workflow import _events
 from citrondeal.workflow import _jobs
+from citrondeal.workflow import _late_starts
 from citrondeal.workflow import _messages
 from citrondeal.workflow import _model
 from citrondeal.workflow import _placement
@@ -214,6 +215,8 @@
                 continue
             if run.confirmed_at is None or run.confirmed_at >= sent_at:
                 continue
+            if not _late_starts.is_void(run, sent_at):
+                continue
             run.missing_at = now if run.missing_at is None else run.missing_at
             if worker.ends_known_at < run.missing_at:
                 continue  # its end may be among those that are omitted
@@ -246,6 +249,7 @@
             run.number = reported.number
         if run is not None and run.number == reported.number:
             run.unanswered = False
+            _late_starts.settle(run)
             run.alive_at = max(run.alive_at, sent_at)
             run.born_ms = worker.info.born_ms
             self._state.crashes.on_survived(run, worker)
--- a/src/citrondeal/workflow/_scheduler.py
+++ b/src/citrondeal/workflow/_scheduler.py
@@ -146,6 +146,11 @@
         """`Crashes` of workers and the tasks that they were counted for."""
         return self._state.crashes
 
+    @property
+    def late_starts(self):
+        """`LateStarts`: those that keep their tasks waiting."""
+        return self._state.late_starts
+
     @property
     def anomalies(self):
         """`Anomalies` that reports have shown."""
--- a/src/citrondeal/workflow/_state.py
+++ b/src/citrondeal/workflow/_state.py
@@ -10,6 +10,7 @@
 from citrondeal.workflow import _fences
 from citrondeal.workflow import _incarnations
 from citrondeal.workflow import _jobs
+from citrondeal.workflow import _late_starts
 from citrondeal.workflow import _learning
 from citrondeal.workflow import _model
 from citrondeal.workflow import _open_starts
@@ -101,6 +102,7 @@
         self.superseded = False
         self._full_jobs = {}
         self.open_starts = _open_starts.OpenStarts(self.mark_changed)
+        self.late_starts = _late_starts.LateStarts(config.lease_s)
         self.withheld = _withheld.WithheldStarts(self)
         self.crashes = self.crashes_class(self)
         self.anomalies = _anomalies.Anomalies()
@@ -195,22 +197,51 @@
         """Forget what may have run on a worker whose leases are over.
 
         Its stored record is replaced, since the tasks may start elsewhere and
-        a next owner would take them as running here.
+        a next owner would take them as running here.  Runs that a later
+        incarnation may still begin are kept.
         """
-        if worker.may_have_runs or worker.id in self.unresolved_workers:
+        over = self.runs_over(worker, now)
+        if (
+            over
+            or worker.unrecognized_runs
+            or worker.unaccounted_tasks
+            or worker.id in self.unresolved_workers
+        ):
             self.changed_workers[worker.id] = worker
-        self.release_all_runs(worker)
+        self._release(worker, over)
         worker.unrecognized_runs.clear()
         worker.unaccounted_tasks.clear()
-        if worker.has_entry:
+        if worker.has_entry or worker.runs:
             self.mark_resolved(worker, now)
         else:
             self.remove_worker(worker, now)
 
+    def runs_over(self, worker, now):
+        """Return the runs on a silent worker that have ended by now."""
+        return [
+            run
+            for run in worker.runs.values()
+            if now >= self.late_starts.ends_at(worker, run)
+        ]
+
+    def leases_end_at(self, worker):
+        """Return when no run is left on a worker that stays silent.
+
+        It is infinite while the answer to a start is awaited.
+        """
+        ends = (
+            self.late_starts.ends_at(worker, r) for r in worker.runs.values()
+        )
+        return max(ends, default=worker.lease_expires_at)
+
     def release_all_runs(self, worker):
-        # The release of one member of a gang may release others.
-        while worker.runs:
-            self.release_run(worker, next(iter(worker.runs.values())))
+        self._release(worker, list(worker.runs.values()))
+
+    def _release(self, worker, runs):
+        for run in runs:
+            # The release of one member of a gang may release others.
+            if worker.runs.get(run.task.id) is run:
+                self.release_run(worker, run)
 
     def raise_fence(self, worker, now):
         """Raise the fence of a worker that may be a new incarnation."""
@@ -259,10 +290,7 @@
             # What the earlier incarnation confirmed does not count, but the
             # next report does: no order of this run can take effect after.
             run.confirmed_at = run.ordered_at
-        for run in lost:
-            # The release of one member of a gang may release others.
-            if worker.runs.get(run.task.id) is run:
-                self.release_run(worker, run)
+        self._release(worker, lost)
         # Any order or renewal that was late may have given it a lease.
         worker.extend_lease(now, self.config.lease_s)
         worker.unrecognized_runs.clear()
--- a/src/citrondeal/workflow/_witnesses.py
+++ b/src/citrondeal/workflow/_witnesses.py
@@ -7,6 +7,7 @@
 """
 
 import heapq
+import math
 
 from citrondeal.workflow import _model
 from citrondeal.workflow import _workers
@@ -36,7 +37,11 @@
         Returns
         -------
         dict of str to Witness
+            Empty if the end is not known yet.
         """
+        ends_at = self._state.leases_end_at(worker)
+        if ends_at == math.inf:
+            return {}
         others = (
             other
             for other in self._state.workers.values()
@@ -52,7 +57,7 @@
         found = {}
         for other in newest:
             clock_s, known_since = other.clock
-            left_s = worker.lease_expires_at - known_since
+            left_s = ends_at - known_since
             found[other.id] = _model.Witness(
                 other.info.born_ms,
                 clock_s + left_s * _workers.CLOCK_DRIFT_FACTOR,
--- a/src/citrondeal/workflow/tests/harness.py
+++ b/src/citrondeal/workflow/tests/harness.py
@@ -6,6 +6,7 @@
 
 LEASE_S = 10.0
 STATUS_S = 120.0
+TICKET_VALID_S = 60.0
 
 
 class Harness:
@@ -68,6 +69,13 @@
             self.now,
         )
 
+    def submit_with_tickets(self, job, cores, **step):
+        """Submit a job, and grant the tickets that its tasks need."""
+        self.submit(job, cores, ticketed=True, **step)
+        self.plan()
+        for call in list(self.ticket_calls):
+            self.grant(call, TICKET_VALID_S)
+
     def report_all(self):
         """Let all workers report their runs and ends."""
         self.now += 0.05
--- a/src/citrondeal/workflow/tests/simulated_orders.py
+++ b/src/citrondeal/workflow/tests/simulated_orders.py
@@ -24,7 +24,10 @@
         """Deliver an order, or answer a call for tickets."""
         scheduler, now = owner.scheduler, self._simulation.now
         if isinstance(action, workflow.FetchTickets):
-            granted = {w: "t" for w in action.workers}
+            workers = self._simulation.workers
+            granted = {
+                w: workers[w].ticket for w in action.workers if w in workers
+            }
             scheduler.on_tickets(
                 action.step,
                 action.workers,
@@ -37,7 +40,8 @@
         worker = worker or self._simulation.replaced[action.worker]
         is_start = isinstance(action, workflow.Start)
         outcome = self._send(owner, worker, action, now)
-        if is_start and outcome is workflow.OrderOutcome.UNKNOWN:
+        is_unknown = outcome is workflow.OrderOutcome.UNKNOWN
+        if is_start and is_unknown and action.ticket:
             second = self._send(owner, worker, action, now)
             outcome = simulated_late_calls.after_repeat(outcome, second)
         if is_start and outcome is workflow.OrderOutcome.UNKNOWN:
--- a/src/citrondeal/workflow/tests/simulated_workers.py
+++ b/src/citrondeal/workflow/tests/simulated_workers.py
@@ -84,6 +84,11 @@
         """Time on its clock, which begins anew with each incarnation."""
         return (self.simulation.now - self.started_at) * self.clock_rate
 
+    @property
+    def ticket(self):
+        """Ticket that is valid during its present life."""
+        return f"{self.name} {self.born_ms}"
+
     @property
     def down(self):
         """Whether it has crashed and is not back yet."""
@@ -169,6 +174,8 @@
         if self.simulation.now > until:
             return workflow.OrderOutcome.LATE
         self.lease_until = max(self.lease_until, until)
+        if order.ticket not in ("", self.ticket):
+            return workflow.OrderOutcome.BAD_TICKET
         run = self.runs.get(order.task)
         if run is not None and run.number == order.run:
             return workflow.OrderOutcome.OK
--- a/src/citrondeal/workflow/tests/steps_capacity.py
+++ b/src/citrondeal/workflow/tests/steps_capacity.py
@@ -117,7 +117,7 @@
 @then("workflow nothing starts beside an unanswered start on a shrunk worker")
 def _(context):
     harness = harnesses.Harness()
-    harness.submit("a", 2.0)
+    harness.submit_with_tickets("a", 2.0)
     [start] = _orders(harness)
     harness.scheduler.on_started(
         start.task, start.run, "w0", OUTCOMES.UNKNOWN, harness.now
--- a/src/citrondeal/workflow/tests/steps_fences.py
+++ b/src/citrondeal/workflow/tests/steps_fences.py
@@ -65,7 +65,7 @@
 def _(context, stop):
     context.harness = harness = harnesses.Harness()
     scheduler = harness.scheduler
-    harness.submit("a", 4.0, run_s=60.0)
+    harness.submit_with_tickets("a", 4.0, run_s=60.0)
     [start] = scheduler.plan(harness.now)
     order = (start.task, start.run, "w0")
     scheduler.on_started(*order, OUTCOMES.UNKNOWN, harness.now)
--- a/src/citrondeal/workflow/tests/steps_orders.py
+++ b/src/citrondeal/workflow/tests/steps_orders.py
@@ -31,7 +31,7 @@
 @given("a workflow worker whose start got no answer")
 def _(context):
     context.harness = harness = harnesses.Harness()
-    harness.submit("a", 4.0)
+    harness.submit_with_tickets("a", 4.0)
     _answer(harness, _decide_start(harness), OUTCOMES.UNKNOWN)
     context.freed_after_s = None
 
