Wait for the end of the last run that a new owner assumes on a worker

What callers saw: in the random model a task that had ended with success was started once more, and the success was acknowledged then.

Cause: a new owner knows from the record of a silent worker which run of a task may be there, but not whether it has begun, and took the first end of the task that the worker listed for the end of that run. If reports omit later ends, an earlier run that had lapsed there released the task.

Change: an end of a run with a lower number than the stored one releases nothing. Records without numbers are read as before.

The new scenario fails without the change.

--- a/src/citrondeal/workflow/_reports.py
+++ b/src/citrondeal/workflow/_reports.py
@@ -146,10 +146,7 @@
         worker.last_end_number = end.number
         worker.reads_all_ends = True
         run = worker.runs.get(end.task)
-        if run is not None and run.number in (
-            end.run,
-            _jobs.UNKNOWN_RUN_NUMBER,
-        ):
+        if run is not None and _may_end(end, run):
             # Ends are listed in their order, so no earlier one is omitted.
             worker.ends_known_at = max(worker.ends_known_at, run.alive_at)
             self._state.release_run(worker, run)
@@ -316,6 +313,13 @@
     )
 
 
+def _may_end(end, run):
+    """Return whether an end of its task may be that of a run."""
+    if run.number == _jobs.UNKNOWN_RUN_NUMBER:
+        return end.run >= run.stored_number
+    return end.run == run.number
+
+
 def _is_stalled(run, now):
     estimate_s = run.task.step.spec.estimate_s
     return (
--- a/src/citrondeal/workflow/tests/steps_recovery.py
+++ b/src/citrondeal/workflow/tests/steps_recovery.py
@@ -58,3 +58,21 @@
     assert not scheduler.wants_to_store
     scheduler.on_stored(*changes)
     assert scheduler.workers["w"].usable
+
+
+@then("workflow an end of an earlier run releases no run of a later number")
+def _(context):
+    task = workflow.TaskId(SUBMISSION.job, 0, 0, 0)
+    scheduler = workflow.Scheduler(workflow.Config(), 2)
+    scheduler.on_submission(SUBMISSION, 0, 0.0, True)
+    info = workflow.WorkerInfo("w", "w:1", "service", "zone", born_ms=1)
+    stored = workflow.StoredWorker(info, (task,), (7,))
+    scheduler.recover_workers([stored], 0.0)
+    worker = scheduler.workers["w"]
+    for number, run in ((1, 3), (2, 7)):
+        assert task in worker.runs
+        outcome = workflow.RunOutcome.LAPSED
+        end = workflow.RunEnd(number, task, run, outcome, "")
+        report = workflow.Report(1.0, 1, [], [end], truncated=True)
+        scheduler.on_report("w", report, float(number), float(number))
+    assert not worker.runs
--- a/src/citrondeal/workflow/tests/workflow.feature
+++ b/src/citrondeal/workflow/tests/workflow.feature
@@ -131,6 +131,11 @@
   Scenario: workflow a worker that has answered is stored at once
     Then workflow changes are to be stored when a recovered worker has answered
 
+  # Guards against a task that starts again after its success, because a new
+  # owner takes the listed end of an earlier run for that of the last one.
+  Scenario: workflow a new owner waits for the end of the last run it assumes
+    Then workflow an end of an earlier run releases no run of a later number
+
   # Guards against a store that grows without limit, and against the loss of a
   # job's state while clients may still query it.
   Scenario: workflow records of ended jobs are dropped in time
