Take the clock of a worker only with the incarnation that has shown it

And a report that is skipped, of an earlier incarnation that still answers, gave its clock to starts for the present one.

An answer that has arrived counts, and a start is sent only with the clock of the incarnation that it is for.

The scenario of the cut worker watches for 30 s instead of 20, since a start without a ticket keeps its task for 22.5 s now; it checks the same.

--- a/src/citrondeal/cell/_leases.py
+++ b/src/citrondeal/cell/_leases.py
@@ -18,6 +18,10 @@
 # to be stored, so that it can acknowledge them.
 END_STORED_WAIT_S = 0.3
 RETRY_DELAY_S = 0.2
+# So many renewals in a row may end at once and show nothing new, as after a
+# restart; further ones wait, or a worker that closes each connection would be
+# asked without a pause.
+MAX_IDLE_RENEWALS = 3
 # An entry may have been left by another writer, and nobody be at its address.
 # Until a worker has reported, the delay doubles with each failure up to this,
 # and begins anew with each entry that is read.
@@ -50,6 +54,8 @@
         self._on_report = on_report
         self._may_renew = may_renew
         self._worker_clock_offset_s = None
+        self._clock_born_ms = 0  # incarnation whose clock this is
+        self._idle_renewals = 0
         self._stored = anyio.Event()
         self._renewal_scope = None
         self._renewal_sent_at = -math.inf
@@ -82,6 +88,19 @@
         doublings = min(max(0, self._failures - 1), MAX_DOUBLINGS)
         return min(RETRY_DELAY_S * 2**doublings, MAX_RETRY_DELAY_S)
 
+    def knows_clock(self, born_ms):
+        """Return whether the clock of an incarnation is known.
+
+        Parameters
+        ----------
+        born_ms : int
+            0 for the one that has reported last.
+        """
+        is_same = 0 in (born_ms, self._clock_born_ms) or (
+            born_ms == self._clock_born_ms
+        )
+        return self.worker_clock_known and is_same
+
     def worker_clock_s(self, now):
         """Return the time on the worker's clock in seconds.
 
@@ -110,14 +129,14 @@
         ):
             self._renewal_scope.cancel()
 
-    def _on_other_incarnation(self):
+    def _on_other_incarnation(self, born_ms):
         """Renew anew, since the worker has started again.
 
         The present renewal may wait for an earlier incarnation, which may have
         lost power.
         """
-        if not self._worker.is_proven:
-            return  # a renewal under the present fence settles it
+        if born_ms == self._worker.info.born_ms or not self._worker.reachable:
+            return  # it is known, or about to be
         self._scheduler.on_other_incarnation(self.worker_id, _clock.now())
         if self._renewal_scope is not None:
             self._renewal_scope.cancel()
@@ -133,6 +152,8 @@
         while self._scheduler.workers.get(self.worker_id) is self._worker:
             await self._select_address()
             renewed = False
+            last_end = self._worker.last_end_number
+            began_at = _clock.now()
             with telemetry.contain(_LOG, "renewal", worker=self.worker_id):
                 renewed = await self._renew()
             if not renewed:
@@ -140,6 +161,8 @@
             elif self._worker.last_end_number > self._worker.acknowledged:
                 writer.wake()
                 await self._wait_stored()
+            elif self._worker.last_end_number == last_end:
+                await self._pause_if_idle(began_at)
         await self._client.aclose()
 
     async def _pause(self):
@@ -151,6 +174,15 @@
         with anyio.move_on_after(self.retry_delay_s):
             await self._entry_read.wait()
 
+    async def _pause_if_idle(self, began_at):
+        """Wait after several renewals that ended at once and showed no end."""
+        if _clock.now() - began_at >= RETRY_DELAY_S:
+            self._idle_renewals = 0
+            return
+        self._idle_renewals += 1
+        if self._idle_renewals > MAX_IDLE_RENEWALS:
+            await anyio.sleep(RETRY_DELAY_S)
+
     async def _select_address(self):
         """Connect to the address in an entry of the worker."""
         info, entry = self._worker.info, self._worker.unconfirmed
@@ -181,6 +213,7 @@
             and self._may_renew(sent_at)
         ):
             until_s = self.worker_clock_s(sent_at) + self._lease_s
+            # The client leaves the time out on a new connection.
             worker.extend_lease(sent_at, self._lease_s)
         # Ends that are not acknowledged yet would make the worker answer a
         # held renewal at once, so it is not asked to wait.
@@ -201,7 +234,7 @@
         self._renewal_sent_at = sent_at
         with anyio.CancelScope() as self._renewal_scope:
             outcome = await self._client.renew_leases(renewal)
-        if self._renewal_scope.cancel_called:
+        if self._renewal_scope.cancelled_caught:
             return True  # the entry is to be settled without a pause
         now = _clock.now()
         if outcome.is_err():
@@ -209,6 +242,7 @@
         self._connection_lost = False
         report = outcome.ok_value
         self._worker_clock_offset_s = report.clock_s - now
+        self._clock_born_ms = report.born_ms
         self._scheduler.on_report(worker.id, report, sent_at, now)
         self._on_report()
         return True
--- a/src/citrondeal/cell/_orders.py
+++ b/src/citrondeal/cell/_orders.py
@@ -100,7 +100,7 @@
         """
         return (
             lease is not None
-            and lease.worker_clock_known
+            and lease.knows_clock(action.born_ms)
             and self._may_act(now)
             and self._scheduler.still_holds(action, now)
         )
--- a/src/citrondeal/cell/tests/restarting_worker.py
+++ b/src/citrondeal/cell/tests/restarting_worker.py
@@ -84,12 +84,20 @@
         Whether the present life has held a renewal.
     is_cut : bool
         Whether nothing reaches the worker or leaves it.
+    closes : bool
+        Whether it closes each connection after one answer.
+    answer_s : float
+        Seconds that it takes for each answer.
+    calls : int
+        Number of calls that it has got.
     """
 
     def __init__(self, max_lease_s):
         self._max_lease_s = max_lease_s
         self.life = None
-        self.is_cut = False
+        self.is_cut = self.closes = False
+        self.answer_s = 0.0
+        self.calls = 0
         self.restart(LONG_S)
 
     def restart(self, clock_s=0.0):
@@ -111,8 +119,12 @@
                     if life is not self.life:
                         return
                     await stream.send(await self._answer(life, request))
+                    if self.closes:
+                        return
 
     async def _answer(self, life, request):
+        self.calls += 1
+        await anyio.sleep(self.answer_s)
         head, body = request.split(b"\r\n\r\n")
         order = json.loads(body)
         path = head.split()[1].decode()
--- a/src/citrondeal/cell/tests/steps_fences.py
+++ b/src/citrondeal/cell/tests/steps_fences.py
@@ -23,7 +23,6 @@
 class _RefusingClient:
     """Client of a worker that refuses all calls by their fence."""
 
-    worker_clock_known = True
     address = "w0:1"
 
     def __init__(self, scheduler, raises):
@@ -31,6 +30,9 @@
         self._scheduler = scheduler
         self._raises = raises
 
+    def knows_clock(self, born_ms):
+        return True
+
     def worker_clock_s(self, now):
         return now
 
--- a/src/citrondeal/cell/tests/steps_leases.py
+++ b/src/citrondeal/cell/tests/steps_leases.py
@@ -61,13 +61,14 @@
 class _RecordingLease:
     """Lease of a worker that counts the starts that are sent to it."""
 
-    worker_clock_known = True
-
     def __init__(self, outcome):
         self.client = self
         self.sent = 0
         self._outcome = outcome
 
+    def knows_clock(self, born_ms):
+        return True
+
     def worker_clock_s(self, now):
         return now
 
--- a/src/citrondeal/cell/tests/steps_restarts.py
+++ b/src/citrondeal/cell/tests/steps_restarts.py
@@ -8,6 +8,7 @@
 import anyio.abc
 from behave import then
 from behave import when
+import result
 
 from citrondeal.cell import _clock
 from citrondeal.cell import _leases
@@ -19,6 +20,9 @@
 
 LEASE_S = harnesses.LEASE_S
 WAIT_S = 20.0  # for whatever has to happen
+# A start without a ticket that got no answer keeps its task for 22.5 s.
+WATCHED_S = 3 * LEASE_S
+PERIODS = 5
 STORES_NOTHING = types.SimpleNamespace(wake=int)
 JOBS = ("00000000000000aa", "00000000000000bb")
 
@@ -50,11 +54,14 @@
         self.scheduler.on_worker(entry, _clock.now())
         self.lease.on_entry()
 
+    def knows(self, life):
+        """Return whether a life of the worker has reported."""
+        return self.worker.info.born_ms == life.born_ms
+
     def uses(self, life):
         """Return whether tasks may be started on a life of the worker."""
         self._harness.store()
-        born_ms = self.worker.info.born_ms
-        return self.worker.usable and born_ms == life.born_ms
+        return self.worker.usable and self.knows(life)
 
     def decide_start(self, job):
         """Return the start of the task of a new job."""
@@ -73,7 +80,7 @@
         harness.now = began_at = _clock.now()
         self.scheduler.on_renewal_failed("w0", "cut off", began_at)
         harness.add_worker("w1")
-        while harness.now < began_at + 2 * LEASE_S:
+        while harness.now < began_at + WATCHED_S:
             harness.report_all()
             harness.store()
             for job in harness.plan():
@@ -155,6 +162,66 @@
     assert not context.owner.worker.runs, context.owner.worker.runs
 
 
+@when("a cell worker restarts twice, each time before a start")
+def _(context):
+    async def play():
+        async with _open_cell(context) as (worker, owner):
+            for job, next_job in (JOBS, reversed(JOBS)):
+                start = owner.decide_start(job)
+                start = dataclasses.replace(start, ticket="ticket")
+                worker.restart()
+                restarted_at = _clock.now()
+                await owner.orders.send(start)
+                assert not worker.life.runs
+                await _wait_until(lambda: owner.knows(worker.life))
+                context.known_after_s = _clock.now() - restarted_at
+                owner.read_entry(worker.life)
+                await _wait_until(lambda: owner.uses(worker.life))
+                await owner.orders.send(owner.decide_start(f"{job[1:]}c"))
+                assert worker.life.runs
+
+    anyio.run(play)
+
+
+@then("the cell owner knows each life before a held renewal would end")
+def _(context):
+    assert context.known_after_s < _leases.REPORT_WAIT_S
+
+
+@when("a cell worker closes each connection after an answer")
+def _(context):
+    async def play():
+        async with _open_cell(context) as (worker, _):
+            worker.closes = True
+            await anyio.sleep(_leases.REPORT_WAIT_S)
+            worker.calls = 0
+            await anyio.sleep(PERIODS * _leases.RETRY_DELAY_S)
+
+    anyio.run(play)
+
+
+@then("the cell worker is called once in the time between two attempts")
+def _(context):
+    # The last answer in each period may be the first one on a connection.
+    assert context.worker.calls <= 2 * PERIODS + 1, context.worker.calls
+
+
+@when("a cell worker takes {answer_s:g} s for each answer")
+def _(context, answer_s):
+    async def play():
+        async with _open_cell(context) as (worker, owner):
+            worker.answer_s = answer_s
+            await owner.orders.send(owner.decide_start(JOBS[0]))
+
+    anyio.run(play)
+
+
+@then("a start on the cell worker is answered")
+def _(context):
+    [run] = context.owner.worker.runs.values()
+    assert run.confirmed_at is not None
+
+
 @when("a cell worker restarts during a renewal and its entry is read")
 def _(context):
     async def play():
@@ -172,3 +239,19 @@
     life = context.worker.life
     assert max(life.granted_s) <= LEASE_S, life.granted_s
     assert life.acknowledged == 0, life.acknowledged
+
+
+@then("a cell renewal that is answered when it is given up counts")
+def _(context):
+    scheduler = harnesses.Harness().scheduler
+    lease = _leases.LeaseRenewer(
+        scheduler.workers["w0"], scheduler, LEASE_S, int, bool
+    )
+
+    async def answer(renewal):
+        lease._renewal_scope.cancel()  # once the answer has arrived
+        return result.Ok(workflow.Report(0.0, 2, [], []))
+
+    lease._client = types.SimpleNamespace(renew_leases=answer)
+    anyio.run(lease._renew)
+    assert lease.knows_clock(2) and not lease.knows_clock(1)
