Let stops reach any incarnation, and take a restarted worker for unreachable

Stops carry neither a time nor the number of an end, and one that reaches the next incarnation bars a late start there; they have connections of their own again. When a check meets another incarnation, the known one answers no more: the worker counts as unreachable until a report settles what runs there. Before, its leases went on being renewed if `born` had gone back, and its tasks were never given up. A late order for the earlier incarnation changes nothing once the next one is known.

--- a/src/citrondeal/platform/_order_client.py
+++ b/src/citrondeal/platform/_order_client.py
@@ -45,15 +45,16 @@
         ``host:port``.
     born_ms : int
         The incarnation; 0 if any may carry out the orders.
-    on_other : callable
-        Called without arguments when a connection has led to another one.
+    on_other_incarnation : callable
+        ``on_other_incarnation(born_ms)`` is called when a new connection has
+        led to another one.
     """
 
-    def __init__(self, worker, address, born_ms, on_other):
+    def __init__(self, worker, address, born_ms, on_other_incarnation):
         self._worker = worker
         self._headers = runner_headers(worker)
         self._born_ms = born_ms
-        self._on_other = on_other
+        self._on_other_incarnation = on_other_incarnation
         self._fence = 0
         check = self._check if born_ms else None
         self._client = web.Client(address, MAX_CONNECTIONS, check)
@@ -118,7 +119,7 @@
         # A runner that names no incarnation cannot be told from another one.
         if born_ms in (0, self._born_ms):
             return
-        self._on_other()
+        self._on_other_incarnation(born_ms)
         raise web.CheckFailed(
             f"runner is incarnation {born_ms}, not {self._born_ms}",
             workflow.OrderOutcome.OTHER_INCARNATION,
--- a/src/citrondeal/platform/_runners.py
+++ b/src/citrondeal/platform/_runners.py
@@ -75,8 +75,9 @@
     address : str
         ``host:port``.
     on_other_incarnation : callable
-        Called without arguments when an order was kept back, because a new
-        connection has led to another incarnation than it was decided for.
+        ``on_other_incarnation(born_ms)`` is called when a start was kept back,
+        because a new connection has led to this incarnation and not to the one
+        that it was decided for.
     """
 
     def __init__(self, worker, address, on_other_incarnation):
@@ -84,7 +85,9 @@
         self._headers = _order_client.runner_headers(worker)
         self._on_other_incarnation = on_other_incarnation
         self._renewal_client = web.Client(address, 1)
-        self._order_client = self._connect(0)
+        self._start_client = self._connect(0)
+        # A stop harms no incarnation, and bars a late start there.
+        self._stop_client = self._connect(0)
         self._newest_clock_ms = 0.0
 
     @property
@@ -116,10 +119,20 @@
             value["checkpoint"] = order.checkpoint
         if order.ticket:
             value["ticket"] = order.ticket
+        client = self._start_client
+        if client.born_ms != order.born_ms:
+            client = await self._switch_incarnation(order.born_ms)
         return await self._send_order(
-            "/v1/run-start", value, order.born_ms, repeat=bool(order.ticket)
+            client, "/v1/run-start", value, repeat=bool(order.ticket)
         )
 
+    async def _switch_incarnation(self, born_ms):
+        """Return a new client for starts on another incarnation."""
+        previous, client = self._start_client, self._connect(born_ms)
+        self._start_client = client
+        await previous.aclose()
+        return client
+
     async def stop(self, order, fence):
         """Send a `workflow.Stop` and return its `workflow.OrderOutcome`."""
         value = {
@@ -127,7 +140,7 @@
             "run": order.run,
             "fence": fence,
         }
-        return await self._send_order("/v1/run-stop", value, order.born_ms)
+        return await self._send_order(self._stop_client, "/v1/run-stop", value)
 
     async def renew_leases(self, renewal):
         """Renew the leases and return the runner's running and ended tasks.
@@ -179,14 +192,8 @@
             self._worker, self.address, born_ms, self._on_other_incarnation
         )
 
-    async def _send_order(self, path, value, born_ms, repeat=True):
+    async def _send_order(self, client, path, value, repeat=True):
         reported_clock_ms = self._newest_clock_ms
-        client, previous = self._order_client, None
-        if client.born_ms != born_ms:
-            client, previous = self._connect(born_ms), client
-            self._order_client = client
-        if previous is not None:
-            await previous.aclose()
         outcome = await client.send(path, value, repeat)
         if outcome.is_err():
             return outcome.err_value
@@ -224,7 +231,8 @@
 
     async def aclose(self):
         """Close idle connections."""
-        await self._order_client.aclose()
+        await self._start_client.aclose()
+        await self._stop_client.aclose()
         await self._renewal_client.aclose()
 
 
--- a/src/citrondeal/workflow/_answers.py
+++ b/src/citrondeal/workflow/_answers.py
@@ -58,7 +58,7 @@
             elif outcome is _messages.OrderOutcome.BAD_TICKET:
                 step.tickets.pop(worker_id, None)
                 step.asked_incarnations.pop(worker_id, None)
-            else:
+            elif outcome is not _messages.OrderOutcome.OTHER_INCARNATION:
                 worker.failed_at = now
         if step.spec.gang:
             self._state.stop_gang(
--- a/src/citrondeal/workflow/_messages.py
+++ b/src/citrondeal/workflow/_messages.py
@@ -139,23 +139,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stop:
-    """Order to a worker to stop a run.
-
-    Attributes
-    ----------
-    worker : str
-    task : TaskId
-    run : int
-    reason : str
-    born_ms : int
-        Incarnation of the worker for which it was decided; 0 if unknown.
-    """
+    """Order to a worker to stop a run."""
 
     worker: str
     task: _model.TaskId
     run: int
     reason: str
-    born_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -124,6 +124,7 @@
             and run.number == start.run
             and run.state is not _jobs.RunState.STOPPING
             and worker.usable
+            and worker.info.born_ms == start.born_ms
             and worker.used.fits(worker.info.capacity)
             and self._state.quotas.is_within_cap(run)
             and self._list_age_s(now) <= self._state.config.capacities_valid_s
@@ -194,12 +195,16 @@
                 if _late_starts.is_open(run) and run.confirmed_at is not None:
                     continue  # it only waits until its start is void
                 run.stop_sent_at = now
-                stops.append(_stop(worker, run.task.id, run.number, ""))
+                stops.append(
+                    _messages.Stop(worker.id, run.task.id, run.number, "")
+                )
             for task_id, unrecognized in worker.unrecognized_runs.items():
                 number, sent = unrecognized
                 if sent is None or now - sent >= STOP_RETRY_S:
                     unrecognized[1] = now
-                    stops.append(_stop(worker, task_id, number, "unknown"))
+                    stops.append(
+                        _messages.Stop(worker.id, task_id, number, "unknown")
+                    )
         return stops
 
     def _startable_steps(self):
@@ -411,11 +416,6 @@
         )
 
 
-def _stop(worker, task_id, number, reason):
-    born_ms = worker.info.born_ms
-    return _messages.Stop(worker.id, task_id, number, reason, born_ms)
-
-
 def _age_s(time_s, now):
     return None if time_s is None else round(now - time_s, 3)
 
--- a/src/citrondeal/workflow/_reports.py
+++ b/src/citrondeal/workflow/_reports.py
@@ -115,21 +115,14 @@
         )
 
     def on_other_incarnation(self, worker_id, now):
-        """Raise the fence of a worker, because another incarnation answers.
+        """Mark a worker as unreachable, because it has started again.
 
-        A new connection to it has led to another one than its last report.
+        A new connection to it has led to another incarnation than its last
+        report. The known one answers no more, so its leases are to expire
+        unless a report of the present one settles what runs there.
         """
-        worker = self._state.workers.get(worker_id)
-        if worker is None:
-            return
-        self._state.raise_fence(worker, now)
-        _events.log(
-            logging.INFO,
-            "another incarnation of a worker answers, its fence is raised",
-            worker=worker_id,
-            born_ms=worker.info.born_ms,
-            fence=worker.fence,
-        )
+        reason = "another incarnation answers"
+        self.on_renewal_failed(worker_id, reason, now)
 
     def _has_open_lease(self, worker):
         """Return whether the end of an earlier owner's lease can be stored."""
--- a/src/citrondeal/workflow/_state.py
+++ b/src/citrondeal/workflow/_state.py
@@ -259,7 +259,7 @@
         """Release the runs of an earlier incarnation of a worker.
 
         A start that was sent before the new incarnation was known may have
-        been carried out by it, since orders name no incarnation.  Its run is
+        been carried out by it, since calls may be late.  Its run is
         kept until a report of the new incarnation shows whether it has it.
         The report that shows the restart is under a fence that voids all
         earlier orders.
