Let the leases of a worker expire whose wall clock went back before a restart

What callers saw: tasks of such a worker were never given up. Its reports name an earlier incarnation than the known one and are skipped, but it stayed reachable, so its leases went on being renewed; without bound connections the held renewal timed out instead.

A report of an earlier incarnation under the present fence shows that the known one answers no more. The scenario fails without the change.

--- a/src/citrondeal/workflow/_incarnations.py
+++ b/src/citrondeal/workflow/_incarnations.py
@@ -82,6 +82,7 @@
         born_ms = report.born_ms or _assumed_born_ms(worker, sent_at)
         if born_ms < worker.info.born_ms:
             if worker.has_reported:
+                self._on_earlier(worker, sent_at)
                 return False
             self._correct(worker, born_ms, now)
         elif born_ms > worker.info.born_ms:
@@ -100,6 +101,21 @@
         self._settle(worker, report.clock_s, sent_at, now)
         return True
 
+    def _on_earlier(self, worker, sent_at):
+        """Let the leases of a worker expire if an earlier incarnation answers.
+
+        The known one does not answer under its present fence.  The wall clock
+        may have been set back before the worker started again.
+        """
+        if worker.reachable and worker.is_fenced(sent_at):
+            self._state.set_reachable(worker, False)
+            _events.log(
+                logging.WARNING,
+                "worker does not answer",
+                worker=worker.id,
+                reason="an earlier incarnation answers",
+            )
+
     def _keep(self, worker, info, now):
         """Keep the entry of another incarnation until a report settles it."""
         if info.born_ms == worker.refuted_born_ms:
--- a/src/citrondeal/workflow/tests/incarnations.feature
+++ b/src/citrondeal/workflow/tests/incarnations.feature
@@ -31,6 +31,13 @@
     When another writer names a later incarnation of a workflow worker
     Then workflow its ends are acknowledged only after its next report
 
+  # Guards against tasks that are never given up, since the leases of a worker
+  # are renewed whose wall clock went back before it started again.
+  Scenario: workflow a worker that is born earlier than before gets no leases
+    Given a workflow cell whose two workers are filled by a job
+    When a workflow worker starts again and its wall clock has gone back
+    Then workflow its leases are not renewed, and its tasks are given up
+
   # Guards against an entry whose clock hides all later entries of its worker.
   Scenario: workflow an entry with a clock far ahead is refuted
     Given a workflow cell whose two workers are filled by a job
--- a/src/citrondeal/workflow/tests/steps_incarnations.py
+++ b/src/citrondeal/workflow/tests/steps_incarnations.py
@@ -11,6 +11,7 @@
 from citrondeal.workflow.tests import odd_entries
 
 LATE_S = 0.5  # from an entry to the next report
+LATER_BORN_MS = 5
 
 
 def _report(scheduler, info, now, runs=(), ends=()):
@@ -196,3 +197,23 @@
     assert dump["worker_crashes"] == 0 and not dump["suspects"], dump
     tasks = harness.scheduler.jobs["batch"].steps[0].tasks
     assert not any(task.crashes for task in tasks)
+
+
+@when("a workflow worker starts again and its wall clock has gone back")
+def _(context):
+    harness = context.harness
+    for name, born_ms in (("w1", LATER_BORN_MS), ("w1", 1)):
+        harness.scheduler.on_connection_lost(name, harness.now)
+        info = dataclasses.replace(harness.infos[name], born_ms=born_ms)
+        _report(harness.scheduler, info, harness.now)
+        harness.scheduler.on_worker(info, harness.now)
+
+
+@then("workflow its leases are not renewed, and its tasks are given up")
+def _(context):
+    worker = context.harness.scheduler.workers["w1"]
+    assert worker.info.born_ms == LATER_BORN_MS and not worker.may_renew
+    context.harness.plan()
+    context.harness.now += 2 * harnesses.LEASE_S
+    context.harness.plan()
+    assert not worker.runs
