--- a/tests/standins/_common.py
+++ b/tests/standins/_common.py
@@ -9,6 +9,10 @@
 
 from citrondeal import web
 
+# The platform never answers with this status; clients do not know whether
+# the request took effect, as if the answer had been lost on the way.
+LOST_ANSWER_STATUS = 599
+
 
 class Faults:
     """Named fault switches, set over HTTP.
