--- a/src/citrondeal/jobs/tests/mutations.py
+++ b/src/citrondeal/jobs/tests/mutations.py
@@ -1,12 +1,13 @@
 """Faulty versions of the owner; the fault machine must fail with each.
 
-They show that the checks of `machine` detect the removal of a rule.
+They show that the checks of `world` detect the removal of a rule.
 """
 
 import math
 
 from citrondeal import jobs
 from citrondeal.jobs.tests import machine
+from citrondeal.jobs.tests import world as worlds
 
 
 class UnknownNotCounted(jobs.PoolOwner):
@@ -97,10 +98,10 @@
     """Requests are sent after the end of the owner's validity."""
 
     def sync_request(self, name, now, valid_until):
-        return super().sync_request(name, now, now + machine.VALIDITY)
+        return super().sync_request(name, now, now + worlds.VALIDITY)
 
     def tick(self, now, valid_until):
-        return super().tick(now, now + machine.VALIDITY)
+        return super().tick(now, now + worlds.VALIDITY)
 
 
 class NoIntent(jobs.PoolOwner):
