Move the attempts and messages of the simulated cell to a module

Attempts, messages, runs and the state of a gateway are now dedup/tests/traffic.py. Nothing else changes.

--- a/src/citrondeal/dedup/tests/cell.py
+++ b/src/citrondeal/dedup/tests/cell.py
@@ -1,10 +1,10 @@
 """Simulated cell: ledgers with a simulated network, callers and endpoint."""
 
-import dataclasses
 import json
 import uuid
 
 from citrondeal import dedup
+from citrondeal.dedup.tests import traffic
 from citrondeal import errors
 
 # Monotonic time at which a cell starts. The first incarnations start at 0, so
@@ -13,57 +13,6 @@
 UNIX_OFFSET_S = 1_700_000_000.0  # Unix time minus monotonic time
 
 
-@dataclasses.dataclass(eq=False)
-class Send:
-    """One attempt that a caller sent, and its answer."""
-
-    request_id: str
-    attempt: int
-    sent_at: float
-    result: object = None  # Answer, Failure or "dropped"
-
-
-@dataclasses.dataclass(eq=False)
-class Run:
-    """A run at the endpoint and the attempts that it serves."""
-
-    request_id: str
-    sends: frozenset
-    dispatcher: str
-
-
-class Node:
-    """One incarnation of a gateway: its ledger and its requests."""
-
-    def __init__(self, name, incarnation, ledger):
-        self.name = name
-        self.incarnation = incarnation
-        self.ledger = ledger
-        self.alive = True
-        self.paused = False
-        self.waiting = {}  # id -> list of Send, or Message of a forward
-        self.first_send = {}  # id -> Send for which the request is handled
-        self.queued = set()
-        self.ready = set()
-        self.running = {}  # id -> Run or None
-        self.intents = {}  # (id, gateway) -> number
-
-
-@dataclasses.dataclass(eq=False)
-class Message:
-    """A message in flight; a reply refers to its call by `call`."""
-
-    kind: str
-    source: Node | None
-    target: object  # Node, or a name for a caller's send
-    request_id: str
-    body: object
-    first_send: Send | None = None
-    call: object = None
-    failed: bool = False  # this call has failed or has been answered
-    delayed: bool = False  # not delivered until this is cleared
-
-
 class Cell:
     """Gateways ``a``, ``b``, ... with two of them in each zone."""
 
@@ -81,7 +30,7 @@
         self.stale_targets = {}
         self.in_flight = []
         self.partitions = set()  # pairs of gateways that are cut off
-        self.sends = {}  # id -> list of Send
+        self.sends = {}  # id -> list of traffic.Send
         self.runs = []
         self.refused = set()  # ids that admission refused
         self.message_count = 0
@@ -100,7 +49,9 @@
             self.now if since is None else since,
             self.config,
         )
-        self.nodes[name] = Node(name, f"i{self.incarnation_count}", ledger)
+        self.nodes[name] = traffic.Node(
+            name, f"i{self.incarnation_count}", ledger
+        )
         ledger.set_gateways({n: self.zones[n] for n in self.listed}, self.now)
 
     def kill(self, name):
@@ -109,7 +60,7 @@
         node.alive = False
         for waiting in node.waiting.values():
             for waiter in waiting:
-                if isinstance(waiter, Message):
+                if isinstance(waiter, traffic.Message):
                     self._fail(waiter)
         self._delay_from(node)
         self.boot(name)
@@ -169,10 +120,10 @@
     def send(self, request_id, name, attempt=None):
         sends = self.sends[request_id]
         attempt = attempt or len(sends) + 1
-        send = Send(request_id, attempt, self.now)
+        send = traffic.Send(request_id, attempt, self.now)
         sends.append(send)
         self.in_flight.append(
-            Message("send", None, name, request_id, send, send)
+            traffic.Message("send", None, name, request_id, send, send)
         )
         return send
 
@@ -236,7 +187,9 @@
     def _call(self, kind, node, action, target, body):
         request_id = action.request_id
         first_send = node.first_send.get(request_id)
-        message = Message(kind, node, None, request_id, body, first_send)
+        message = traffic.Message(
+            kind, node, None, request_id, body, first_send
+        )
         self.message_count += 1
         old, until = self.stale_targets.get(target, (None, 0.0))
         if self.now >= until or not old.alive:
@@ -244,14 +197,14 @@
         message.target = old or self.nodes.get(target)
         if message.target is None:
             message.target = node
-            message.target = Node(target, "gone", None)
+            message.target = traffic.Node(target, "gone", None)
             message.target.alive = False
         self.in_flight.append(message)
 
     def _reply(self, call, body):
         self.message_count += 1
         self.in_flight.append(
-            Message(
+            traffic.Message(
                 "reply",
                 call.target,
                 call.source,
@@ -369,7 +322,7 @@
         node.queued.discard(request_id)
         node.ready.discard(request_id)
         for waiter in node.waiting.pop(request_id, []):
-            if isinstance(waiter, Message):
+            if isinstance(waiter, traffic.Message):
                 self._reply(waiter, result)
             else:
                 waiter.result = result
@@ -404,7 +357,7 @@
     def is_forwarded(self, node, request_id):
         """Return whether the request was forwarded here."""
         waiting = node.waiting.get(request_id, [])
-        return any(isinstance(waiter, Message) for waiter in waiting)
+        return any(isinstance(waiter, traffic.Message) for waiter in waiting)
 
     def route(self, node, request_id, target):
         """Prepare a local dispatch, or forward to the gateway `target`."""
@@ -434,9 +387,9 @@
         actions = node.ledger.start(request_id, self.now)
         if not actions:
             return
-        sends = {w for w in waiting if isinstance(w, Send)}
+        sends = {w for w in waiting if isinstance(w, traffic.Send)}
         sends.add(node.first_send[request_id])
-        run = Run(request_id, frozenset(sends), node.name)
+        run = traffic.Run(request_id, frozenset(sends), node.name)
         if runs:
             self.runs.append(run)
         node.running[request_id] = run if runs else None
@@ -506,20 +459,11 @@
             ran = runs.get(request_id, [])
             assert len(ran) <= 1, f"{request_id} has {len(ran)} runs"
             for send in sends:
-                reported = reported_run(send)
+                reported = traffic.reported_run(send)
                 if reported == errors.Run.RAN:
                     assert ran, f"{request_id} answered, but never ran"
                 if reported == errors.Run.NOT_RUN:
                     own = [run for run in ran if send in run.sends]
                     assert not own, f"attempt {send.attempt} ran"
-            if sends and reported_run(sends[-1]) == errors.Run.NOT_RUN:
+            if sends and traffic.reported_run(sends[-1]) == errors.Run.NOT_RUN:
                 assert not ran, "refused as last attempt, but the id ran"
-
-
-def reported_run(send):
-    """Return what the answer says about the run, or None without an answer."""
-    if send.result is None or send.result == "dropped":
-        return None
-    if isinstance(send.result, errors.Failure):
-        return send.result.run
-    return errors.Run.RAN
