Divide the bench of placement by its measurements

The random workers and jobs and the simulation in virtual time with its waits and shares are now modules of their own; `_Blind` is `BlindPool` there.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -4,69 +4,19 @@
 Baselines run on the same input in the same run.
 """
 
-import heapq
 import json
 import random
-import statistics
 import sys
 import time
 import tracemalloc
 
+from bench import _placement_inputs as inputs
+from bench import _placement_simulation as simulation
 from citrondeal import jobs
 from citrondeal.jobs.tests import fakes
 from citrondeal import placement
 from citrondeal.placement.tests import naive
 
-WORKER = (32, 128_000)  # cores and MB, see the design page
-ACCELERATORS = 820  # on 810 workers, eight on one
-TICK = 0.25  # virtual seconds between two decisions of the owner
-EXCHANGE = 1.0  # longest virtual seconds until a worker gets a start
-URGENT_AIM = 4.2  # seconds
-
-
-def fill(pool, count, accelerators=True):
-    """Add `count` workers in racks of eight."""
-    special = round(ACCELERATORS / 8 * count / 810) if accelerators else 0
-    for number in range(count):
-        own = 0
-        if number < special:
-            own = 4 if number == special - 1 and count == 810 else 8
-        capacity = placement.capacity_of(*WORKER, own)
-        pool.set_worker(
-            f"w{number:04}", capacity, f"r{number // 8}", True, 0.0
-        )
-
-
-def size(rng, kind="mixed"):
-    """Return the request of one task, in cores and MB per task."""
-    if kind == "even":
-        cores = rng.choice((1, 2, 4, 8))
-        return cores, cores * 4000
-    shape = rng.random()
-    if shape < 0.4:
-        return rng.choice((2, 4, 6, 10)), rng.choice((1000, 4000))
-    if shape < 0.7:
-        return rng.choice((0.5, 1, 2)), rng.choice((16000, 30000, 44000))
-    return rng.choice((1, 3, 5)), rng.choice((4000, 12000, 20000))
-
-
-def work_of(rng, number, kind="mixed", **fields):
-    """Return a random job."""
-    cores, memory_mb = size(rng, kind)
-    accelerators = 0
-    if kind == "mixed" and rng.random() < 0.05:
-        accelerators = rng.choice((1, 1, 2, 4))
-    values = {
-        "job": f"j{number}",
-        "family": f"/batch/f{rng.randrange(40)}",
-        "team": f"t{rng.randrange(35)}",
-        "priority": rng.choices(placement.PRIORITIES, (1, 6, 3))[0],
-        "kind": "service" if rng.random() < 0.2 else "batch",
-        "size": placement.size_of(cores, memory_mb, accelerators),
-        "run_time_s": rng.uniform(10, 600),
-    }
-    return placement.JobSpec(**(values | fields))
-
 
 def speed(rng, workers, queued, starts=3000):
     """Return decisions/s and quantiles in ms of one decision."""
@@ -75,7 +25,7 @@
         max_starts=1, max_preemptions=0, reserve_after_s=1e9
     )
     pool = placement.Pool(config)
-    fill(pool, workers)
+    inputs.fill(pool, workers)
     number = 0
     running = []
 
@@ -83,7 +33,7 @@
         nonlocal number
         while pool.queued_tasks < limit:
             number += 1
-            work = work_of(rng, number)
+            work = inputs.work_of(rng, number)
             if pool.refusal(work, 1) is None:
                 pool.offer(work, list(range(rng.randrange(1, 9))), 0.0)
 
@@ -125,18 +75,18 @@
 def stressed(rng, workers):
     """Return the p99 in ms of `place` with preemption and reservations."""
     pool = placement.Pool()
-    fill(pool, workers)
+    inputs.fill(pool, workers)
     now = 0.0
     number = 0
     running = []
     times = []
     for round_ in range(150 + 4 * workers // 25):
-        now += TICK
+        now += simulation.TICK
         while pool.queued_tasks < 2000:
             number += 1
-            work = work_of(rng, number)
+            work = inputs.work_of(rng, number)
             if rng.random() < 0.1:
-                work = work_of(rng, number, kind="gang")
+                work = inputs.work_of(rng, number, kind="gang")
             tasks = rng.randrange(1, 17)
             if pool.refusal(work, tasks) is None:
                 pool.offer(work, list(range(tasks)), now)
@@ -173,14 +123,14 @@
     Tasks arrive one by one until the demand in one dimension is 2 % above
     the capacity; a task that does not fit is left out.
     """
-    cores = workers * WORKER[0] * 1000
-    memory = workers * WORKER[1]
+    cores = workers * inputs.WORKER[0] * 1000
+    memory = workers * inputs.WORKER[1]
     demand = []
     total = (0, 0)
     while max(total[0] / cores, total[1] / memory) < 1.02:
         work = placement.JobSpec(
             job=f"j{len(demand)}",
-            size=placement.size_of(*size(rng, kind), 0),
+            size=placement.size_of(*inputs.size(rng, kind), 0),
             run_time_s=60,
         )
         demand.append(work)
@@ -202,7 +152,7 @@
             **fields,
         )
         pool = placement.Pool(config)
-        fill(pool, workers, accelerators=False)
+        inputs.fill(pool, workers, accelerators=False)
         placed = 0
         # Online: each job is decided before the next one is known.
         for work in demand:
@@ -217,218 +167,6 @@
     return result
 
 
-class Simulation:
-    """Runs tasks in virtual time on workers that do as they are told.
-
-    It has its own random numbers, so that the jobs do not depend on what
-    the pool decides.
-    """
-
-    def __init__(self, pool, rng, workers):
-        self.pool = pool
-        self.rng = rng
-        self.workers = workers
-        self.now = 0.0
-        self.ends = []
-        # (worker, key) -> (serial number of its end, ignores checkpoints).
-        self.running = {}
-        self.works = {}
-        self.arrivals = {}
-        self.waits = {name: [] for name in placement.PRIORITIES}
-        self.starts = 0
-        self.wasted = 0
-        self.serial = 0
-        # Worker on which every task fails, and from which time on.
-        self.black_hole = (None, 0.0)
-        fill(pool, workers, accelerators=False)
-
-    def offer(self, work, tasks):
-        self.works[work.job] = work
-        self.arrivals[work.job] = self.now
-        self.pool.offer(work, list(range(tasks)), self.now)
-
-    def step(self):
-        """Advance by one tick."""
-        self.now += TICK
-        while self.ends and self.ends[0][0] <= self.now:
-            _, serial, worker, key, how = heapq.heappop(self.ends)
-            if self.running.get((worker, key), (None,))[0] != serial:
-                continue
-            if how != "preempted" and hasattr(self.pool, "record_outcome"):
-                succeeded = how == "finished"
-                self.pool.record_outcome(worker, key, succeeded, self.now)
-            del self.running[worker, key]
-            self.pool.release(worker, key)
-            if how == "failed":
-                self.wasted += 1
-                work = self.works[key[0]]
-                self.pool.offer(work, [key[1]], self.now, (worker,))
-            elif how == "preempted":
-                self.pool.offer(self.works[key[0]], [key[1]], self.now)
-        while True:
-            actions = self.pool.place(self.now)
-            for action in actions:
-                if isinstance(action, placement.Preempt):
-                    self.preempt(action)
-                elif isinstance(action, placement.Start):
-                    self.start(action)
-            if not any(isinstance(a, placement.Start) for a in actions):
-                break
-
-    def schedule(self, spot, due, how, deaf):
-        self.serial += 1
-        self.running[spot] = (self.serial, deaf)
-        heapq.heappush(self.ends, (due, self.serial, *spot, how))
-
-    def start(self, action):
-        work = self.works[action.job]
-        delay = self.rng.uniform(0, EXCHANGE)
-        wait = self.now - self.arrivals[action.job] + delay
-        self.waits[work.priority].append(wait)
-        self.starts += 1
-        how = "finished"
-        due = self.now + delay + work.run_time_s * self.rng.uniform(0.5, 1.5)
-        name, since = self.black_hole
-        if action.worker == name and self.now >= since:
-            # The end is seen in the exchange after the start.
-            how = "failed"
-            due = self.now + delay + EXCHANGE
-        spot = (action.worker, (action.job, action.index))
-        self.schedule(spot, due, how, self.rng.random() < 0.3)
-
-    def preempt(self, action):
-        spot = (action.worker, action.key)
-        if spot not in self.running:
-            return
-        deaf = self.running[spot][1]
-        if action.how == "stop" or (action.how == "checkpoint" and not deaf):
-            # The order waits for an exchange, the next one shows the end.
-            delay = self.rng.uniform(0, EXCHANGE) + 0.2
-            self.schedule(spot, self.now + delay, "preempted", True)
-
-    def share(self, priority):
-        """Return the part of all cores that a priority uses."""
-        used = sum(
-            self.works[key[0]].size[0]
-            for _, key in self.running
-            if self.works[key[0]].priority == priority
-        )
-        return used / (self.workers * WORKER[0] * 1000)
-
-
-def quantile(values, part):
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(len(ordered) * part))]
-
-
-def batch(rng, number, priority, low_s=30, high_s=120, **fields):
-    """Return a batch job of even shape."""
-    cores, memory_mb = size(rng, "even")
-    values = {
-        "job": f"j{number}",
-        "priority": priority,
-        "team": f"t{rng.randrange(35)}",
-        "family": f"/batch/f{rng.randrange(40)}",
-        "size": placement.size_of(cores, memory_mb, 0),
-        "run_time_s": rng.uniform(low_s, high_s),
-    }
-    return placement.JobSpec(**(values | fields))
-
-
-def urgent_wait(seed, pool):
-    """Return the waits of urgent tasks in a flood of batch, in seconds."""
-    rng = random.Random(seed)
-    sim = Simulation(pool, random.Random(seed + 1), 20)
-    number = 0
-    urgent = 0
-    while sim.now < 300:
-        # The backlog takes about 150 s, so that FIFO gets to urgent tasks.
-        if sim.now < 8:
-            for _ in range(4):
-                number += 1
-                priority = rng.choice(("normal", "low"))
-                sim.offer(batch(rng, number, priority), 4)
-        if 10 < sim.now < 120 and round(sim.now / TICK) % 12 == 0:
-            number += 1
-            tasks = rng.randrange(1, 9)
-            urgent += tasks
-            work = batch(
-                rng,
-                number,
-                "urgent",
-                size=placement.size_of(2, 8000, 0),
-                run_time_s=20,
-            )
-            sim.offer(work, tasks)
-        sim.step()
-    waits = sim.waits["urgent"]
-    result = {"tasks": urgent, "started": len(waits)}
-    if waits:
-        result["mean_s"] = round(statistics.mean(waits), 2)
-        result["p99_s"] = round(quantile(waits, 0.99), 2)
-        result["max_s"] = round(max(waits), 2)
-        late = sum(wait > URGENT_AIM for wait in waits)
-        result["over_4.2_s"] = late
-    if hasattr(pool, "dump"):
-        result["preemptions"] = pool.dump()["counts"].get("preemptions", 0)
-    return result
-
-
-def urgent_flood(seed, pool):
-    """Return the share of the cores per priority in a flood of urgent."""
-    rng = random.Random(seed)
-    sim = Simulation(pool, random.Random(seed + 1), 20)
-    number = 0
-    shares = {name: [] for name in placement.PRIORITIES}
-    backlog = dict.fromkeys(placement.PRIORITIES, 0)
-    while sim.now < 600:
-        for priority in placement.PRIORITIES:
-            if priority == "urgent" and sim.now < 60:
-                continue
-            while backlog[priority] < len(sim.waits[priority]) + 200:
-                number += 1
-                sim.offer(batch(rng, number, priority), 4)
-                backlog[priority] += 4
-        sim.step()
-        if sim.now > 300:
-            for priority, values in shares.items():
-                values.append(sim.share(priority))
-    return {
-        name: round(statistics.mean(values), 3)
-        for name, values in shares.items()
-    }
-
-
-class _Blind(placement.Pool):
-    """Takes no note of failures."""
-
-    def record_outcome(self, worker, key, succeeded, now):
-        pass
-
-
-def black_hole(seed, pool):
-    """Return the part of the starts wasted on a failing worker."""
-    rng = random.Random(seed)
-    sim = Simulation(pool, random.Random(seed + 1), 50)
-    sim.black_hole = ("w0007", 60.0)
-    number = 0
-    before = 0
-    while sim.now < 900:
-        while pool.queued_tasks < 100:
-            number += 1
-            priority = rng.choices(placement.PRIORITIES, (1, 6, 3))[0]
-            sim.offer(batch(rng, number, priority, 20, 60), 4)
-        sim.step()
-        if sim.now <= 60:
-            before = sim.starts
-    starts = sim.starts - before
-    return {
-        "starts": starts,
-        "wasted": sim.wasted,
-        "wasted_share": round(sim.wasted / starts, 5),
-    }
-
-
 def memory(rng):
     """Return bytes per worker, per waiting task and per job in the book."""
 
@@ -442,13 +180,13 @@
 
     def workers():
         pool = placement.Pool()
-        fill(pool, 810)
+        inputs.fill(pool, 810)
         return pool
 
     def tasks(jobs_, each):
         pool = placement.Pool()
         for number in range(jobs_):
-            work = work_of(rng, number)
+            work = inputs.work_of(rng, number)
             pool.offer(work, list(range(each)), 0.0)
         return pool
 
@@ -547,9 +285,9 @@
     result = {}
     for count in (150, 15_000):
         pool = placement.Pool()
-        fill(pool, 100)
+        inputs.fill(pool, 100)
         for number in range(count):
-            pool.offer(work_of(rng, number), [0], 0.0)
+            pool.offer(inputs.work_of(rng, number), [0], 0.0)
         begin = time.perf_counter()
         for number in range(100):
             pool.withdraw(f"j{number}")
@@ -578,10 +316,10 @@
     strict = placement.Config(
         share_urgent=1.0, share_normal=0.0, share_low=0.0
     )
-    hole = black_hole(seed, placement.Pool())
-    blind = black_hole(seed, _Blind())
-    ours = urgent_wait(seed, placement.Pool())
-    theirs = urgent_wait(seed, fifo)
+    hole = simulation.black_hole(seed, placement.Pool())
+    blind = simulation.black_hole(seed, simulation.BlindPool())
+    ours = simulation.urgent_wait(seed, placement.Pool())
+    theirs = simulation.urgent_wait(seed, fifo)
     return {
         "seed": seed,
         "speed_by_workers": by_workers,
@@ -593,8 +331,10 @@
         "urgent_wait": ours,
         "urgent_wait_fifo": theirs,
         "urgent_mean_to_fifo": round(ours["mean_s"] / theirs["mean_s"], 4),
-        "urgent_flood": urgent_flood(seed, placement.Pool()),
-        "urgent_flood_strict": urgent_flood(seed, placement.Pool(strict)),
+        "urgent_flood": simulation.urgent_flood(seed, placement.Pool()),
+        "urgent_flood_strict": simulation.urgent_flood(
+            seed, placement.Pool(strict)
+        ),
         "black_hole": hole,
         "black_hole_blind": blind,
         "wasted_to_blind": round(
