Start the two series of faults of the soak test by one function

tools/soak/faults.py and takeovers.py had the same loop over random faults twice. It is tools/soak/series.py now.

--- a/tools/soak/faults.py
+++ b/tools/soak/faults.py
@@ -1,9 +1,12 @@
 """Seeded series of faults, which may overlap in time."""
 
+import functools
 import signal
 
 import anyio
 
+from tools.soak import series
+
 PAUSE_RANGE_S = (0.3, 2.0)  # between the starts of two faults
 DURATION_RANGE_S = (0.5, 4.0)
 DELAY_RANGE_S = (0.02, 0.3)
@@ -31,14 +34,13 @@
 
     async def run(self, seconds):
         """Start faults for `seconds` and return when the last one is over."""
-        end = anyio.current_time() + seconds
-        async with anyio.create_task_group() as task_group:
-            while anyio.current_time() < end:
-                name = self._rng.choice(sorted(_FAULT_METHODS))
-                duration_s = self._rng.uniform(*DURATION_RANGE_S)
-                self.injected.append((name, round(duration_s, 2)))
-                task_group.start_soon(_FAULT_METHODS[name], self, duration_s)
-                await anyio.sleep(self._rng.uniform(*PAUSE_RANGE_S))
+        bound = {
+            name: (functools.partial(method, self), DURATION_RANGE_S)
+            for name, method in _FAULT_METHODS.items()
+        }
+        await series.inject(
+            bound, self._rng, PAUSE_RANGE_S, self.injected, seconds
+        )
 
     def _choose_proxy(self):
         return self._rng.choice(self._environment.proxies)
--- a/tools/soak/takeovers.py
+++ b/tools/soak/takeovers.py
@@ -1,9 +1,12 @@
 """Seeded series of faults that change the owner or make it read anew."""
 
+import functools
 import signal
 
 import anyio
 
+from tools.soak import series
+
 PAUSE_RANGE_S = (0.5, 3.0)  # between the starts of two faults
 DURATION_RANGE_S = (0.2, 4.0)
 # An owner that is suspended for less than 0.9 s is not replaced.
@@ -38,15 +41,13 @@
 
     async def run(self, seconds):
         """Start faults for `seconds` and return when the last one is over."""
-        end = anyio.current_time() + seconds
-        async with anyio.create_task_group() as task_group:
-            while anyio.current_time() < end:
-                name = self._rng.choice(sorted(_FAULT_METHODS))
-                method, duration_range_s = _FAULT_METHODS[name]
-                duration_s = self._rng.uniform(*duration_range_s)
-                self.injected.append((name, round(duration_s, 2)))
-                task_group.start_soon(method, self, duration_s)
-                await anyio.sleep(self._rng.uniform(*PAUSE_RANGE_S))
+        bound = {
+            name: (functools.partial(method, self), duration_range_s)
+            for name, (method, duration_range_s) in _FAULT_METHODS.items()
+        }
+        await series.inject(
+            bound, self._rng, PAUSE_RANGE_S, self.injected, seconds
+        )
 
     async def replace_owner(self):
         """Kill the owner and start its process again."""
