Divide the start of a cell on loopback by its parts

Free ports are now tests/ports.py, the zones, daemons and rows of the VM list tests/layout.py, and the environment of child processes tests/subprocesses.py. Values and calls are unchanged.

--- a/bench/control.py
+++ b/bench/control.py
@@ -28,6 +28,8 @@
 
 from demo import jobs as settings
 from tests import cell as cells
+from tests import layout
+from tests import ports
 
 WINDOW_S = 16.0
 SETTLE_S = 8.0  # after the last change, before a window
@@ -49,9 +51,9 @@
 def _entry_zones(entries):
     """Return the zones of Lanework with a number of entry VMs each."""
     return (
-        cells.Zone("bkk-a", "bkk", entries, 9, 9),
-        cells.Zone("bkk-b", "bkk", entries, 8, 8),
-        cells.Zone("cnx-a", "cnx", entries, 8, 8),
+        layout.Zone("bkk-a", "bkk", entries, 9, 9),
+        layout.Zone("bkk-b", "bkk", entries, 8, 8),
+        layout.Zone("cnx-a", "cnx", entries, 8, 8),
     )
 
 
@@ -80,14 +82,14 @@
                 port = random.choice(PORTS)
                 if port not in self._taken and _is_free(port):
                     self._taken.add(port)
-                    found.append(f"{cells.HOST}:{port}")
+                    found.append(f"{ports.HOST}:{port}")
         return found
 
 
 def _is_free(port):
     with socket.socket() as sock:
         try:
-            sock.bind((cells.HOST, port))
+            sock.bind((ports.HOST, port))
         except OSError:
             return False
     return True
@@ -226,7 +228,7 @@
 def measure_sizes(sizes):
     """Return a row of figures for each zone of the cell of sizes."""
     zones = tuple(
-        cells.Zone(f"z{index}", "bkk", 1, endpoints, workers)
+        layout.Zone(f"z{index}", "bkk", 1, endpoints, workers)
         for index, (workers, _, endpoints) in enumerate(sizes)
     )
     with _Cell(zones) as cell:
@@ -535,7 +537,7 @@
     """
     os.environ.pop("PYTHONDONTWRITEBYTECODE", None)
     os.environ["PYTHONPYCACHEPREFIX"] = folder
-    with _Cell((cells.Zone("warm", "bkk", 1, 1, 1),)) as cell:
+    with _Cell((layout.Zone("warm", "bkk", 1, 1, 1),)) as cell:
         cell.start()
         cell.stop()
 
--- a/bench/outage.py
+++ b/bench/outage.py
@@ -13,6 +13,7 @@
 from demo import callers
 from demo import jobs
 from tests import cell as cells
+from tests import layout
 
 CALLERS = 12
 UNDISTURBED_S = 20.0
@@ -21,8 +22,8 @@
 CORES = 8.0
 RUN_S = 4.0
 ZONES = (
-    cells.Zone("bkk-a", "bkk", 2, 8, 8),
-    cells.Zone("cnx-a", "cnx", 1, 8, 8),
+    layout.Zone("bkk-a", "bkk", 2, 8, 8),
+    layout.Zone("cnx-a", "cnx", 1, 8, 8),
 )
 
 
--- a/demo/jobs.py
+++ b/demo/jobs.py
@@ -50,7 +50,7 @@
         Path of the branch; it is created if it does not exist.
     values : dict of str to object
         Values by key.
-    scheduler : tests.cell.Daemon, optional
+    scheduler : tests.layout.Daemon, optional
         Receiver of the edit; by default the last scheduler of the cell.
 
     Returns
--- a/features/steps/package.py
+++ b/features/steps/package.py
@@ -7,7 +7,7 @@
 from behave import then
 
 import citrondeal
-from tests import cell as cells
+from tests import ports
 
 COUNT = 20  # of ports that a cell uses
 
@@ -23,8 +23,8 @@
 
 @then("package a port in use is not among consecutive free ports")
 def ports_are_free(context):
-    busy = cells.first_of_free_ports(1) + COUNT // 2
+    busy = ports.first_of_free_ports(1) + COUNT // 2
     with socket.socket() as sock:
-        sock.bind((cells.HOST, busy))
-        first = cells.first_of_free_ports(COUNT)
+        sock.bind((ports.HOST, busy))
+        first = ports.first_of_free_ports(COUNT)
     assert busy not in range(first, first + COUNT), (busy, first)
--- a/src/citrondeal/cell/tests/abuse.py
+++ b/src/citrondeal/cell/tests/abuse.py
@@ -19,7 +19,7 @@
 
 from citrondeal.cell import main
 from citrondeal.cell.tests import processes
-from tests import cell as cells
+from tests import subprocesses
 
 BODY_BYTES = 262_144
 PROBE_PERIOD_S = 0.1
@@ -146,7 +146,7 @@
     probes = [threading.Thread(target=f) for f in (check_readiness, submit)]
     clients = subprocess.Popen(
         [*command, str(count), str(seconds)],
-        env=cells.subprocess_environment(),
+        env=subprocesses.environment(),
     )
     try:
         for probe in probes:
--- a/src/citrondeal/cell/tests/processes.py
+++ b/src/citrondeal/cell/tests/processes.py
@@ -11,7 +11,8 @@
 
 import httpcore
 
-from tests import cell as cells
+from tests import ports
+from tests import subprocesses
 
 START_LIMIT_S = 30.0
 CALL_LIMIT_S = 5.0
@@ -72,7 +73,7 @@
 
     def start(self):
         """Start the process."""
-        environment = cells.subprocess_environment()
+        environment = subprocesses.environment()
         environment["CITRONDEAL_SETTINGS"] = str(self.settings)
         with open(self.log, "ab") as log:
             self.process = subprocess.Popen(
@@ -98,7 +99,7 @@
         self._folder = tempfile.TemporaryDirectory()
         self._runners = runners
         folder = pathlib.Path(self._folder.name)
-        self.store = cells.first_of_free_ports(runners + 10)
+        self.store = ports.first_of_free_ports(runners + 10)
         self.control = f"http://127.0.0.1:{self.store + 1}"
         self._platform = subprocess.Popen(
             [
@@ -110,7 +111,7 @@
             ],
             stdin=subprocess.DEVNULL,
             stdout=subprocess.DEVNULL,
-            env=cells.subprocess_environment(),
+            env=subprocesses.environment(),
         )
         port = self.store + runners + 4
         self.members = [
--- a/tests/cell.py
+++ b/tests/cell.py
@@ -6,13 +6,9 @@
 """
 
 import collections
-import dataclasses
-import itertools
 import json
-import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -20,123 +16,12 @@
 
 import httpcore
 
-HOST = "127.0.0.1"
+from tests import layout
+from tests import ports
+from tests import subprocesses
+
 LOG_TAIL_CHARACTERS = 3000
-FIRST_PORT = 15000
-PORT_COUNT = 15000
 START_TIMEOUT_S = 40.0
-ENDPOINT_SLOTS = 8
-ENDPOINT_CONNECTIONS = 64
-WORKER_CORES = 32
-WORKER_MEMORY_MB = 131072
-WORKERS_PER_RACK = 8
-
-
-# Runs at the same time begin at different ports, since their process ids
-# differ.
-_PORT_OFFSETS = itertools.count(os.getpid() * 131)
-
-
-@dataclasses.dataclass(frozen=True)
-class Zone:
-    """One availability zone of a cell and its sizes.
-
-    Parameters
-    ----------
-    name, region : str
-        Name of the zone and of the region that it belongs to.
-    entries : int
-        Entry VMs; a gateway and a scheduler run on each.
-    endpoints, workers : int
-        Endpoint VMs and workers.
-    accelerators : int
-        Accelerators of each worker.
-    """
-
-    name: str
-    region: str
-    entries: int
-    endpoints: int
-    workers: int
-    accelerators: int = 0
-
-
-# The sizes of the Lanework cell.
-DEFAULT_ZONES = (
-    Zone("bkk-a", "bkk", 2, 9, 9),
-    Zone("bkk-b", "bkk", 2, 8, 8),
-    Zone("cnx-a", "cnx", 2, 8, 8),
-)
-
-
-def free_ports(count):
-    """Return TCP ports that could be bound on loopback a moment ago.
-
-    They lie below the range from which the kernel takes the local ports of
-    outgoing connections: a port of that range may be in use again before
-    the daemon binds it.
-
-    Parameters
-    ----------
-    count : int
-
-    Returns
-    -------
-    list of int
-    """
-    ports = []
-    while len(ports) < count:
-        port = FIRST_PORT + next(_PORT_OFFSETS) % PORT_COUNT
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-        ports.append(port)
-    return ports
-
-
-def first_of_free_ports(count):
-    """Return the first of so many consecutive ports that are free.
-
-    Ports in use by other runs on the machine are passed over as a whole.
-
-    Parameters
-    ----------
-    count : int
-
-    Returns
-    -------
-    int
-    """
-    while True:
-        ports = free_ports(count)
-        if ports[-1] - ports[0] == count - 1:
-            return ports[0]
-
-
-@dataclasses.dataclass
-class Daemon:
-    """One daemon of the cell.
-
-    Parameters
-    ----------
-    name : str
-    role : str
-        ``gateway`` or ``scheduler``.
-    zone : Zone
-    http, peer : str
-        Addresses (``host:port``) for callers and for other daemons.
-    process : subprocess.Popen or None
-        None while the daemon is not started.
-    """
-
-    name: str
-    role: str
-    zone: Zone
-    http: str
-    peer: str
-    process: subprocess.Popen | None = None
 
 
 class Cell:
@@ -146,7 +31,7 @@
 
     Parameters
     ----------
-    zones : sequence of Zone
+    zones : sequence of layout.Zone
         Sizes of the cell.
     service : str
         Service of all endpoints.
@@ -160,7 +45,7 @@
 
     Attributes
     ----------
-    daemons : dict of str to Daemon
+    daemons : dict of str to layout.Daemon
     endpoints, workers : dict of str to str
         Address (``host:port``) of each endpoint and worker by its id.
     vm_list_address : str
@@ -172,7 +57,7 @@
     """
 
     def __init__(
-        self, zones=DEFAULT_ZONES, service="lanebook", seed=1, **extra
+        self, zones=layout.DEFAULT_ZONES, service="lanebook", seed=1, **extra
     ):
         self._zones = zones
         self._service = service
@@ -237,13 +122,15 @@
                 "endpoint",
                 "--addresses=" + ",".join(addresses),
                 "--names=" + ",".join(names),
-                f"--slots={ENDPOINT_SLOTS}",
-                f"--connections={ENDPOINT_CONNECTIONS}",
+                f"--slots={layout.ENDPOINT_SLOTS}",
+                f"--connections={layout.ENDPOINT_CONNECTIONS}",
                 f"--seed={self._seed}",
             )
             for name, address in zip(names, addresses):
                 self.endpoints[name] = address
-                rows.append(self._endpoint_row(name, address, zone))
+                rows.append(
+                    layout.endpoint_row(name, address, zone, self._service)
+                )
         if zone.workers:
             names = [f"{zone.name}-w{i}" for i in range(zone.workers)]
             addresses = self._addresses(len(names))
@@ -251,18 +138,18 @@
                 "worker",
                 "--addresses=" + ",".join(addresses),
                 "--names=" + ",".join(names),
-                f"--cores={WORKER_CORES}",
-                f"--memory_mb={WORKER_MEMORY_MB}",
+                f"--cores={layout.WORKER_CORES}",
+                f"--memory_mb={layout.WORKER_MEMORY_MB}",
                 f"--accelerators={zone.accelerators}",
                 f"--seed={self._seed}",
             )
             for index, (name, address) in enumerate(zip(names, addresses)):
                 self.workers[name] = address
-                rows.append(self._worker_row(name, address, zone, index))
+                rows.append(layout.worker_row(name, address, zone, index))
         return rows
 
     def _addresses(self, count):
-        return [f"{HOST}:{port}" for port in free_ports(count)]
+        return [f"{ports.HOST}:{port}" for port in ports.free_ports(count)]
 
     def _add_daemons(self, zone):
         rows = []
@@ -270,38 +157,11 @@
             for role in ("gateway", "scheduler"):
                 http, peer = self._addresses(2)
                 name = f"{zone.name}-{role}{index}"
-                daemon = Daemon(name, role, zone, http, peer)
+                daemon = layout.Daemon(name, role, zone, http, peer)
                 self.daemons[name] = daemon
-                rows.append(entry_row(daemon))
+                rows.append(layout.entry_row(daemon))
         return rows
 
-    def _endpoint_row(self, name, address, zone):
-        return {
-            "id": name,
-            "kind": "endpoint",
-            "zone": zone.name,
-            "region": zone.region,
-            "state": "live",
-            "http": address,
-            "service": self._service,
-            "slots": ENDPOINT_SLOTS,
-            "connections": ENDPOINT_CONNECTIONS,
-        }
-
-    def _worker_row(self, name, address, zone, index):
-        return {
-            "id": name,
-            "kind": "worker",
-            "zone": zone.name,
-            "region": zone.region,
-            "rack": f"{zone.name}-r{index // WORKERS_PER_RACK}",
-            "state": "live",
-            "http": address,
-            "cores": WORKER_CORES,
-            "memory_mb": WORKER_MEMORY_MB,
-            "accelerators": zone.accelerators,
-        }
-
     def stop(self):
         """Stop the daemons gracefully, then the stand-ins.
 
@@ -369,7 +229,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
-                env=subprocess_environment(),
+                env=subprocesses.environment(),
             )
 
     def stop_daemons(self, daemons, limit_s=30):
@@ -377,7 +237,7 @@
 
         Parameters
         ----------
-        daemons : sequence of Daemon
+        daemons : sequence of layout.Daemon
         limit_s : float
             Time that each daemon gets, counted from the end of the one
             before.
@@ -539,7 +399,7 @@
             [sys.executable, "-m", f"tests.standins.{name}", *arguments],
             stdin=subprocess.DEVNULL,
             stdout=subprocess.PIPE,
-            env=subprocess_environment(),
+            env=subprocesses.environment(),
             text=True,
         )
         self._standins.append(process)
@@ -549,24 +409,3 @@
             raise RuntimeError(
                 f"stand-in did not print 'ready': {process.args[1:]}"
             )
-
-
-def entry_row(daemon, state="live"):
-    """Return the row of a daemon in the VM list."""
-    return {
-        "id": daemon.name,
-        "kind": "entry",
-        "role": daemon.role,
-        "zone": daemon.zone.name,
-        "region": daemon.zone.region,
-        "state": state,
-        "http": daemon.http,
-        "peer": daemon.peer,
-    }
-
-
-def subprocess_environment():
-    """Return the environment in which child processes find the packages."""
-    root = pathlib.Path(__file__).resolve().parent.parent
-    paths = [str(root / "src"), str(root)]
-    return {**os.environ, "PYTHONPATH": os.pathsep.join(paths)}
--- a/tests/system.py
+++ b/tests/system.py
@@ -5,6 +5,7 @@
 from demo import callers
 from demo import jobs
 from tests import cell as cells
+from tests import layout
 
 CALLERS = 12
 REQUEST_PAUSE_S = 0.02
@@ -16,8 +17,8 @@
 
     def __init__(self, endpoints, workers):
         zones = (
-            cells.Zone("bkk-a", "bkk", 2, endpoints, workers),
-            cells.Zone("cnx-a", "cnx", 1, endpoints, workers),
+            layout.Zone("bkk-a", "bkk", 2, endpoints, workers),
+            layout.Zone("cnx-a", "cnx", 1, endpoints, workers),
         )
         self.cell = cells.Cell(zones)
         self.cell.start()
--- a/tools/soak/environment.py
+++ b/tools/soak/environment.py
@@ -11,7 +11,8 @@
 
 from citrondeal.cell.tests import processes
 from citrondeal import web
-from tests import cell as cells
+from tests import ports
+from tests import subprocesses
 from tools.soak import proxy
 
 START_TIMEOUT_S = 30.0
@@ -33,7 +34,7 @@
         self._folder = tempfile.TemporaryDirectory()
         self._runners = runners
         folder = pathlib.Path(self._folder.name)
-        self._store_port = cells.first_of_free_ports(
+        self._store_port = ports.first_of_free_ports(
             2 * runners + 2 * members + 12
         )
         self._first_advertised_port = self._store_port + runners + 2
@@ -87,7 +88,7 @@
             ],
             stdin=subprocess.DEVNULL,
             stdout=subprocess.DEVNULL,
-            env=cells.subprocess_environment(),
+            env=subprocesses.environment(),
         )
         for member in self.members:
             member.start()
