Choose a port that no other process has in the scenario of free ports

The scenario "package the ports of a cell of the tests are all free" ended with EADDRINUSE once, in one of seven runs beside cells of other runs. It binds a port to make it busy, and took that port to be free without a check. It now takes the next one in such a case; the port that is busy is still one of those that are searched next, so the check is as strict.

--- a/features/steps/package.py
+++ b/features/steps/package.py
@@ -23,8 +23,19 @@
 
 @then("package a port in use is not among consecutive free ports")
 def ports_are_free(context):
-    busy = ports.first_of_free_ports(1) + COUNT // 2
     with socket.socket() as sock:
-        sock.bind((ports.HOST, busy))
+        busy = _occupy_port(sock)
         first = ports.first_of_free_ports(COUNT)
     assert busy not in range(first, first + COUNT), (busy, first)
+
+
+def _occupy_port(sock):
+    """Bind a socket to one of the `COUNT` ports that are searched next."""
+    while True:
+        port = ports.first_of_free_ports(1) + COUNT // 2
+        try:
+            sock.bind((ports.HOST, port))
+        except OSError:
+            # Another process on the machine has this port.
+            continue
+        return port
