Start endpoints and workers of a cell on loopback by one function

tests/cell.py started the stand-ins of endpoints and of workers by the same lines, and tests/layout.py built three similar rows. Each stands once now.

--- a/tests/cell.py
+++ b/tests/cell.py
@@ -115,39 +115,46 @@
 
     def _start_zone(self, zone):
         rows = self._add_daemons(zone)
-        if zone.endpoints:
-            names = [f"{zone.name}-ep{i}" for i in range(zone.endpoints)]
-            addresses = self._addresses(len(names))
-            self._spawn_standin(
-                "endpoint",
-                "--addresses=" + ",".join(addresses),
-                "--names=" + ",".join(names),
-                f"--slots={layout.ENDPOINT_SLOTS}",
-                f"--connections={layout.ENDPOINT_CONNECTIONS}",
-                f"--seed={self._seed}",
-            )
-            for name, address in zip(names, addresses):
-                self.endpoints[name] = address
-                rows.append(
-                    layout.endpoint_row(name, address, zone, self._service)
-                )
-        if zone.workers:
-            names = [f"{zone.name}-w{i}" for i in range(zone.workers)]
-            addresses = self._addresses(len(names))
-            self._spawn_standin(
-                "worker",
-                "--addresses=" + ",".join(addresses),
-                "--names=" + ",".join(names),
-                f"--cores={layout.WORKER_CORES}",
-                f"--memory_mb={layout.WORKER_MEMORY_MB}",
-                f"--accelerators={zone.accelerators}",
-                f"--seed={self._seed}",
+        endpoints = self._start_servers(
+            "endpoint",
+            [f"{zone.name}-ep{i}" for i in range(zone.endpoints)],
+            f"--slots={layout.ENDPOINT_SLOTS}",
+            f"--connections={layout.ENDPOINT_CONNECTIONS}",
+        )
+        for name, address in endpoints.items():
+            rows.append(
+                layout.endpoint_row(name, address, zone, self._service)
             )
-            for index, (name, address) in enumerate(zip(names, addresses)):
-                self.workers[name] = address
-                rows.append(layout.worker_row(name, address, zone, index))
+        workers = self._start_servers(
+            "worker",
+            [f"{zone.name}-w{i}" for i in range(zone.workers)],
+            f"--cores={layout.WORKER_CORES}",
+            f"--memory_mb={layout.WORKER_MEMORY_MB}",
+            f"--accelerators={zone.accelerators}",
+        )
+        for index, (name, address) in enumerate(workers.items()):
+            rows.append(layout.worker_row(name, address, zone, index))
+        self.endpoints.update(endpoints)
+        self.workers.update(workers)
         return rows
 
+    def _start_servers(self, standin, names, *arguments):
+        """Start a stand-in for some servers; return their addresses by name.
+
+        No process is started if there are no names.
+        """
+        if not names:
+            return {}
+        addresses = self._addresses(len(names))
+        self._spawn_standin(
+            standin,
+            "--addresses=" + ",".join(addresses),
+            "--names=" + ",".join(names),
+            f"--seed={self._seed}",
+            *arguments,
+        )
+        return dict(zip(names, addresses))
+
     def _addresses(self, count):
         return [f"{ports.HOST}:{port}" for port in ports.free_ports(count)]
 
--- a/tests/layout.py
+++ b/tests/layout.py
@@ -66,46 +66,52 @@
     process: subprocess.Popen | None = None
 
 
-def entry_row(daemon, state="live"):
+def entry_row(daemon):
     """Return the row of a daemon in the VM list."""
-    return {
-        "id": daemon.name,
-        "kind": "entry",
-        "role": daemon.role,
-        "zone": daemon.zone.name,
-        "region": daemon.zone.region,
-        "state": state,
-        "http": daemon.http,
-        "peer": daemon.peer,
-    }
+    return _row(
+        daemon.name,
+        "entry",
+        daemon.http,
+        daemon.zone,
+        role=daemon.role,
+        peer=daemon.peer,
+    )
 
 
 def endpoint_row(name, address, zone, service):
     """Return the row of an endpoint in the VM list."""
-    return {
-        "id": name,
-        "kind": "endpoint",
-        "zone": zone.name,
-        "region": zone.region,
-        "state": "live",
-        "http": address,
-        "service": service,
-        "slots": ENDPOINT_SLOTS,
-        "connections": ENDPOINT_CONNECTIONS,
-    }
+    return _row(
+        name,
+        "endpoint",
+        address,
+        zone,
+        service=service,
+        slots=ENDPOINT_SLOTS,
+        connections=ENDPOINT_CONNECTIONS,
+    )
 
 
 def worker_row(name, address, zone, index):
     """Return the row of the worker at an index of its zone."""
+    return _row(
+        name,
+        "worker",
+        address,
+        zone,
+        rack=f"{zone.name}-r{index // WORKERS_PER_RACK}",
+        cores=WORKER_CORES,
+        memory_mb=WORKER_MEMORY_MB,
+        accelerators=zone.accelerators,
+    )
+
+
+def _row(name, kind, address, zone, **fields):
     return {
         "id": name,
-        "kind": "worker",
+        "kind": kind,
         "zone": zone.name,
         "region": zone.region,
-        "rack": f"{zone.name}-r{index // WORKERS_PER_RACK}",
         "state": "live",
         "http": address,
-        "cores": WORKER_CORES,
-        "memory_mb": WORKER_MEMORY_MB,
-        "accelerators": zone.accelerators,
+        **fields,
     }
