--- a/tests/standins/log_service.py
+++ b/tests/standins/log_service.py
@@ -17,10 +17,6 @@
 from citrondeal import web
 from tests.standins import _common
 
-# The platform never answers with this status; clients do not know whether
-# the request took effect, as if the answer had been lost on the way.
-LOST_ANSWER_STATUS = 599
-
 
 class Stream:
     """Records of one stream in memory."""
@@ -101,7 +97,7 @@
         service.counts["appends"] += 1
         service.counts["append_bytes"] += len(request.body)
         if service.random.random() < self.faults["lose_answers"]:
-            return web.Response(LOST_ANSWER_STATUS)
+            return web.Response(_common.LOST_ANSWER_STATUS)
         return web.json_response({"offset": offset})
 
     async def read(self, request):
--- a/tests/standins/worker.py
+++ b/tests/standins/worker.py
@@ -23,9 +23,6 @@
 
 USAGE_LAG_S = 2.0
 TICK_S = 0.05
-# The platform never answers with this status; clients do not know whether
-# the request took effect, as if the answer had been lost on the way.
-LOST_ANSWER_STATUS = 599
 
 
 class Task:
@@ -96,7 +93,7 @@
         if self.faults["silent"]:
             await anyio.sleep_forever()
         if self._random.random() < self.faults["lose_answers"]:
-            return web.Response(LOST_ANSWER_STATUS)
+            return web.Response(_common.LOST_ANSWER_STATUS)
         return web.json_response(self._report())
 
     def _apply_orders(self, message):
