Divide the settings tree by what its parts are for

`Tree` offers the reading methods of its parts, as `workflow.Scheduler` does. Names exported from the package are the same.

--- a/src/citrondeal/tree/__init__.py
+++ b/src/citrondeal/tree/__init__.py
@@ -1,5 +1,8 @@
 """Settings tree: state of the log stream ``tree``, inheritance, history."""
 
+from citrondeal.tree import _branches
+from citrondeal.tree import _limits
+from citrondeal.tree import _outcomes
 from citrondeal.tree import _records
 from citrondeal.tree import _tree
 from citrondeal.tree import schema
@@ -18,11 +21,11 @@
 ]
 
 Edit = _records.Edit
-EffectiveValue = _tree.EffectiveValue
-Limits = _tree.Limits
-Outcome = _tree.Outcome
-ReasonCode = _tree.ReasonCode
+EffectiveValue = _branches.EffectiveValue
+Limits = _limits.Limits
+Outcome = _outcomes.Outcome
+ReasonCode = _outcomes.ReasonCode
 Tree = _tree.Tree
-Verdict = _tree.Verdict
-Winner = _tree.Winner
+Verdict = _outcomes.Verdict
+Winner = _outcomes.Winner
 edit_record = _records.edit_record
