Divide the queues of a gateway by what their parts are for

The steps name `ServiceState` where it is now; `_eviction_classes` and `_account` stay methods of `Queues`, since the steps put faults there.

--- a/src/citrondeal/admission/tests/steps.py
+++ b/src/citrondeal/admission/tests/steps.py
@@ -13,7 +13,7 @@
 
 from citrondeal import admission
 from citrondeal.admission import _fair
-from citrondeal.admission import _queues
+from citrondeal.admission import _service_state
 from citrondeal.admission import _shares
 from citrondeal.admission.tests import naive
 from citrondeal import errors
@@ -261,7 +261,7 @@
         _evict_any,
     ),
     "deadlines are ignored on offer": (
-        _queues._ServiceState,
+        _service_state.ServiceState,
         "wait_s",
         lambda self, state, team, now: 0.0,
     ),
