--- a/src/citrondeal/jobs/__init__.py
+++ b/src/citrondeal/jobs/__init__.py
@@ -1,6 +1,7 @@
 """Jobs of a zone: records, and the pool owner's view of tasks and workers."""
 
 from citrondeal.jobs import _assignments
+from citrondeal.jobs import _job
 from citrondeal.jobs import _job_table
 from citrondeal.jobs import _owner
 
@@ -19,11 +20,11 @@
 
 AppendRecord = _assignments.AppendRecord
 Change = _job_table.Change
-Job = _job_table.Job
+Job = _job.Job
 JobTable = _job_table.JobTable
 JobTableConfig = _job_table.JobTableConfig
 OwnerConfig = _assignments.OwnerConfig
 PoolOwner = _owner.PoolOwner
 WorkerInfo = _assignments.WorkerInfo
-parse_task_id = _job_table.parse_task_id
-task_id = _job_table.task_id
+parse_task_id = _job.parse_task_id
+task_id = _job.task_id
--- a/src/citrondeal/jobs/_crashes.py
+++ b/src/citrondeal/jobs/_crashes.py
@@ -10,7 +10,7 @@
 import dataclasses
 import logging
 
-from citrondeal.jobs import _job_table
+from citrondeal.jobs import _job
 from citrondeal import telemetry
 
 # Workers that fell silent within this time may share a cause; it is the
@@ -51,7 +51,7 @@
 class Run:
     """A run of a task that a crash has ended."""
 
-    job: _job_table.Job
+    job: _job.Job
     index: int
     task: str
     ran_s: float
--- a/src/citrondeal/jobs/_isolation.py
+++ b/src/citrondeal/jobs/_isolation.py
@@ -8,7 +8,7 @@
 import itertools
 
 from citrondeal.jobs import _budget
-from citrondeal.jobs import _job_table
+from citrondeal.jobs import _job
 from citrondeal import placement
 
 # A suspect waits this long for a worker that runs nothing else, because in a
@@ -30,7 +30,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Waiting:
-    job: _job_table.Job
+    job: _job.Job
     index: int
     since: float
 
--- a/src/citrondeal/jobs/_job_table.py
+++ b/src/citrondeal/jobs/_job_table.py
@@ -6,33 +6,21 @@
 import collections
 import dataclasses
 import math
-import re
-import types
 
 from citrondeal import errors
 from citrondeal.jobs import _budget
+from citrondeal.jobs import _job
+from citrondeal.jobs import _job_form
 from citrondeal.jobs import _starts
-from citrondeal import numbers
-from citrondeal import placement
-
-KINDS = ("service", "batch", "gang")
-# Outcome of one task, one character per task in snapshots.
-OPEN, FINISHED, FAILED, UNKNOWN = "ofxu"
-OUTCOMES = {OPEN: "open", FINISHED: "finished", FAILED: "failed"}
-OUTCOMES[UNKNOWN] = "unknown"
 
 # Outcomes in ``finished`` records; "released" is the end of a recorded start
 # without an outcome and without a crash.
 RECORDED_OUTCOMES = ("finished", "failed", "unknown", "crashed", "released")
 
-MAX_TASKS = 10_000  # per job; keeps a snapshot record under 2 MiB
 # Attempts per task whose recorded end is remembered, so that a repeated
 # record isn't counted twice.  An append is repeated within seconds, and a task
 # fails at most about once a second.
 MAX_RECORDED_ATTEMPTS = 8
-MAX_COMMAND_CHARS = 4096
-_EMPTY = types.MappingProxyType({})
-_JOB_ID = re.compile(r"[A-Za-z0-9._-]{1,128}\Z")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,117 +71,6 @@
     given_up: tuple = ()
 
 
-def task_id(job, index, attempt):
-    """Return ``<job>/<index>/<attempt>``."""
-    return f"{job}/{index}/{attempt}"
-
-
-def parse_task_id(text):
-    """Return ``(job, index, attempt)``, or None for a malformed task id."""
-    if not isinstance(text, str):
-        return None
-    parts = text.split("/")
-    if len(parts) != 3 or not parts[1].isdecimal():
-        return None
-    if not _JOB_ID.match(parts[0]) or len(parts[1]) > 9 or not parts[2]:
-        return None
-    return parts[0], int(parts[1]), parts[2]
-
-
-class Job:
-    """One job; only `JobTable` and `PoolOwner` change its attributes."""
-
-    __slots__ = (
-        "appended_after",
-        "attempts",
-        "cancelled",
-        "command",
-        "crashes",
-        "failed_on",
-        "failures",
-        "finishes",
-        "give_up_reason",
-        "hold_reason",
-        "id",
-        "intents",
-        "max_restarts",
-        "open_tasks",
-        "outcomes",
-        "path",
-        "tasks",
-        "work",
-    )
-
-    def __init__(self, job_id, path, work, tasks, max_restarts, command):
-        self.id = job_id
-        self.path = path
-        self.work = work
-        self.tasks = tasks
-        self.max_restarts = max_restarts
-        self.command = command
-        self.cancelled = False
-        self.hold_reason = None
-        # Why the first task was given up whose workers have crashed.
-        self.give_up_reason = None
-        self.outcomes = bytearray(OPEN.encode() * tasks)
-        self.open_tasks = tasks
-        self.finishes = 0
-        # Most jobs have no entries here; sharing one empty mapping saves 64
-        # bytes for each of the four attributes.
-        self.failures = _EMPTY
-        # `_budget.TaskCrashes` by index.
-        self.crashes = _EMPTY
-        self.attempts = _EMPTY
-        self.failed_on = ()
-        self.intents = _EMPTY
-        # The job was appended after this time on this process's clock: the
-        # send time of a read that reached the end of the stream without it.
-        # None if unknown.
-        self.appended_after = None
-
-    @property
-    def once(self):
-        """Whether a task must not be run a second time."""
-        return self.work.once
-
-    @property
-    def ended(self):
-        """Whether no task of the job will be started any more."""
-        return self.cancelled or not self.open_tasks
-
-    @property
-    def state(self):
-        """Open, held, cancelled, finished, failed or unknown, as a str."""
-        if self.cancelled:
-            return "cancelled"
-        if self.open_tasks:
-            return "held" if self.hold_reason else "open"
-        for outcome in (UNKNOWN, FAILED):
-            if outcome.encode() in self.outcomes:
-                return OUTCOMES[outcome]
-        return "finished"
-
-    def is_open(self, index):
-        """Return whether the task with this index has no outcome yet."""
-        return self.outcomes[index] == ord(OPEN)
-
-    def open_indices(self):
-        """Return the indices of the tasks without an outcome."""
-        return [i for i, c in enumerate(self.outcomes) if c == ord(OPEN)]
-
-
-def _is_number(value, low, high):
-    return numbers.is_finite(value) and low <= value <= high
-
-
-def _is_whole_number(value, low, high):
-    return _is_number(value, low, high) and value == int(value)
-
-
-def _is_text(value, limit=256):
-    return isinstance(value, str) and len(value) <= limit
-
-
 class JobTable:
     """Jobs of one zone, as the records of its stream define them.
 
@@ -282,64 +159,13 @@
             return None
 
     def _apply_submit(self, record, appended_after):
-        job = self._read_job(record.get("job"))
+        job = _job_form.read_job(record.get("job"))
         if self.get(job.id) is not None:
             return None
         job.appended_after = appended_after
         self._open[job.id] = job
         return Change("submit", job.id)
 
-    def _read_job(self, raw):
-        if not isinstance(raw, dict):
-            raise ValueError(
-                f"job must be an object, not {type(raw).__name__}"
-            )
-        job_id = raw.get("id")
-        kind = raw.get("kind", "batch")
-        priority = raw.get("priority", "normal")
-        once = raw.get("once", False)
-        run_time = raw.get("run_time_s")
-        restarts = raw.get("max_restarts")
-        sizes = [
-            raw.get("cores", 1),
-            raw.get("memory_mb", 0),
-            raw.get("accelerators", 0),
-        ]
-        path = raw.get("path", "")
-        team = raw.get("team", "")
-        command = raw.get("command", "")
-        checks = (
-            isinstance(job_id, str) and _JOB_ID.match(job_id),
-            kind in KINDS,
-            priority in placement.PRIORITIES,
-            isinstance(once, bool) and not (once and kind == "service"),
-            run_time is None or _is_number(run_time, 0, 1e9),
-            restarts is None or _is_whole_number(restarts, 0, 1_000_000),
-            all(_is_number(size, 0, 1e9) for size in sizes),
-            _is_whole_number(raw.get("tasks", 1), 1, MAX_TASKS),
-            _is_text(path) and _is_text(team),
-            _is_text(command, MAX_COMMAND_CHARS) or _is_word_list(command),
-        )
-        if not all(checks):
-            raise ValueError(
-                "job has a field that is missing, of the wrong type or out of"
-                " range; see id, kind, priority, once, run_time_s,"
-                " max_restarts, cores, memory_mb, accelerators, tasks, path,"
-                " team and command"
-            )
-        work = placement.JobSpec(
-            job=job_id,
-            family=path or job_id,
-            team=team,
-            priority=priority,
-            kind=kind,
-            size=placement.size_of(*sizes),
-            run_time_s=None if kind == "service" else run_time,
-            once=once,
-        )
-        tasks = int(raw.get("tasks", 1))
-        return Job(job_id, path, work, tasks, restarts, command)
-
     def _apply_cancel(self, record, _appended_after):
         job_id = record.get("job")
         if not isinstance(job_id, str):
@@ -354,7 +180,7 @@
         return Change("cancel", job_id)
 
     def _find_task(self, task):
-        parts = parse_task_id(task)
+        parts = _job.parse_task_id(task)
         if parts is None:
             raise ValueError("task id must be <job>/<index>/<attempt>")
         job = self.get(parts[0])
@@ -372,7 +198,7 @@
             return self._apply_start(job, index, attempt, record)
         if job is None or index in job.intents:
             return None
-        if job.intents is _EMPTY:
+        if job.intents is _job.EMPTY:
             job.intents = {}
         job.intents[index] = attempt
         return Change("intent", job.id, (task,))
@@ -384,7 +210,9 @@
         boot_id = record.get("boot_id")
         if job.ended or not job.is_open(index) or boot_id is None:
             return None
-        if not (_is_text(worker) and worker and _is_text(boot_id)):
+        if not (
+            _job_form.is_text(worker) and worker and _job_form.is_text(boot_id)
+        ):
             raise ValueError("intent needs the name of a worker and a boot_id")
         is_ended = self.is_end_recorded(job, index, attempt)
         if index in job.crashes and not is_ended:
@@ -413,7 +241,7 @@
                         "outcome must be one of "
                         + ", ".join(RECORDED_OUTCOMES)
                     )
-                if not _is_text(worker):
+                if not _job_form.is_text(worker):
                     raise ValueError(
                         "worker must be a string of at most 256 characters"
                     )
@@ -450,7 +278,7 @@
         """Return whether the end of an attempt is recorded just now."""
         if self.is_end_recorded(job, index, attempt):
             return False
-        if job.attempts is _EMPTY:
+        if job.attempts is _job.EMPTY:
             job.attempts = {}
         recorded = job.attempts.setdefault(index, [])
         recorded.append(attempt)
@@ -461,7 +289,7 @@
         """Count a crash of a task's worker; return whether it is given up."""
         if not self._remember_attempt(job, index, attempt):
             return False
-        if job.crashes is _EMPTY:
+        if job.crashes is _job.EMPTY:
             job.crashes = {}
         crashes = job.crashes.setdefault(index, _budget.TaskCrashes())
         crashes.add(entry, job.work.kind == "service")
@@ -476,18 +304,18 @@
         return True
 
     def _fail_task(self, job, index):
-        self._close_task(job, index, FAILED)
+        self._close_task(job, index, _job.FAILED)
         if job.work.kind == "gang":
             # A gang cannot do its work without one of its tasks.
             for other in job.open_indices():
-                self._close_task(job, other, FAILED)
+                self._close_task(job, other, _job.FAILED)
 
     def _apply_outcome(self, job, index, attempt, outcome, worker):
         if not self._remember_attempt(job, index, attempt):
             return
         if outcome == "failed":
             failures = job.failures.get(index, 0) + 1
-            if job.failures is _EMPTY:
+            if job.failures is _job.EMPTY:
                 job.failures = {}
             job.failures[index] = failures
             if worker and worker not in job.failed_on:
@@ -503,9 +331,9 @@
             job.finishes += 1
         elif outcome == "finished":
             job.finishes += 1
-            self._close_task(job, index, FINISHED)
+            self._close_task(job, index, _job.FINISHED)
         elif job.once:
-            self._close_task(job, index, UNKNOWN)
+            self._close_task(job, index, _job.UNKNOWN)
 
     def max_restarts_of(self, job):
         """Return how often a failed task of the job may be restarted."""
@@ -553,8 +381,10 @@
             "covers": self._offset,
             "state": {
                 "malformed": self._malformed,
-                "open": [_job_to_state(j) for j in self._open.values()],
-                "history": [_job_to_state(j) for j in self._history.values()],
+                "open": [_job_form.to_state(j) for j in self._open.values()],
+                "history": [
+                    _job_form.to_state(j) for j in self._history.values()
+                ],
                 "starts": self._starts.to_state(),
             },
         }
@@ -576,7 +406,7 @@
                 ("history", job_table._history),
             ):
                 for raw in state[name]:
-                    job = job_table._job_from_state(raw)
+                    job = _job_form.from_state(raw)
                     table[job.id] = job
             # Snapshots of earlier versions have no starts.
             job_table._starts = _starts.Starts.from_state(
@@ -590,30 +420,6 @@
             ) from exc
         return job_table
 
-    def _job_from_state(self, raw):
-        job = self._read_job(raw["job"])
-        job.outcomes = bytearray(raw["outcomes"].encode())
-        if len(job.outcomes) != job.tasks:
-            raise ValueError(
-                f"snapshot of job {job.id} has {len(job.outcomes)} outcomes"
-                f" for {job.tasks} tasks"
-            )
-        job.open_tasks = raw["outcomes"].count(OPEN)
-        job.cancelled = raw["cancelled"]
-        job.hold_reason = raw["hold"]
-        # Snapshots of earlier versions have no crashes.
-        job.give_up_reason = raw.get("give_up")
-        job.crashes = _budget.from_state(raw.get("crashes", {})) or _EMPTY
-        job.finishes = raw["finishes"]
-        attempts = {int(k): list(v) for k, v in raw["attempts"].items()}
-        failures = {int(k): v for k, v in raw["failures"].items()}
-        intents = {int(k): v for k, v in raw["intents"].items()}
-        job.attempts = attempts or _EMPTY
-        job.failures = failures or _EMPTY
-        job.failed_on = tuple(raw["failed_on"])
-        job.intents = intents or _EMPTY
-        return job
-
     def refusal(self, raw, pool):
         """Return why a job record cannot be accepted, or None.
 
@@ -630,7 +436,7 @@
             ``malformed``, ``never_fits`` or ``overloaded``.
         """
         try:
-            job = self._read_job(raw)
+            job = _job_form.read_job(raw)
         except ValueError as exc:
             return errors.Failure(errors.Kind.MALFORMED, str(exc))
         if self.get(job.id) is not None:
@@ -672,42 +478,3 @@
             "history": len(self._history),
             "malformed": self._malformed,
         }
-
-
-def _is_word_list(command):
-    return (
-        isinstance(command, list)
-        and all(_is_text(word, MAX_COMMAND_CHARS) for word in command)
-        and sum(map(len, command)) <= MAX_COMMAND_CHARS
-    )
-
-
-def _job_to_state(job):
-    work = job.work
-    return {
-        "job": {
-            "id": job.id,
-            "path": job.path,
-            "kind": work.kind,
-            "team": work.team,
-            "priority": work.priority,
-            "tasks": job.tasks,
-            "cores": work.size[0] / 1000,
-            "memory_mb": work.size[1],
-            "accelerators": work.size[2],
-            "run_time_s": work.run_time_s,
-            "once": work.once,
-            "max_restarts": job.max_restarts,
-            "command": job.command,
-        },
-        "outcomes": job.outcomes.decode(),
-        "cancelled": job.cancelled,
-        "hold": job.hold_reason,
-        "give_up": job.give_up_reason,
-        "finishes": job.finishes,
-        "failures": {str(k): v for k, v in job.failures.items()},
-        "crashes": _budget.to_state(job.crashes),
-        "attempts": {str(k): list(v) for k, v in job.attempts.items()},
-        "failed_on": list(job.failed_on),
-        "intents": {str(k): v for k, v in job.intents.items()},
-    }
--- a/src/citrondeal/jobs/_owner.py
+++ b/src/citrondeal/jobs/_owner.py
@@ -10,7 +10,7 @@
 from citrondeal.jobs import _assignments
 from citrondeal.jobs import _crashes
 from citrondeal.jobs import _isolation
-from citrondeal.jobs import _job_table
+from citrondeal.jobs import _job
 from citrondeal import numbers
 from citrondeal import placement
 
@@ -155,7 +155,7 @@
             return
         for task, _ in self._job_table.starts.at(name):
             if task not in worker.assignments:
-                task_key = _job_table.parse_task_id(task)[:2]
+                task_key = _job.parse_task_id(task)[:2]
                 self._release_start(task_key, task, now)
 
     def _update_pool_worker(self, worker, now):
@@ -222,7 +222,7 @@
         elif change.kind == "finished":
             self._on_finished(change.tasks, now)
             for task in change.given_up:
-                job_id = _job_table.parse_task_id(task)[0]
+                job_id = _job.parse_task_id(task)[0]
                 self._crashes.on_given_up(self._job_table.get(job_id), task)
         return change
 
@@ -519,7 +519,7 @@
         for task, boot_id in self._job_table.starts.at(name):
             if task in tasks or task in worker.assignments:
                 continue
-            job_id, index, _ = _job_table.parse_task_id(task)
+            job_id, index, _ = _job.parse_task_id(task)
             if boot_id == worker.boot_id or worker.drained:
                 # The start of a previous owner may still arrive until then.
                 if sent_at >= self._previous_until + self._margin:
@@ -554,7 +554,7 @@
     def _record_crash(self, run, crash, now):
         """Hold a task back until the log has the crash of its worker."""
         job = self._job_table.get(run.job.id)
-        parts = _job_table.parse_task_id(run.task)
+        parts = _job.parse_task_id(run.task)
         # The outcome of a task that must run once is unknown.
         if job is None or job.once or run.task in self._unrecorded_ends:
             return
@@ -607,7 +607,7 @@
     def _adopt(self, worker, listing, size, now):
         """Add an assignment for a task that this owner has not started."""
         task = listing["task"]
-        parts = _job_table.parse_task_id(task)
+        parts = _job.parse_task_id(task)
         job = self._job_table.get(parts[0]) if parts else None
         if job is not None and parts[1] >= job.tasks:
             job = None
@@ -700,7 +700,7 @@
         state = listing["state"]
         name = worker.info.name
         worker.busy_until = now + self._config.busy_s
-        parts = _job_table.parse_task_id(task)
+        parts = _job.parse_task_id(task)
         job = self._job_table.get(parts[0]) if parts else None
         if job is None or parts[1] >= job.tasks:
             if assignment is not None:
@@ -767,7 +767,7 @@
         for task in tasks:
             entry = self._unrecorded_ends.pop(task, None)
             self._end_append_at.pop(task, None)
-            parts = _job_table.parse_task_id(task)
+            parts = _job.parse_task_id(task)
             task_key = parts[:2]
             job = self._job_table.get(parts[0])
             if entry is not None and entry["outcome"] == "failed":
@@ -931,9 +931,7 @@
                         and task_key not in self._usable_intents
                         and task_key not in self._unrecorded_final_ends
                     ):
-                        task = _job_table.task_id(
-                            job.id, index, job.intents[index]
-                        )
+                        task = _job.task_id(job.id, index, job.intents[index])
                         self._record_end(job, index, task, "unknown", "", now)
             if job.work.kind == "gang":
                 task_keys = [(job.id, i) for i in job.open_indices()]
@@ -1103,7 +1101,7 @@
         else:
             self._attempt += 1
             attempt = f"{self._epoch}.{self._attempt}"
-        task = _job_table.task_id(job.id, action.index, attempt)
+        task = _job.task_id(job.id, action.index, attempt)
         assignment = _assignments.Assignment(
             task,
             job,
@@ -1127,7 +1125,7 @@
         return assignment.task_key[1] in job.crashes
 
     def _on_intent(self, task, now):
-        task_key = _job_table.parse_task_id(task)[:2]
+        task_key = _job.parse_task_id(task)[:2]
         assignment = self._assigned.get(task_key)
         if assignment is not None and assignment.task == task:
             if assignment.phase == _assignments.INTENT:
@@ -1139,7 +1137,7 @@
         job = self._job_table.get(task_key[0])
         if not job.once:
             # This owner has given up a start before its record was read.
-            attempt = _job_table.parse_task_id(task)[2]
+            attempt = _job.parse_task_id(task)[2]
             if attempt.startswith(f"{self._epoch}."):
                 self._release_start(task_key, task, now)
             return
@@ -1284,7 +1282,7 @@
         tasks = []
         for index, code in enumerate(job.outcomes[:limit]):
             assignment = self._assigned.get((job_id, index))
-            state = _job_table.OUTCOMES[chr(code)]
+            state = _job.OUTCOMES[chr(code)]
             if assignment is not None:
                 state = (
                     "stopping" if assignment.stop_order else assignment.phase
