--- a/src/citrondeal/cell/_leases.py
+++ b/src/citrondeal/cell/_leases.py
@@ -96,10 +96,9 @@
         born_ms : int
             0 for the one that has reported last.
         """
-        is_same = 0 in (born_ms, self._clock_born_ms) or (
-            born_ms == self._clock_born_ms
-        )
-        return self.worker_clock_known and is_same
+        if 0 in (born_ms, self._clock_born_ms):
+            return self.worker_clock_known
+        return born_ms == self._clock_born_ms
 
     def worker_clock_s(self, now):
         """Return the time on the worker's clock in seconds.
--- a/src/citrondeal/platform/_runners.py
+++ b/src/citrondeal/platform/_runners.py
@@ -122,9 +122,13 @@
         client = self._start_client
         if client.born_ms != order.born_ms:
             client = await self._switch_incarnation(order.born_ms)
-        return await self._send_order(
-            client, "/v1/run-start", value, repeat=bool(order.ticket)
+        reported_clock_ms = self._newest_clock_ms
+        outcome = await client.send(
+            "/v1/run-start", value, repeat=bool(order.ticket)
         )
+        if outcome.is_ok():
+            self._compare_clock(outcome.ok_value, reported_clock_ms)
+        return _settle(outcome)
 
     async def _switch_incarnation(self, born_ms):
         """Return a new client for starts on another incarnation."""
@@ -140,7 +144,7 @@
             "run": order.run,
             "fence": fence,
         }
-        return await self._send_order(self._stop_client, "/v1/run-stop", value)
+        return _settle(await self._stop_client.send("/v1/run-stop", value))
 
     async def renew_leases(self, renewal):
         """Renew the leases and return the runner's running and ended tasks.
@@ -192,28 +196,17 @@
             self._worker, self.address, born_ms, self._on_other_incarnation
         )
 
-    async def _send_order(self, client, path, value, repeat=True):
-        reported_clock_ms = self._newest_clock_ms
-        outcome = await client.send(path, value, repeat)
-        if outcome.is_err():
-            return outcome.err_value
-        reply = outcome.ok_value
-        self._check_clock(path, reply, reported_clock_ms)
-        if reply.repeated:
-            return outcome_after_repeat(_order_replies.outcome(reply))
-        return _order_replies.outcome(reply)
-
-    def _check_clock(self, path, reply, reported_clock_ms):
+    def _compare_clock(self, reply, reported_clock_ms):
         """Log an answer whose clock is behind that of an earlier report.
 
         The clock of one incarnation only rises, so another one has answered.
 
         Parameters
         ----------
-        path : str
         reply : web.Reply
+            Answer to a start.
         reported_clock_ms : float
-            Clock in the newest report when the order was sent.
+            Clock in the newest report when the start was sent.
         """
         clock_ms = _order_replies.clock_ms(reply)
         if clock_ms is None or clock_ms >= reported_clock_ms:
@@ -221,9 +214,8 @@
         telemetry.event(
             _LOG,
             logging.WARNING,
-            "order is answered by another incarnation",
+            "start is answered by another incarnation",
             worker=self._worker,
-            path=path,
             status=reply.status,
             clock_ms=clock_ms,
             reported_clock_ms=reported_clock_ms,
@@ -236,6 +228,16 @@
         await self._renewal_client.aclose()
 
 
+def _settle(outcome):
+    """Return the `workflow.OrderOutcome` of an order that was sent."""
+    if outcome.is_err():
+        return outcome.err_value
+    reply = outcome.ok_value
+    if reply.repeated:
+        return outcome_after_repeat(_order_replies.outcome(reply))
+    return _order_replies.outcome(reply)
+
+
 def _encode_renewal(renewal):
     value = {"fence": renewal.fence, "seen-upto": renewal.acknowledged}
     if renewal.until_s is not None:
