Let random histories restart workers and cut them off before they are heard

The random model hardly ever reached the state in which a task ran twice: a start with a time on the clock of an earlier incarnation is carried out by the next one, which is cut off before the owner has heard from it.

`random_restarts` plays restarts under the same id, with a renewal that is never answered, late entries, cuts, second restarts and changes of the owner.

--- a/src/citrondeal/workflow/tests/capacities.py
+++ b/src/citrondeal/workflow/tests/capacities.py
@@ -110,6 +110,10 @@
         """Append an entry that its worker has not written."""
         self._records.append((info.worker, info))
 
+    def delay(self, worker, until):
+        """Let the first entry of an incarnation be written at a time."""
+        self._due_at[worker.name, worker.born_ms] = until
+
     def tick(self, workers, store_up, delays_allowed, now):
         """Let the workers write the entries that are due."""
         if not store_up:
--- a/src/citrondeal/workflow/tests/incarnations.feature
+++ b/src/citrondeal/workflow/tests/incarnations.feature
@@ -96,3 +96,18 @@
     Then workflow a refusal under a fence that was raised shows no newer owner
     And workflow a worker that is removed and listed again has a higher fence
     And workflow the fence of a worker stays below those of the next epoch
+
+  # Guards against tasks that run twice: a start with a time on the clock of an
+  # earlier incarnation gives the next one a longer lease than the owner counts,
+  # and the worker is cut off before the owner has heard of the restart.
+  Scenario: workflow no task runs twice while workers restart and are cut off
+    Then workflow 30 random histories of restarted workers keep all invariants
+
+  # Checks that the scenario above can fail: it must find starts that another
+  # incarnation carries out than they were meant for, and an owner that goes on
+  # beside a later one.
+  Scenario: workflow random histories of restarts find unbound connections
+    Then workflow 30 random histories of restarted workers with unbound connections break an invariant
+
+  Scenario: workflow random histories of restarts find two owners
+    Then workflow 30 random histories of restarted workers find the fault "barriers of later owners are ignored"
--- a/src/citrondeal/workflow/tests/simulated_orders.py
+++ b/src/citrondeal/workflow/tests/simulated_orders.py
@@ -55,10 +55,18 @@
         fence = owner.fence(worker)
         known = owner.scheduler.workers.get(worker.name)
         outcome = self._send_once(owner, worker, action, now)
+        if outcome is workflow.OrderOutcome.OTHER_INCARNATION:
+            self._simulation.renewals.on_other_incarnation(owner, worker)
         return workflow.settle_outcome(outcome, fence, known)
 
     def _send_once(self, owner, worker, action, now):
         carry_out = self._order(owner, worker, action, now)
+        is_kept_back = (
+            self._simulation.bound
+            and isinstance(action, workflow.Start)
+            and not worker.down
+            and action.born_ms not in (0, worker.born_ms)
+        )
         rng = self._simulation.random
         roll = rng.random()
         may_fail = now < self._simulation.faults_ended_at
@@ -67,7 +75,11 @@
             or self._is_gone(worker)
             or now < owner.unreachable_until.get(worker.name, 0.0)
         ):
+            if is_kept_back:  # nobody has answered on the new connection
+                return workflow.OrderOutcome.REFUSED
             return workflow.OrderOutcome.UNKNOWN
+        if is_kept_back:
+            return workflow.OrderOutcome.OTHER_INCARNATION
         if roll < LATE_SHARE and may_fail:
             delay_s = rng.uniform(0.5, MAX_DELAY_S)
             self._simulation.late_calls.add(worker, now + delay_s, carry_out)
--- a/src/citrondeal/workflow/tests/simulated_owner.py
+++ b/src/citrondeal/workflow/tests/simulated_owner.py
@@ -19,6 +19,20 @@
     # Time until which it cannot reach a worker, by worker.
     unreachable_until: dict = dataclasses.field(default_factory=dict)
     connected_to: dict = dataclasses.field(default_factory=dict)
+    # Incarnation that has answered a renewal on the present connection.
+    answered_by: dict = dataclasses.field(default_factory=dict)
+
+    def read_log(self, log, submissions, now):
+        """Read the new records of the log."""
+        for offset in range(self.position, len(log)):
+            kind, value = log[offset]
+            if kind == "job":
+                self.scheduler.on_submission(submissions[value], offset, now)
+            elif kind == "cancel":
+                self.scheduler.on_cancel(value, now)
+            else:
+                self.scheduler.on_barrier(value)
+        self.position = len(log)
 
     def fence(self, worker):
         """Return the fence of orders to a worker, None if it is unknown."""
