--- a/src/citrondeal/web/_client.py
+++ b/src/citrondeal/web/_client.py
@@ -22,7 +22,6 @@
 # idle for longer than this are not reused.
 MAX_IDLE_S = 10.0
 
-
 _CALL_ERRORS = (
     *_connection.CONNECTION_ERRORS,
     _connection.AnswerTooLarge,
@@ -45,7 +44,8 @@
     ----------
     message : str
     detail : object
-        Passed on in the `ConnectionRejected`.
+        What the check has learned; its caller finds it in the
+        `ConnectionRejected`.
     """
 
     def __init__(self, message, detail=None):
--- a/src/citrondeal/workflow/_messages.py
+++ b/src/citrondeal/workflow/_messages.py
@@ -102,7 +102,7 @@
     LATE = "late"  # the order arrived after its time limit
     NO_ROOM = "no_room"
     BAD_TICKET = "bad_ticket"
-    OTHER_INCARNATION = "other_incarnation"  # it was not carried out
+    OTHER_INCARNATION = "other_incarnation"  # the order was not sent to it
     REFUSED = "refused"  # the order was not carried out
     UNKNOWN = "unknown"  # it may have been, or may still be carried out
 
--- a/src/citrondeal/workflow/_planner.py
+++ b/src/citrondeal/workflow/_planner.py
@@ -94,8 +94,10 @@
 
     def _note_starts(self, actions):
         for action in actions:
-            if isinstance(action, _messages.Start):
-                run = self._state.workers[action.worker].runs[action.task]
+            if not isinstance(action, _messages.Start):
+                continue
+            run = self._state.workers[action.worker].runs.get(action.task)
+            if run is not None:  # not released in the same pass
                 self._state.late_starts.on_ordered(run, action.ticket)
 
     def _look_at_workers(self):
