Count idle renewals anew after each end that a worker lists

Renewals that end at once and show nothing new came together over any time on a busy worker, for example when its ends were stored while a renewal was on its way; after three of them, further ones were followed by a pause of 0.2 s, until one had been held. Now only those without an end between them count.

--- a/src/citrondeal/cell/_leases.py
+++ b/src/citrondeal/cell/_leases.py
@@ -155,12 +155,14 @@
             began_at = _clock.now()
             with telemetry.contain(_LOG, "renewal", worker=self.worker_id):
                 renewed = await self._renew()
+            if self._worker.last_end_number != last_end:
+                self._idle_renewals = 0
             if not renewed:
                 await self._pause()
             elif self._worker.last_end_number > self._worker.acknowledged:
                 writer.wake()
                 await self._wait_stored()
-            elif self._worker.last_end_number == last_end:
+            else:
                 await self._pause_if_idle(began_at)
         await self._client.aclose()
 
