--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -23,10 +23,13 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 APPEND_S = 0.002
+STORE_BYTES = 400_000_000
+PART_BYTES_PER_S = 20_000_000
 LIST_LIMIT = 500
 MAX_LEASE_MS = 10_000
 STOP_S = 0.1
 HEARTBEAT_S = 1.5
+RACK_RUNNERS = 8
 RESTART_S = 0.5  # from the end of a process until it is started again
 FRONT, READY, PEERS = 8161, 8167, 7720
 HOST = "lanes.example"
@@ -136,6 +139,7 @@
 class _Partition:
     def __init__(self):
         self.records = []
+        self.size = 0
         self.newest = {}
         self.epochs = {}
         self.replies = {}
@@ -145,6 +149,7 @@
     def add(self, key, value):
         offset = len(self.records)
         self.records.append((key, value))
+        self.size += 5 + len(key) + len(value)
         if value:
             self.newest[key] = (offset, value)
         else:
@@ -158,6 +163,12 @@
 
     def __init__(self):
         self.topics = collections.defaultdict(_Partition)
+        self.refused = 0  # appends, for want of room
+
+    @property
+    def size(self):
+        """Bytes of all records; none is older than the time they are kept."""
+        return sum(partition.size for partition in self.topics.values())
 
     def put(self, topic, key, value):
         """Append a record as the operator or a runner does."""
@@ -176,8 +187,11 @@
     async def _append(self, query, body):
         partition = self.topics[query["topic"]]
         async with partition.lock:
-            await asyncio.sleep(APPEND_S)
+            await asyncio.sleep(APPEND_S + len(body) / PART_BYTES_PER_S)
             end = len(partition.records)
+            if self.size >= STORE_BYTES:
+                self.refused += 1
+                return 507, b""
             if "at" in query and int(query["at"]) != end:
                 return 412, _json(end=end)
             refusal = _check_producer(partition, query)
@@ -267,12 +281,14 @@
 class Runner:
     """A runner, which starts whatever it is told to start."""
 
-    def __init__(self, name, record, cpu=32_000, memory_mb=131_072):
+    def __init__(self, name, record, rack, cpu=32_000, memory_mb=131_072):
         self.name = name
         self.address = ""
         self.running = {}
         self.started = []  # names of tasks, in order
+        self.done = []
         self.capacity_cpu = cpu
+        self._labels = ["a", rack]
         self.draining = False
         self._record = record
         self._capacity = {"cpu": cpu, "mem-mb": memory_mb, "gpu": 0}
@@ -286,6 +302,11 @@
         self._sequence = 0
         self._end_listed = asyncio.Event()
 
+    @property
+    def unseen_ends(self):
+        """Number of listed ends that nobody has taken note of."""
+        return len(self._ended)
+
     def clock_ms(self):
         """Return the time on the clock of this runner."""
         return int((time.monotonic() - self._clock_at) * 1000)
@@ -303,7 +324,7 @@
             "cold-left-ms": 0,
             "seq": self._sequence,
             "capacity": self._capacity,
-            "labels": ["a", "r1"],
+            "labels": self._labels,
             "clock-ms": self.clock_ms(),
             "born": self._born_ms,
         }
@@ -397,6 +418,8 @@
             if how is None:
                 continue
             del self.running[task]
+            if how == "done":
+                self.done.append(task)
             self._closed[task] = max(self._closed[task], run["run"])
             self._ends += 1
             self._ended.append([self._ends, task, run["run"], how, ""])
@@ -560,7 +583,10 @@
         network = f"127.{digits.randint(2, 254)}.{digits.randint(1, 254)}"
         self._network = network
         self.store = Store()
-        self.runners = [Runner(f"i-{i}", self.record) for i in range(runners)]
+        self.runners = [
+            Runner(f"i-{i}", self.record, f"r{1 + i // RACK_RUNNERS}")
+            for i in range(runners)
+        ]
         self._store_address = f"{network}.200:{_free_port(network + '.200')}"
         self.members = [
             Member(
@@ -705,7 +731,7 @@
         return probe.getsockname()[1]
 
 
-def job(tasks, work_s=0.3, cpu=1000, steps=1):
+def job(tasks, work_s=0.3, cpu=1000, steps=1, chained=False, label=""):
     """Return the body of a job whose steps are alike."""
     step = {
         "count": tasks,
@@ -713,8 +739,13 @@
         "mem-mb": 64,
         "estimate-ms": int(work_s * 1000),
     }
-    spec = json.dumps({"work_s": work_s, "cpu": cpu})
-    return {"spec": spec, "steps": [step] * steps}
+    if label:
+        step["required-label"] = label
+    steps = [dict(step) for _ in range(steps)]
+    if chained:
+        for number in range(1, len(steps)):
+            steps[number]["after"] = [number - 1]
+    return {"spec": json.dumps({"work_s": work_s, "cpu": cpu}), "steps": steps}
 
 
 def main(play, folder):
