--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -65,14 +65,17 @@
     return first, headers, await reader.readexactly(size)
 
 
-async def serve(host, port, handle):
+async def serve(host, port, handle, connections=None):
     """Serve HTTP/1.1; ``await handle(method, path, query, body)``.
 
     It returns a status and a body of bytes, or None to close the connection
-    without an answer.
+    without an answer.  The writers of open connections are in the set
+    `connections`, if there is one.
     """
+    connections = set() if connections is None else connections
 
     async def on_connection(reader, writer):
+        connections.add(writer)
         try:
             while True:
                 first, headers, body = await _read_message(reader)
@@ -94,6 +97,7 @@
         except asyncio.CancelledError:
             pass  # the script ends
         finally:
+            connections.discard(writer)
             writer.close()
 
     return await asyncio.start_server(
@@ -284,14 +288,19 @@
     def __init__(self, name, record, rack, cpu=32_000, memory_mb=131_072):
         self.name = name
         self.address = ""
-        self.running = {}
         self.started = []  # names of tasks, in order
         self.done = []
         self.capacity_cpu = cpu
         self._labels = ["a", rack]
         self.draining = False
+        self.connections = set()
         self._record = record
         self._capacity = {"cpu": cpu, "mem-mb": memory_mb, "gpu": 0}
+        self._begin()
+
+    def _begin(self):
+        """Begin an incarnation, which knows nothing of earlier ones."""
+        self.running = {}
         self._born_ms = int(time.time() * 1000)
         self._clock_at = time.monotonic()
         self._fence = 0
@@ -302,6 +311,20 @@
         self._sequence = 0
         self._end_listed = asyncio.Event()
 
+    def crash(self):
+        """End without a word, and start again at once."""
+        self._record.write(f"{self.name} crashes with {sorted(self.running)}")
+        for writer in list(self.connections):
+            writer.transport.abort()
+        self._begin()
+
+    def runs_for_s(self):
+        """Return for how long the oldest of its runs has been running."""
+        now = time.monotonic()
+        return max(
+            (now - r["began"] for r in self.running.values()), default=0
+        )
+
     @property
     def unseen_ends(self):
         """Number of listed ends that nobody has taken note of."""
@@ -630,7 +653,7 @@
             host = f"{self._network}.{100 + number}"
             port = _free_port(host)
             runner.address = f"{host}:{port}"
-            await serve(host, port, runner.handle)
+            await serve(host, port, runner.handle, runner.connections)
             self._tasks.append(asyncio.create_task(self._beat(runner)))
         self._tasks.append(asyncio.create_task(self._tick()))
         for member in self.members:
