--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -34,6 +34,8 @@
 FRONT, READY, PEERS = 8161, 8167, 7720
 HOST = "lanes.example"
 PREFIX = "/holds/"
+BATCH_PREFIX = "/batch/"  # of a queue of lower priority
+BATCH_PRIORITY = 2
 
 
 class Record:
@@ -294,6 +296,10 @@
         self._labels = ["a", rack]
         self.draining = False
         self.connections = set()
+        self.withholds = False  # leaves starts unanswered, for later
+        self.withheld = []
+        self.life = 1
+        self.up = True
         self._record = record
         self._capacity = {"cpu": cpu, "mem-mb": memory_mb, "gpu": 0}
         self._begin()
@@ -318,6 +324,29 @@
             writer.transport.abort()
         self._begin()
 
+    def lose_power(self):
+        """End silently: nothing is answered until `return_`."""
+        self._record.write(f"{self.name} loses power")
+        self.up = False
+        self.life += 1
+        self.running = {}
+
+    def return_(self):
+        """Start again under the same id."""
+        self._record.write(f"{self.name} is back")
+        self._begin()
+        self.up = True
+
+    def carry_out_late(self):
+        """Carry out the starts that were left unanswered."""
+        for order in self.withheld:
+            if order["fence"] < self._fence:
+                reply = self._answer(409, reason="fence")
+            else:
+                reply = self._start(order)
+            self._record.write(f"{self.name} carries out {order}: {reply}")
+        self.withheld = []
+
     def runs_for_s(self):
         """Return for how long the oldest of its runs has been running."""
         now = time.monotonic()
@@ -357,8 +386,19 @@
         return sum(run["cpu"] for run in self.running.values())
 
     async def handle(self, method, path, query, body):
-        """Answer a call."""
+        """Answer a call, unless this life ends before."""
+        life = self.life
         order = json.loads(body)
+        if self.up and self.withholds and path == "/v1/run-start":
+            self.withheld.append(order)
+            self._record.write(f"{self.name} leaves {order} unanswered")
+        elif self.up:
+            reply = await self._carry_out(path, order)
+            if self.up and life == self.life:
+                return reply
+        await asyncio.Event().wait()
+
+    async def _carry_out(self, path, order):
         if order["fence"] < self._fence:
             return self._answer(409, reason="fence")
         self._fence = order["fence"]
@@ -571,6 +611,16 @@
                 return f"{used_mb:.0f} MB, over {self._memory_mb} MB"
         return f"exit status {ended.result()}"
 
+    def log_lines(self):
+        """Return the lines that the process has logged."""
+        with open(self._log.name, "rb") as file:
+            return [line for line in file if line.startswith(b"{")]
+
+    def kill(self):
+        """Kill the process, which is started again."""
+        self._record.write(f"{self.name} is killed")
+        self.process.kill()
+
     def stop(self):
         """End the process for good."""
         self.restarts = False
@@ -636,13 +686,19 @@
             "stretch": 1.5,
             "target-latency-ms": 500,
         }
+        batch = {
+            **route,
+            "name": "batch",
+            "path-prefix": BATCH_PREFIX,
+            "priority": BATCH_PRIORITY,
+        }
         service = {"name": "lanes", "enforces-capacity": False}
         self.store.put(
             "keyed.op",
             "config",
             {
                 "version": 1,
-                "routes": [route],
+                "routes": [route, batch],
                 "services": [service],
                 "limits": {"max-body-bytes": 262_144},
             },
@@ -682,11 +738,13 @@
                 runner.tick()
             await asyncio.sleep(0.02)
 
-    async def request(self, member, method, job="", value=None, quiet=False):
+    async def request(
+        self, member, method, job="", value=None, quiet=False, prefix=PREFIX
+    ):
         """Send a client's request, and record it with its answer."""
         headers = (f"Host: {HOST}", "X-Deadline-Ms: 3000")
         status, body = await call(
-            member.front, method, PREFIX + job, value, 3.5, headers
+            member.front, method, prefix + job, value, 3.5, headers
         )
         if not quiet:
             shown = "" if body is None else f" {json.dumps(body)}"
@@ -695,11 +753,13 @@
             )
         return status, body
 
-    async def submit(self, job, value, tries=4):
+    async def submit(self, job, value, tries=4, prefix=PREFIX):
         """Hand a job in as a client does, with retries at other members."""
         for attempt in range(tries):
             member = self.members[(int(job, 16) + attempt) % len(self.members)]
-            status, _ = await self.request(member, "POST", job, value)
+            status, _ = await self.request(
+                member, "POST", job, value, prefix=prefix
+            )
             if status == 200 or status in (400, 404, 413):
                 return status
             await asyncio.sleep(1.0)
@@ -732,6 +792,16 @@
             for task in runner.started
         )
 
+    def owner(self):
+        """Return the member that has recovered the state last, by the logs."""
+        found = []
+        for member in self.members:
+            for line in member.log_lines():
+                entry = json.loads(line)
+                if entry.get("event") == "state is recovered":
+                    found.append((entry["epoch"], member))
+        return max(found, key=lambda pair: pair[0])[1]
+
     async def stop(self):
         """End all processes, and remove the temporary folder."""
         for member in self.members:
