--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -293,6 +293,7 @@
         self.started = []  # names of tasks, in order
         self.done = []
         self.capacity_cpu = cpu
+        self.rack = rack
         self._labels = ["a", rack]
         self.draining = False
         self.connections = set()
