--- a/review/14/case.py
+++ b/review/14/case.py
@@ -58,7 +58,7 @@
     return None
 
 
-play.create = lambda folder: standins.Cell(folder, runners=RUNNERS)
+play.create = lambda path: standins.Cell(path, runners=RUNNERS)
 
 if __name__ == "__main__":
-    sys.exit(standins.main(play, FOLDER))
+    sys.exit(standins.main(play, FOLDER / "record.txt"))
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -41,8 +41,8 @@
 class Record:
     """What was sent, answered and run, as lines of ``record.txt``."""
 
-    def __init__(self, folder):
-        self._file = open(pathlib.Path(folder) / "record.txt", "w")
+    def __init__(self, path):
+        self._file = open(path, "w")
         self._started = time.monotonic()
 
     def write(self, text):
@@ -355,6 +355,11 @@
             (now - r["began"] for r in self.running.values()), default=0
         )
 
+    @property
+    def ends(self):
+        """Number of ends of this incarnation, taken note of or not."""
+        return self._ends
+
     @property
     def unseen_ends(self):
         """Number of listed ends that nobody has taken note of."""
@@ -643,15 +648,15 @@
 
     Parameters
     ----------
-    folder : path-like
-        Where ``record.txt`` is written.
+    record_path : path-like
+        The ``record.txt`` to write.
     members, runners : int
     memory_mb : int
         Memory of each machine, in megabytes.
     """
 
-    def __init__(self, folder, members=3, runners=4, memory_mb=300):
-        self.record = Record(folder)
+    def __init__(self, record_path, members=3, runners=4, memory_mb=300):
+        self.record = Record(record_path)
         self._temporary = pathlib.Path(tempfile.mkdtemp())
         digits = random.SystemRandom()
         network = f"127.{digits.randint(2, 254)}.{digits.randint(1, 254)}"
@@ -842,20 +847,20 @@
     return {"spec": json.dumps({"work_s": work_s, "cpu": cpu}), "steps": steps}
 
 
-def main(play, folder):
+def main(play, record_path):
     """Play a case and return its exit status.
 
     Parameters
     ----------
     play : callable
         ``await play(cell, trouble)`` returns the rule that was broken, or
-        None; ``cell`` is made by ``play.create(folder)``.
-    folder : path-like
+        None; ``cell`` is made by ``play.create(record_path)``.
+    record_path : path-like
     """
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
-        cell = play.create(folder)
+        cell = play.create(record_path)
         try:
             await cell.start()
             broken = await play(cell, trouble)
